--- /dev/null
+++ b/src/base/counters.h
@@ -0,0 +1,72 @@
+/* Counters of one process, by name.  Adding a counter is a row of the table
+   below.  */
+#ifndef BASE_COUNTERS_H
+#define BASE_COUNTERS_H
+
+#include <stdint.h>
+#include <jansson.h>
+
+#define COUNTER_TABLE(ROW)                                                    \
+  ROW (JOBS_ACCEPTED, "jobs_accepted")                                        \
+  ROW (JOBS_COMPLETE, "jobs_complete")                                        \
+  ROW (JOBS_FAILED, "jobs_failed")                                            \
+  ROW (JOBS_REPEATED, "jobs_repeated")                                        \
+  ROW (JOBS_CONTINUED, "jobs_continued")                                      \
+  ROW (JOBS_CANCELLED, "jobs_cancelled")                                      \
+  ROW (REQUESTS_ACCEPTED, "requests_accepted")                                \
+  ROW (REFUSALS_NOT_RUN, "refusals_not_run")                                  \
+  ROW (REFUSALS_UNKNOWN, "refusals_unknown")                                  \
+  ROW (TASK_STARTS, "task_starts")                                            \
+  ROW (TASKS_DONE, "tasks_done")                                              \
+  ROW (TASKS_FAILED, "tasks_failed")                                          \
+  ROW (TASKS_UNKNOWN, "tasks_unknown")                                        \
+  ROW (TASK_RETRIES, "task_retries")                                          \
+  ROW (TASK_STOPS, "task_stops")                                              \
+  ROW (TASKS_PASSED, "tasks_passed")                                          \
+  ROW (TASKS_PASSED_BACK, "tasks_passed_back")                                \
+  ROW (FORWARDS, "forwards")                                                  \
+  ROW (FORWARD_RETRIES, "forward_retries")                                    \
+  ROW (RECORD_MESSAGES, "record_messages")                                    \
+  ROW (RECORD_REFUSALS, "record_refusals")                                    \
+  ROW (PEER_FRAMES_IN, "peer_frames_in")                                      \
+  ROW (PEER_FRAMES_OUT, "peer_frames_out")                                    \
+  ROW (PEER_BYTES_IN, "peer_bytes_in")                                        \
+  ROW (PEER_BYTES_OUT, "peer_bytes_out")                                      \
+  ROW (PEER_FRAMES_REFUSED, "peer_frames_refused")                            \
+  ROW (CONTROL_BYTES_OUT, "control_bytes_out")                                \
+  ROW (HTTP_REQUESTS, "http_requests")                                        \
+  ROW (HTTP_REFUSED, "http_refused")                                          \
+  ROW (TARGET_ANNOUNCES, "target_announces")                                  \
+  ROW (TARGETS_EJECTED, "targets_ejected")                                    \
+  ROW (CONFIG_ACCEPTED, "config_accepted")                                    \
+  ROW (CONFIG_REFUSED, "config_refused")                                      \
+  ROW (STORE_SYNCS, "store_syncs")                                            \
+  ROW (ELECTIONS, "elections")
+
+#define COUNTER_ENUM(id, name) COUNTER_##id,
+enum counter
+{
+  COUNTER_TABLE (COUNTER_ENUM) COUNTER_COUNT
+};
+#undef COUNTER_ENUM
+
+struct counters
+{
+  uint64_t value[COUNTER_COUNT];
+};
+
+/* The counters of this process.  */
+extern struct counters counters;
+
+static inline void
+counters_add (enum counter c, uint64_t n)
+{
+  counters.value[c] += n;
+}
+
+const char *counters_name (enum counter c);
+
+/* A new JSON object of all counters.  The caller owns it.  */
+json_t *counters_json (void);
+
+#endif
--- /dev/null
+++ b/src/base/event_table.h
@@ -0,0 +1,67 @@
+/* The catalogue of numbered events.  docs/EVENTS.md is made from this table
+   (ragwortctl events) and a test compares the two.
+
+   Columns: number, identifier, level, text, what an operator does.  */
+#ifndef BASE_EVENT_TABLE_H
+#define BASE_EVENT_TABLE_H
+
+#define EVENT_TABLE(ROW)                                                      \
+  ROW (100, PROCESS_STARTED, INFO, "process started", "nothing")              \
+  ROW (101, PROCESS_STOPPING, INFO, "graceful stop begun", "nothing")         \
+  ROW (102, PROCESS_STOPPED, INFO, "process stopped", "nothing")              \
+  ROW (200, JOB_ACCEPTED, INFO, "job accepted", "nothing")                    \
+  ROW (201, JOB_REPEATED, INFO, "job resubmitted, answered from its record",  \
+       "nothing")                                                             \
+  ROW (202, JOB_CONFLICT, WARN, "submission key reused with other content",   \
+       "tell the team: its client reuses keys")                               \
+  ROW (203, JOB_COMPLETE, INFO, "job complete", "nothing")                    \
+  ROW (204, JOB_FAILED, WARN, "job failed",                                   \
+       "read the detail; look at the targets named by its tasks")             \
+  ROW (205, JOB_REFUSED, INFO, "submission refused", "read the detail")       \
+  ROW (206, JOB_TAKEN_OVER, WARN, "job of a lost VM taken over",              \
+       "nothing; its started tasks are reported as unknown")                  \
+  ROW (207, JOB_CANCELLED, INFO, "job cancelled", "nothing")                  \
+  ROW (208, JOB_EXPIRED, INFO, "job record expired", "nothing")               \
+  ROW (210, TASK_STARTED, DEBUG, "task started on a target", "nothing")       \
+  ROW (211, TASK_ENDED, DEBUG, "task ended", "nothing")                       \
+  ROW (212, TASK_PASSED, DEBUG, "task passed to another entry", "nothing")    \
+  ROW (213, TASK_RETRIED, INFO, "idempotent request retried", "nothing")      \
+  ROW (300, TARGET_JOINED, INFO, "target announced itself", "nothing")        \
+  ROW (301, TARGET_LEAVING, INFO, "target is leaving", "nothing")             \
+  ROW (302, TARGET_LAPSED, WARN, "target's lease lapsed",                     \
+       "look at the target; it has stopped announcing itself")                \
+  ROW (303, TARGET_EJECTED, WARN, "target ejected for its failures",          \
+       "look at the target; it fails what its peers do not")                  \
+  ROW (304, TARGET_RETURNED, INFO, "ejected target returned", "nothing")      \
+  ROW (400, CONFIG_IN_FORCE, INFO, "configuration in force here", "nothing")  \
+  ROW (401, CONFIG_ACCEPTED, INFO, "configuration accepted", "nothing")       \
+  ROW (402, CONFIG_REFUSED, WARN, "configuration refused",                    \
+       "read the detail and correct the document")                            \
+  ROW (403, CONFIG_FOREIGN, ERROR, "document of another environment refused", \
+       "find who sent it; settings and document disagree")                    \
+  ROW (500, PEER_UP, INFO, "peer link up", "nothing")                         \
+  ROW (501, PEER_DOWN, WARN, "peer link down",                                \
+       "look at the peer and the network between")                            \
+  ROW (502, PEER_REFUSED, WARN, "peer frame refused",                         \
+       "check the peer's secret, environment and version")                    \
+  ROW (510, GROUP_CHANGED, INFO, "replica group changed", "nothing")          \
+  ROW (511, GROUP_SYNCED, INFO, "replica group records complete here",        \
+       "nothing")                                                             \
+  ROW (512, GROUP_MEMORY_LOST, ERROR,                                         \
+       "all members of a replica group lost their records",                   \
+       "expect unknown answers to older keys; find why all VMs stopped")      \
+  ROW (520, QUORUM_LOST, ERROR, "no keeper leader heard",                     \
+       "look at the keepers and the network; see operate/keepers.md")         \
+  ROW (521, QUORUM_BACK, INFO, "keeper leader heard again", "nothing")        \
+  ROW (600, LEADER_ELECTED, INFO, "keeper became leader", "nothing")          \
+  ROW (601, LEADER_STEPPED_DOWN, WARN, "keeper leader stepped down",          \
+       "look at the network between the keepers")                             \
+  ROW (602, STORE_LOADED, INFO, "journal loaded", "nothing")                  \
+  ROW (603, STORE_TAIL_CUT, WARN, "torn journal tail cut off",                \
+       "nothing after a crash; otherwise check the disk")                     \
+  ROW (604, STORE_COMPACTED, INFO, "journal compacted into a snapshot",       \
+       "nothing")                                                             \
+  ROW (605, STORE_FAILED, ERROR, "journal write failed; keeper stops",        \
+       "free the disk or replace it, then start the keeper")
+
+#endif
--- /dev/null
+++ b/src/base/settings.h
@@ -0,0 +1,99 @@
+/* The settings of one process: who it is, its addresses, and the VMs of the
+   system.  Read once from a JSON file and checked whole.  */
+#ifndef BASE_SETTINGS_H
+#define BASE_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include "base/error.h"
+
+enum
+{
+  NAME_BYTES = 40,
+  ADDRESS_BYTES = 48,
+  PATH_SETTING_BYTES = 256,
+  SECRET_BYTES = 128,
+  HASH_TEXT_BYTES = 65,
+  VM_LIMIT = 64,
+  DOMAIN_LIMIT = 12
+};
+
+enum settings_error
+{
+  SETTINGS_OK,
+  SETTINGS_UNREADABLE,
+  SETTINGS_INVALID
+};
+
+enum process_role
+{
+  ROLE_ENTRY,
+  ROLE_KEEPER
+};
+
+/* A VM of the system, as the settings name it.  */
+struct vm_settings
+{
+  char name[NAME_BYTES];
+  char domain[NAME_BYTES];
+  char region[NAME_BYTES];
+  char address[ADDRESS_BYTES];
+  uint16_t peer_port;
+  uint16_t http_port;
+  enum process_role role;
+};
+
+struct settings
+{
+  /* identity */
+  char vm[NAME_BYTES];
+  char domain[NAME_BYTES];
+  char environment[NAME_BYTES];
+  enum process_role role;
+
+  /* addresses */
+  char address[ADDRESS_BYTES];
+  uint16_t http_port;
+  uint16_t peer_port;
+
+  /* secrets */
+  char peer_secret[SECRET_BYTES];
+  char operator_token_sha256[HASH_TEXT_BYTES];
+  char target_token_sha256[HASH_TEXT_BYTES];
+
+  /* state */
+  char data_folder[PATH_SETTING_BYTES];
+  int64_t sync_delay_ms; /* added to each sync, to bench slow disks */
+  char log_level[8];
+
+  /* timing */
+  int64_t heartbeat_ms;
+  int64_t lease_ms;
+  int64_t register_window_ms;
+  int64_t record_timeout_ms;
+  int64_t stop_timeout_ms;
+
+  /* limits */
+  uint32_t body_bytes;
+  uint32_t connections;
+  int64_t idle_timeout_ms;
+
+  /* all VMs, this one among them */
+  struct vm_settings vms[VM_LIMIT];
+  uint32_t vm_count;
+  char domains[DOMAIN_LIMIT][NAME_BYTES];
+  uint32_t domain_count;
+};
+
+/* Reads PATH into S.  On SETTINGS_INVALID the message lists every fault.  */
+enum settings_error settings_load (struct settings *s, const char *path,
+                                   struct error *e);
+
+/* The index of the failure domain NAME, or -1.  */
+int settings_domain_index (const struct settings *s, const char *name);
+
+/* The VM NAME, or NULL.  */
+const struct vm_settings *settings_vm (const struct settings *s,
+                                       const char *name);
+
+#endif
--- /dev/null
+++ b/src/controller/config_controller.c
@@ -0,0 +1,219 @@
+#include "controller/config_controller.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/counters.h"
+#include "base/event_ring.h"
+#include "base/now.h"
+#include "controller/dispatch_controller.h"
+
+enum
+{
+  FETCH_TIMEOUT_MS = 1000,
+  PROPOSE_TIMEOUT_MS = 3000,
+  PROPOSE_RETRY_MS = 100,
+  PROPOSE_LIMIT_MS = 8000
+};
+
+/* This entry's share of a quota, all entries being alike.  */
+static double
+quota_share (const struct entry *n)
+{
+  return 1.0 / (n->peers.count + 1);
+}
+
+static void
+apply_teams (struct entry *n)
+{
+  const json_t *array = json_object_get (n->environment.document, "teams");
+  struct team *m;
+  json_t *o;
+  size_t i;
+
+  for (m = n->teams.teams; m != NULL; m = m->hh.next)
+    m->removed = true;
+  json_array_foreach ((json_t *)array, i, o)
+      team_table_set (&n->teams, json_get_text (o, "name", ""),
+                      json_get_text (o, "token_sha256", ""),
+                      json_get_real (o, "tasks_per_s", 0) * quota_share (n),
+                      json_get_real (o, "burst_tasks", 1));
+}
+
+static void
+apply_policy (struct entry *n)
+{
+  const struct policy *p = &n->environment.policy;
+
+  n->retries.ratio = p->retry_ratio;
+  n->targets.ejection
+      = (struct ejection_policy){ p->eject_failures, p->eject_share,
+                                  p->eject_ms };
+  n->submissions.capacity = n->environment.records;
+}
+
+/* Puts DOCUMENT in force as NUMBER.  An older number, or a document that does
+   not list this environment, is never taken.  */
+static void
+install (struct entry *n, uint64_t number, json_t *document)
+{
+  struct json_report report;
+
+  if (number <= n->environment.number)
+    return;
+  json_report_init (&report);
+  environment_check (document, n->settings->environment, &report);
+  if (report.faults != 0)
+    {
+      event_ring_add (EVENT_CONFIG_FOREIGN, n->settings->vm,
+                      "number=%" PRIu64 " %s", number, report.text);
+      return;
+    }
+  environment_set (&n->environment, number, document);
+  apply_teams (n);
+  apply_policy (n);
+  n->last_beat_ms = 0;
+  event_ring_add (EVENT_CONFIG_IN_FORCE, n->settings->vm,
+                  "number=%" PRIu64 " sha256=%.12s", number,
+                  n->environment.sha256);
+  dispatch_run (n);
+}
+
+static void
+on_fetched (void *arg, enum call_outcome outcome,
+            const struct peer_reply *reply)
+{
+  struct entry *n = arg;
+  json_t *root;
+
+  n->fetching_config = false;
+  if (outcome != CALL_REPLIED || reply->status != 200)
+    return;
+  root = json_loadb (reply->body.data, reply->body.length, 0, NULL);
+  if (root != NULL)
+    install (n, (uint64_t)json_get_integer (root, "number", 0),
+             json_object_get (root, "document"));
+  json_decref (root);
+}
+
+void
+config_check (struct entry *n)
+{
+  struct peer_message m = { .type = PEER_CALL };
+
+  if (n->fetching_config || n->view.config_number <= n->environment.number
+      || n->leader[0] == '\0')
+    return;
+  n->fetching_config = true;
+  m.u.call.method = METHOD_CONFIG_FETCH;
+  m.u.call.team = slice_of ("");
+  m.u.call.key = slice_of ("");
+  m.u.call.body = slice_of ("");
+  peer_network_call (n->network, n->leader, &m, FETCH_TIMEOUT_MS, on_fetched,
+                     n);
+}
+
+void
+config_receive_fetch (struct entry *n, struct peer_conn *from,
+                      const struct peer_call *call)
+{
+  struct peer_message m = { .type = PEER_REPLY };
+  json_t *o
+      = json_pack ("{s:I s:O?}", "number", (json_int_t)n->environment.number,
+                   "document", n->environment.document);
+  char *text = json_dumps (o, JSON_COMPACT);
+
+  m.u.reply.id = call->id;
+  m.u.reply.status = 200;
+  m.u.reply.body = slice_of (text);
+  peer_conn_send (from, &m);
+  free (text);
+  json_decref (o);
+}
+
+/* An operator's command on its way to the leader.  It carries the operator's
+   request id, so sending it again is safe.  */
+struct proposal
+{
+  struct entry *entry;
+  char *body;
+  size_t length;
+  int64_t until_ms;
+  void (*answer) (void *arg, int status, const char *json);
+  void *arg;
+};
+
+static void proposal_send (struct proposal *p);
+
+static void
+on_proposal_retry (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  proposal_send (arg);
+}
+
+static void
+on_proposed (void *arg, enum call_outcome outcome,
+             const struct peer_reply *reply)
+{
+  struct proposal *p = arg;
+  struct timeval t = { 0, PROPOSE_RETRY_MS * 1000 };
+  char *text;
+
+  if (outcome == CALL_REPLIED && reply->status != 421)
+    {
+      text = strndup (reply->body.data, reply->body.length);
+      p->answer (p->arg, (int)reply->status, text);
+      free (text);
+    }
+  else if (now_ms () < p->until_ms)
+    {
+      event_base_once (p->entry->base, -1, EV_TIMEOUT, on_proposal_retry, p,
+                       &t);
+      return;
+    }
+  else
+    {
+      text = http_error_text ("no_leader", "unknown",
+                              "no keeper leader answered; the command may "
+                              "still be carried out: repeat it with the same "
+                              "request_id to learn");
+      p->answer (p->arg, 503, text);
+      free (text);
+    }
+  free (p->body);
+  free (p);
+}
+
+static void
+proposal_send (struct proposal *p)
+{
+  struct peer_message m = { .type = PEER_CALL };
+
+  m.u.call.method = METHOD_PROPOSE;
+  m.u.call.team = slice_of ("");
+  m.u.call.key = slice_of ("");
+  m.u.call.timeout_ms = PROPOSE_TIMEOUT_MS;
+  m.u.call.body = (struct slice){ p->body, (uint32_t)p->length };
+  peer_network_call (p->entry->network, p->entry->leader, &m,
+                     PROPOSE_TIMEOUT_MS, on_proposed, p);
+}
+
+void
+config_propose (struct entry *n, const char *body, size_t length,
+                void (*answer) (void *arg, int status, const char *json),
+                void *arg)
+{
+  struct proposal *p = malloc (sizeof *p);
+
+  p->entry = n;
+  p->body = malloc (length + 1);
+  memcpy (p->body, body, length);
+  p->length = length;
+  p->until_ms = now_ms () + PROPOSE_LIMIT_MS;
+  p->answer = answer;
+  p->arg = arg;
+  proposal_send (p);
+}
--- /dev/null
+++ b/src/controller/config_controller.h
@@ -0,0 +1,21 @@
+/* The configuration of this entry: fetched when the control view names a
+   newer number, checked, and put in force.  Numbers only rise.  */
+#ifndef CONTROLLER_CONFIG_CONTROLLER_H
+#define CONTROLLER_CONFIG_CONTROLLER_H
+
+#include "controller/entry.h"
+
+/* Fetches the document if the view's number is above the one in force.  */
+void config_check (struct entry *n);
+
+/* Answers another process that asks for the document in force here.  */
+void config_receive_fetch (struct entry *n, struct peer_conn *from,
+                           const struct peer_call *call);
+
+/* Hands an operator's command, a JSON text, to the keepers' leader.  The
+   answer is the leader's.  */
+void config_propose (struct entry *n, const char *body, size_t length,
+                     void (*answer) (void *arg, int status, const char *json),
+                     void *arg);
+
+#endif
--- /dev/null
+++ b/src/controller/dispatch_controller.c
@@ -0,0 +1,486 @@
+#include "controller/dispatch_controller.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/counters.h"
+#include "base/event_ring.h"
+#include "base/now.h"
+#include "controller/job_controller.h"
+#include "controller/replica_controller.h"
+#include "controller/target_controller.h"
+#include "net/target_client.h"
+
+enum
+{
+  TASK_ID_BYTES = RECORD_ID_BYTES + 8,
+  ADVANCE_TASKS = 32,      /* by how many the watermark is raised */
+  ADVANCE_AHEAD_TASKS = 8, /* raised when so few are left below it */
+  PASS_MARGIN_MS = 500,    /* for the way to the other entry and back */
+
+  STATUS_DONE = 200,
+  STATUS_NOT_RUN = 409,
+  STATUS_FAILED = 500,
+  STATUS_UNKNOWN = 520
+};
+
+/* A task of a submission of this entry's, on its way.  */
+struct own_run
+{
+  struct entry *entry;
+  struct submission *submission;
+  uint32_t index;
+  struct target *target; /* NULL where it was passed to PEER */
+  struct peer *peer;
+};
+
+/* A task that runs here for another entry.  */
+struct remote_run
+{
+  struct entry *entry;
+  struct peer_conn *from;
+  uint64_t call_id;
+  struct target *target;
+  char kind[NAME_BYTES];
+  char task[TASK_ID_BYTES];
+  UT_hash_handle hh;
+};
+
+static void
+task_id (char *id, const struct submission *s, uint32_t index)
+{
+  snprintf (id, TASK_ID_BYTES, "%s#%u", s->id, index);
+}
+
+/* Raises the watermark of S before the tasks reach it.  */
+static void
+on_advanced (struct entry *n, struct submission *s, bool acked)
+{
+  uint32_t reached = s->may_start + ADVANCE_TASKS;
+
+  s->advance_pending = false;
+  if (!acked)
+    return;
+  s->may_start = reached < s->task_count ? reached : s->task_count;
+  dispatch_run (n);
+}
+
+static void
+advance (struct entry *n, struct submission *s)
+{
+  uint32_t to = s->may_start + ADVANCE_TASKS;
+
+  if (s->advance_pending || s->may_start >= s->task_count
+      || s->may_start - s->next_task > ADVANCE_AHEAD_TASKS)
+    return;
+  s->advance_pending = true;
+  replica_advance (n, s, to < s->task_count ? to : s->task_count,
+                   s->deadline_ms, on_advanced);
+}
+
+/* Whether the next task of S may start now as far as its record goes.  */
+static bool
+is_below_watermark (const struct submission *s)
+{
+  return s->returned_count != 0 || s->next_task < s->may_start;
+}
+
+static enum target_result
+target_result_of (struct outcome o)
+{
+  switch (o.kind)
+    {
+    case OUTCOME_DONE:
+      return TARGET_WORKED;
+    case OUTCOME_NOT_RUN:
+      return o.proof == PROOF_TARGET_REFUSED ? TARGET_BUSY : TARGET_FAILED;
+    case OUTCOME_FAILED:
+    case OUTCOME_UNKNOWN:
+      break;
+    }
+  return TARGET_FAILED;
+}
+
+/* Gives the slot back and learns from how the task ended.  */
+static void
+release_target (struct entry *n, struct target *g, const char *kind,
+                struct outcome outcome, int64_t elapsed_us)
+{
+  int64_t now = now_ms ();
+  enum target_change change = target_table_give_back (
+      &n->targets, g, now, target_result_of (outcome));
+
+  if (outcome.kind == OUTCOME_DONE)
+    run_time_add (&n->run_times, kind, (double)elapsed_us / 1000);
+  if (outcome.proof == PROOF_TARGET_REFUSED)
+    g->reserved++; /* until it announces how many tasks it runs */
+  if (outcome.proof == PROOF_NOT_CONNECTED)
+    g->lease_until_ms = now; /* until it announces itself again */
+  if (change == TARGET_NOW_EJECTED)
+    {
+      counters_add (COUNTER_TARGETS_EJECTED, 1);
+      event_ring_add (EVENT_TARGET_EJECTED, g->id, "failure_rate=%.2f",
+                      g->failure_rate);
+    }
+  else if (change == TARGET_NOW_BACK)
+    event_ring_add (EVENT_TARGET_RETURNED, g->id, "%s", "");
+}
+
+static bool
+may_try_again (struct entry *n, const struct submission *s,
+               struct outcome outcome)
+{
+  if (s->doomed || s->state != SUBMISSION_OPEN || now_ms () >= s->deadline_ms)
+    return false;
+  if (outcome.kind == OUTCOME_NOT_RUN)
+    return true;
+  return s->single && s->idempotent && outcome.kind != OUTCOME_DONE
+         && retry_budget_spend (&n->retries);
+}
+
+static void
+count_outcome (struct outcome outcome)
+{
+  switch (outcome.kind)
+    {
+    case OUTCOME_DONE:
+      counters_add (COUNTER_TASKS_DONE, 1);
+      break;
+    case OUTCOME_FAILED:
+      counters_add (COUNTER_TASKS_FAILED, 1);
+      break;
+    case OUTCOME_UNKNOWN:
+      counters_add (COUNTER_TASKS_UNKNOWN, 1);
+      break;
+    case OUTCOME_NOT_RUN:
+      break;
+    }
+}
+
+/* Takes in the end of task INDEX of S.  Results that come after the answer
+   change nothing.  */
+static void
+end_task (struct entry *n, struct submission *s, uint32_t index,
+          struct outcome outcome, struct slice result)
+{
+  struct submission_task *t = &s->tasks[index];
+
+  s->running--;
+  count_outcome (outcome);
+  event_ring_add (EVENT_TASK_ENDED, s->id, "task=%u %s at %s", index,
+                  outcome_word (outcome), t->place);
+  if (s->state != SUBMISSION_OPEN)
+    return;
+  t->outcome = outcome;
+  if (may_try_again (n, s, outcome))
+    {
+      counters_add (COUNTER_TASK_RETRIES, 1);
+      event_ring_add (EVENT_TASK_RETRIED, s->id, "task=%u %s", index,
+                      not_run_proof_word (outcome.proof));
+      team_table_return (&n->teams, s, index);
+      return;
+    }
+  if (outcome.kind == OUTCOME_DONE)
+    t->result = strndup (result.data, result.length);
+  s->finished++;
+  if (outcome.kind != OUTCOME_DONE && s->finished < s->task_count)
+    job_doom (n, s, "task_failed");
+  else
+    job_check_finished (n, s);
+}
+
+static void
+on_local_done (void *arg, struct outcome outcome, const char *result,
+               int64_t elapsed_us)
+{
+  struct own_run *r = arg;
+  struct entry *n = r->entry;
+
+  release_target (n, r->target, r->submission->tasks[r->index].kind, outcome,
+                  elapsed_us);
+  end_task (n, r->submission, r->index, outcome,
+            slice_of (result == NULL ? "" : result));
+  target_check_gone (n, r->target);
+  submission_release (r->submission);
+  free (r);
+  dispatch_run (n);
+}
+
+static struct outcome
+passed_outcome (enum call_outcome call, const struct peer_reply *reply)
+{
+  if (call == CALL_NOT_SENT)
+    return outcome_not_run (PROOF_NEVER_SENT);
+  if (call == CALL_LOST)
+    return outcome_unknown ();
+  switch (reply->status)
+    {
+    case STATUS_DONE:
+      return outcome_done ();
+    case STATUS_NOT_RUN:
+      return outcome_not_run (PROOF_PEER_REFUSED);
+    case STATUS_FAILED:
+      return outcome_failed ();
+    default:
+      return outcome_unknown ();
+    }
+}
+
+static void
+on_passed_done (void *arg, enum call_outcome call,
+                const struct peer_reply *reply)
+{
+  struct own_run *r = arg;
+  struct entry *n = r->entry;
+  struct outcome outcome = passed_outcome (call, reply);
+
+  r->peer->free_slots = call == CALL_REPLIED ? (uint32_t)reply->free_slots : 0;
+  if (outcome.kind == OUTCOME_NOT_RUN)
+    counters_add (COUNTER_TASKS_PASSED_BACK, 1);
+  end_task (n, r->submission, r->index, outcome,
+            call == CALL_REPLIED ? reply->body : slice_of (""));
+  submission_release (r->submission);
+  free (r);
+  dispatch_run (n);
+}
+
+static int64_t
+task_timeout (const struct entry *n, const char *kind, int64_t deadline_ms,
+              int64_t now)
+{
+  const struct task_kind *k = environment_kind (&n->environment, kind);
+  int64_t left_ms = deadline_ms - now;
+
+  return k != NULL && k->timeout_ms < left_ms ? k->timeout_ms : left_ms;
+}
+
+static void
+start_local (struct entry *n, struct own_run *r, int64_t now)
+{
+  struct submission *s = r->submission;
+  struct submission_task *t = &s->tasks[r->index];
+  char id[TASK_ID_BYTES];
+  struct target_start start
+      = { .task = id,
+          .kind = t->kind,
+          .owner = n->settings->vm,
+          .incarnation = n->submissions.group.incarnation,
+          .payload = t->payload,
+          .timeout_ms = task_timeout (n, t->kind, s->deadline_ms, now) };
+
+  task_id (id, s, r->index);
+  snprintf (t->place, sizeof t->place, "%s", r->target->id);
+  counters_add (COUNTER_TASK_STARTS, 1);
+  event_ring_add (EVENT_TASK_STARTED, s->id, "task=%u at %s", r->index,
+                  t->place);
+  target_client_start (r->target->client, &start, on_local_done, r);
+}
+
+static void
+start_passed (struct entry *n, struct own_run *r, int64_t now)
+{
+  struct submission *s = r->submission;
+  struct submission_task *t = &s->tasks[r->index];
+  int64_t timeout_ms = task_timeout (n, t->kind, s->deadline_ms, now);
+  struct peer_message m = { .type = PEER_TASK_RUN };
+  char id[TASK_ID_BYTES];
+
+  task_id (id, s, r->index);
+  snprintf (t->place, sizeof t->place, "%s", r->peer->vm->name);
+  m.u.task_run = (struct peer_task_run){ 0, slice_of (id), slice_of (t->kind),
+                                         slice_of (t->payload), timeout_ms };
+  r->peer->free_slots--;
+  counters_add (COUNTER_TASKS_PASSED, 1);
+  event_ring_add (EVENT_TASK_PASSED, s->id, "task=%u to %s", r->index,
+                  t->place);
+  peer_network_call (n->network, r->peer->vm->name, &m,
+                     timeout_ms + PASS_MARGIN_MS, on_passed_done, r);
+}
+
+/* Starts the next task of S where there is a free slot.  Returns false if
+   there is none.  The clock is read here, right before the start, since the
+   loop may have been held up.  */
+static bool
+start_next (struct entry *n, struct submission *s)
+{
+  int64_t now = now_ms ();
+  struct target *target
+      = target_table_take (&n->targets, now, s->single && s->idempotent);
+  struct peer *peer = target != NULL ? NULL : peer_table_pick (&n->peers, now);
+  struct own_run *r;
+
+  if (target == NULL && peer == NULL)
+    return false;
+  r = calloc (1, sizeof *r);
+  r->entry = n;
+  r->submission = submission_hold (s);
+  r->target = target;
+  r->peer = peer;
+  r->index = team_table_take (&n->teams, s);
+  s->tasks[r->index].outcome = outcome_unknown ();
+  s->running++;
+  retry_budget_earn (&n->retries);
+  if (target != NULL)
+    start_local (n, r, now);
+  else
+    start_passed (n, r, now);
+  return true;
+}
+
+void
+dispatch_run (struct entry *n)
+{
+  uint32_t skipped = 0;
+  struct submission *s;
+
+  if (n->dispatching)
+    return;
+  n->dispatching = true;
+  while (skipped <= HASH_COUNT (n->teams.teams)
+         && (s = team_table_turn (&n->teams)) != NULL)
+    {
+      if (s->deadline_ms <= now_ms ())
+        {
+          job_doom (n, s, "deadline");
+          continue;
+        }
+      if (!s->unregistered)
+        advance (n, s);
+      if (!is_below_watermark (s))
+        {
+          team_table_skip (&n->teams);
+          skipped++;
+          continue;
+        }
+      if (!start_next (n, s))
+        break;
+      skipped = 0;
+    }
+  n->dispatching = false;
+}
+
+void
+dispatch_stop_tasks (struct entry *n, struct submission *s)
+{
+  for (uint32_t i = 0; i < s->task_count; i++)
+    {
+      const struct submission_task *t = &s->tasks[i];
+      struct peer_message m = { .type = PEER_TASK_STOP };
+      char id[TASK_ID_BYTES];
+      struct target *g;
+
+      if (t->outcome.kind != OUTCOME_UNKNOWN || t->place[0] == '\0')
+        continue;
+      task_id (id, s, i);
+      m.u.task_stop.task = slice_of (id);
+      counters_add (COUNTER_TASK_STOPS, 1);
+      if (peer_table_find (&n->peers, t->place) != NULL)
+        peer_network_send (n->network, t->place, &m);
+      else if ((g = target_table_find (&n->targets, t->place)) != NULL)
+        target_client_stop (g->client, id);
+    }
+}
+
+static void
+reply_task (struct entry *n, struct peer_conn *to, uint64_t id,
+            uint64_t status, const char *result)
+{
+  struct peer_message m = { .type = PEER_REPLY };
+
+  m.u.reply = (struct peer_reply){ id, status,
+                                   n->teams.queued_tasks != 0 || n->draining
+                                       ? 0
+                                       : target_table_free_slots (&n->targets,
+                                                                  now_ms ()),
+                                   slice_of (result == NULL ? "" : result) };
+  peer_conn_send (to, &m);
+}
+
+static uint64_t
+reply_status_of (struct outcome o)
+{
+  switch (o.kind)
+    {
+    case OUTCOME_DONE:
+      return STATUS_DONE;
+    case OUTCOME_FAILED:
+      return STATUS_FAILED;
+    case OUTCOME_NOT_RUN:
+      return STATUS_NOT_RUN;
+    case OUTCOME_UNKNOWN:
+      break;
+    }
+  return STATUS_UNKNOWN;
+}
+
+static void
+on_remote_done (void *arg, struct outcome outcome, const char *result,
+                int64_t elapsed_us)
+{
+  struct remote_run *r = arg;
+  struct entry *n = r->entry;
+
+  HASH_DEL (n->remote_runs, r);
+  release_target (n, r->target, r->kind, outcome, elapsed_us);
+  target_check_gone (n, r->target);
+  dispatch_run (n);
+  reply_task (n, r->from, r->call_id, reply_status_of (outcome), result);
+  peer_conn_release (r->from);
+  free (r);
+}
+
+void
+dispatch_receive_task (struct entry *n, struct peer_conn *from,
+                       const struct peer_task_run *m)
+{
+  struct target *g = NULL;
+  struct remote_run *r;
+  char *payload;
+  struct target_start start
+      = { .owner = n->settings->vm,
+          .incarnation = n->submissions.group.incarnation,
+          .timeout_ms = m->timeout_ms };
+
+  if (!n->draining && n->teams.queued_tasks == 0 && m->timeout_ms > 0)
+    g = target_table_take (&n->targets, now_ms (), false);
+  if (g == NULL)
+    {
+      reply_task (n, from, m->id, STATUS_NOT_RUN, NULL);
+      return;
+    }
+  r = calloc (1, sizeof *r);
+  r->entry = n;
+  r->from = peer_conn_hold (from);
+  r->call_id = m->id;
+  r->target = g;
+  slice_copy (m->kind, r->kind, sizeof r->kind);
+  slice_copy (m->task, r->task, sizeof r->task);
+  HASH_ADD_STR (n->remote_runs, task, r);
+  start.task = r->task;
+  payload = strndup (m->payload.data, m->payload.length);
+  start.kind = r->kind;
+  start.payload = payload;
+  counters_add (COUNTER_TASK_STARTS, 1);
+  event_ring_add (EVENT_TASK_STARTED, r->task, "for %s at %s", from->vm,
+                  g->said.name);
+  target_client_start (g->client, &start, on_remote_done, r);
+  free (payload);
+}
+
+void
+dispatch_receive_stop (struct entry *n, const struct peer_task_stop *m)
+{
+  char id[TASK_ID_BYTES];
+  struct remote_run *r;
+
+  slice_copy (m->task, id, sizeof id);
+  HASH_FIND_STR (n->remote_runs, id, r);
+  if (r != NULL)
+    target_client_stop (r->target->client, id);
+}
+
+bool
+dispatch_is_idle (const struct entry *n)
+{
+  return n->remote_runs == NULL;
+}
--- /dev/null
+++ b/src/controller/drain_controller.c
@@ -0,0 +1,79 @@
+#include "controller/drain_controller.h"
+
+#include <string.h>
+#include "base/event_ring.h"
+#include "base/now.h"
+#include "controller/dispatch_controller.h"
+#include "controller/membership_controller.h"
+
+enum
+{
+  GRACE_MS = 1000,
+  GONE_RETRY_MS = 200
+};
+
+void
+drain_begin (struct entry *n)
+{
+  if (n->leaving != LEAVING_NOT)
+    return;
+  n->leaving = LEAVING_DRAINING;
+  n->drain_begun_ms = now_ms ();
+  n->last_beat_ms = 0;
+  event_ring_add (EVENT_PROCESS_STOPPING, n->settings->vm, "%s", "draining");
+}
+
+/* Whether another member has this entry's keys and targets now, or there is
+   nobody to take them.  */
+static bool
+is_handed_over (const struct entry *n)
+{
+  const struct group *g = &n->submissions.group;
+  const struct group_member *own = group_member_find (g, n->settings->vm);
+
+  return own == NULL || own->boot_id != n->boot_id || own->draining;
+}
+
+static bool
+is_idle (const struct entry *n)
+{
+  return n->open == NULL && dispatch_is_idle (n)
+         && http_server_open_calls (n->http) == 0;
+}
+
+static bool
+is_member (const struct entry *n)
+{
+  return group_has (&n->submissions.group, n->settings->vm, n->boot_id);
+}
+
+static void
+leave (struct entry *n, int64_t now)
+{
+  if (n->leaving != LEAVING_GONE)
+    {
+      n->leaving = LEAVING_GONE;
+      http_server_close (n->http);
+    }
+  if (now - n->last_beat_ms > GONE_RETRY_MS)
+    n->last_beat_ms = 0;
+}
+
+void
+drain_tick (struct entry *n, int64_t now)
+{
+  int64_t passed = now - n->drain_begun_ms;
+  bool late = passed > n->settings->stop_timeout_ms;
+
+  if (n->leaving == LEAVING_NOT)
+    return;
+  if (passed > GRACE_MS)
+    n->draining = true;
+  if (n->leaving == LEAVING_GONE && (!is_member (n) || late))
+    {
+      event_base_loopbreak (n->base);
+      return;
+    }
+  if (n->draining && ((is_handed_over (n) && is_idle (n)) || late))
+    leave (n, now);
+}
--- /dev/null
+++ b/src/controller/keeper.c
@@ -0,0 +1,717 @@
+#include "controller/keeper.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/counters.h"
+#include "base/event_ring.h"
+#include "base/json_check.h"
+#include "base/now.h"
+#include "controller/operator_api.h"
+
+enum
+{
+  TICK_MS = 20,
+  STOP_MS = 300,
+  RECORD_STATE = 1,
+  RECORD_ENTRY = 2,
+  RECORD_TRUNCATE = 3,
+  RECORD_SNAPSHOT = 4,
+
+  STATUS_OK = 200,
+  STATUS_MISDIRECTED = 421
+};
+
+/* The journal's records, as they lie in it.  */
+struct state_record
+{
+  uint64_t term;
+  int64_t voted_for;
+};
+
+struct entry_head
+{
+  uint64_t index;
+  uint64_t term;
+};
+
+static bool
+store_result (struct keeper *k, enum store_error status)
+{
+  if (status == STORE_OK)
+    return true;
+  event_ring_add (EVENT_STORE_FAILED, k->settings->vm, "%s",
+                  k->journal.error.message);
+  event_base_loopbreak (k->base);
+  return false;
+}
+
+static enum store_error
+append_state (struct journal *j, uint64_t term, int voted_for)
+{
+  struct state_record r = { term, voted_for };
+
+  return journal_append (j, RECORD_STATE, &r, sizeof r);
+}
+
+static enum store_error
+append_headed (struct journal *j, uint8_t type, uint64_t index, uint64_t term,
+               const char *data, uint32_t length)
+{
+  struct entry_head h = { index, term };
+  char *record = malloc (sizeof h + length);
+  enum store_error status;
+
+  memcpy (record, &h, sizeof h);
+  if (length != 0)
+    memcpy (record + sizeof h, data, length);
+  status = journal_append (j, type, record, (uint32_t)sizeof h + length);
+  free (record);
+  return status;
+}
+
+static bool
+save_state (void *arg, uint64_t term, int voted_for)
+{
+  struct keeper *k = arg;
+
+  return store_result (k, append_state (&k->journal, term, voted_for))
+         && store_result (k, journal_sync (&k->journal));
+}
+
+static bool
+save_entry (void *arg, uint64_t index, const struct log_entry *e)
+{
+  struct keeper *k = arg;
+
+  return store_result (k, append_headed (&k->journal, RECORD_ENTRY, index,
+                                         e->term, e->data, e->length));
+}
+
+static bool
+save_truncate (void *arg, uint64_t from_index)
+{
+  struct keeper *k = arg;
+
+  return store_result (
+      k, append_headed (&k->journal, RECORD_TRUNCATE, from_index, 0, "", 0));
+}
+
+static bool
+sync_journal (void *arg)
+{
+  struct keeper *k = arg;
+
+  return store_result (k, journal_sync (&k->journal));
+}
+
+/* Writes the log's whole state into a fresh journal.  */
+static bool
+save_snapshot (void *arg, const struct replicated_log *l)
+{
+  struct keeper *k = arg;
+  struct journal fresh;
+  enum store_error s = journal_rewrite_begin (&k->journal, &fresh);
+
+  if (!store_result (k, s))
+    return false;
+  s = append_headed (&fresh, RECORD_SNAPSHOT, l->base_index, l->base_term,
+                     l->snapshot, l->snapshot_length);
+  if (s == STORE_OK)
+    s = append_state (&fresh, l->term, l->voted_for);
+  for (uint64_t i = 0; s == STORE_OK && i < l->entry_count; i++)
+    s = append_headed (&fresh, RECORD_ENTRY, l->base_index + 1 + i,
+                       l->entries[i].term, l->entries[i].data,
+                       l->entries[i].length);
+  if (s == STORE_OK)
+    s = journal_rewrite_commit (&k->journal, &fresh);
+  event_ring_add (EVENT_STORE_COMPACTED, k->settings->vm,
+                  "index=%" PRIu64 " bytes=%" PRIu64, l->base_index,
+                  k->journal.size);
+  return store_result (k, s);
+}
+
+static bool
+load_record (void *arg, uint8_t type, const char *data, uint32_t length)
+{
+  struct keeper *k = arg;
+  struct state_record state;
+  struct entry_head h;
+
+  if (type == RECORD_STATE && length == sizeof state)
+    {
+      memcpy (&state, data, sizeof state);
+      replicated_log_restore_state (&k->log, state.term, (int)state.voted_for);
+      return true;
+    }
+  if (length < sizeof h)
+    return false;
+  memcpy (&h, data, sizeof h);
+  data += sizeof h;
+  length -= (uint32_t)sizeof h;
+  switch (type)
+    {
+    case RECORD_ENTRY:
+      return replicated_log_restore_entry (&k->log, h.index, h.term, data,
+                                           length);
+    case RECORD_TRUNCATE:
+      replicated_log_restore_truncate (&k->log, h.index);
+      return true;
+    case RECORD_SNAPSHOT:
+      replicated_log_restore_snapshot (&k->log, h.index, h.term, data, length);
+      return true;
+    default:
+      return false;
+    }
+}
+
+static void
+send_to_member (void *arg, int to, struct peer_message *m)
+{
+  struct keeper *k = arg;
+
+  peer_network_send (k->network, k->names[to], m);
+}
+
+static void
+fill_beat_reply (const struct keeper *k, struct peer_message *m, char *state)
+{
+  memset (m, 0, sizeof *m);
+  m->type = PEER_BEAT_REPLY;
+  m->u.beat_reply = (struct peer_beat_reply){
+    .is_leader = k->log.role == LOG_LEADER,
+    .term = k->log.term,
+    .leader
+    = slice_of (k->log.leader == LOG_NO_MEMBER ? "" : k->names[k->log.leader]),
+    .state_version = k->state.view.version,
+    .state = slice_of (state == NULL ? "" : state),
+  };
+}
+
+static char *
+view_text (const struct keeper *k)
+{
+  json_t *o = control_view_to_json (&k->state.view);
+  char *text = json_dumps (o, JSON_COMPACT);
+
+  json_decref (o);
+  return text;
+}
+
+/* Tells all entries of a change at once rather than at their next beat.  */
+static void
+push_view (struct keeper *k)
+{
+  char *text = view_text (k);
+  struct peer_message m;
+
+  fill_beat_reply (k, &m, text);
+  for (uint32_t i = 0; i < k->groups.count; i++)
+    if (k->entries[i] != NULL)
+      peer_conn_send (k->entries[i], &m);
+  free (text);
+}
+
+static void
+answer_proposal (struct keeper *k, uint64_t index,
+                 const struct control_result *r)
+{
+  for (uint32_t i = 0; i < PROPOSAL_LIMIT; i++)
+    {
+      struct keeper_proposal *p = &k->proposals[i];
+      struct peer_message m = { .type = PEER_REPLY };
+
+      if (p->index != index)
+        continue;
+      m.u.reply.id = p->call_id;
+      m.u.reply.status = (uint64_t)r->status;
+      m.u.reply.body = slice_of (r->answer);
+      peer_conn_send (p->from, &m);
+      peer_conn_release (p->from);
+      p->index = 0;
+    }
+}
+
+static void
+apply (void *arg, uint64_t index, const struct log_entry *e)
+{
+  struct keeper *k = arg;
+  uint64_t number = k->state.view.config_number;
+  struct control_result r;
+
+  if (e->length == 0)
+    return;
+  r = control_state_apply (&k->state, index, e->data, e->length);
+  if (k->state.view.config_number != number)
+    {
+      counters_add (COUNTER_CONFIG_ACCEPTED, 1);
+      event_ring_add (EVENT_CONFIG_ACCEPTED, k->settings->vm,
+                      "number=%" PRIu64 " sha256=%.12s",
+                      k->state.view.config_number,
+                      k->state.view.config_sha256);
+    }
+  if (k->log.role == LOG_LEADER)
+    {
+      answer_proposal (k, index, &r);
+      push_view (k);
+    }
+  free (r.answer);
+}
+
+static char *
+take_snapshot (void *arg, uint32_t *length)
+{
+  struct keeper *k = arg;
+
+  return control_state_save (&k->state, length);
+}
+
+static void
+load_snapshot (void *arg, uint64_t index, const char *data, uint32_t length)
+{
+  struct keeper *k = arg;
+
+  (void)index;
+  control_state_load (&k->state, data, length);
+}
+
+static void
+forget_proposals (struct keeper *k)
+{
+  for (uint32_t i = 0; i < PROPOSAL_LIMIT; i++)
+    if (k->proposals[i].index != 0)
+      {
+        peer_conn_release (k->proposals[i].from);
+        k->proposals[i].index = 0;
+      }
+}
+
+static void
+role_changed (void *arg, enum log_role role)
+{
+  struct keeper *k = arg;
+
+  k->group_change_index = 0;
+  if (role == LOG_LEADER)
+    {
+      counters_add (COUNTER_ELECTIONS, 1);
+      event_ring_add (EVENT_LEADER_ELECTED, k->settings->vm, "term=%" PRIu64,
+                      k->log.term);
+      group_manager_start (&k->groups, now_ms ());
+      return;
+    }
+  event_ring_add (EVENT_LEADER_STEPPED_DOWN, k->settings->vm, "term=%" PRIu64,
+                  k->log.term);
+  forget_proposals (k);
+}
+
+static const struct replicated_log_output log_output
+    = { .save_state = save_state,
+        .save_entry = save_entry,
+        .save_truncate = save_truncate,
+        .sync = sync_journal,
+        .save_snapshot = save_snapshot,
+        .send = send_to_member,
+        .apply = apply,
+        .take_snapshot = take_snapshot,
+        .load_snapshot = load_snapshot,
+        .role_changed = role_changed };
+
+static void
+note_connection (struct keeper *k, uint32_t i, struct peer_conn *from)
+{
+  if (k->entries[i] == from)
+    return;
+  if (k->entries[i] != NULL)
+    peer_conn_release (k->entries[i]);
+  k->entries[i] = peer_conn_hold (from);
+}
+
+static void
+receive_beat (struct keeper *k, struct peer_conn *from,
+              const struct peer_beat *b)
+{
+  struct entry_beat *e = group_manager_find (&k->groups, from->vm);
+  char *text = NULL;
+  struct peer_message m;
+
+  if (e == NULL)
+    return;
+  note_connection (k, (uint32_t)(e - k->groups.beats), from);
+  if (k->log.role == LOG_LEADER)
+    {
+      e->boot_id = b->boot_id;
+      e->heard_ms = now_ms ();
+      e->config_number = b->config_number;
+      e->synced_incarnation = b->synced_incarnation;
+      e->leaving = (enum leaving_phase)b->leaving;
+      if (b->state_version < k->state.view.version)
+        text = view_text (k);
+    }
+  fill_beat_reply (k, &m, text);
+  peer_conn_send (from, &m);
+  free (text);
+}
+
+static void
+reply_text (struct peer_conn *to, uint64_t id, int status, const char *text)
+{
+  struct peer_message m = { .type = PEER_REPLY };
+
+  m.u.reply.id = id;
+  m.u.reply.status = (uint64_t)status;
+  m.u.reply.body = slice_of (text);
+  peer_conn_send (to, &m);
+}
+
+/* Who has the configuration in force, who has not yet, and who is not heard
+   and so runs by its cut-off rules.  */
+static json_t *
+spread_json (const struct keeper *k)
+{
+  json_t *taken = json_array ();
+  json_t *waiting = json_array ();
+  json_t *silent = json_array ();
+  int64_t now = now_ms ();
+
+  for (uint32_t i = 0; i < k->groups.count; i++)
+    {
+      const struct entry_beat *b = &k->groups.beats[i];
+      json_t *list = waiting;
+
+      if (b->heard_ms == 0 || now - b->heard_ms > k->groups.lease_ms)
+        list = silent;
+      else if (b->config_number == k->state.view.config_number)
+        list = taken;
+      json_array_append_new (list, json_string (b->vm));
+    }
+  return json_pack ("{s:o s:o s:o}", "taken", taken, "waiting", waiting,
+                    "silent", silent);
+}
+
+static void
+answer_show (struct keeper *k, struct peer_conn *from, uint64_t id)
+{
+  json_t *spread = spread_json (k);
+  json_t *o = json_pack (
+      "{s:I s:s s:b s:O s:O s:O? s:o}", "number",
+      (json_int_t)k->state.view.config_number, "sha256",
+      k->state.view.config_sha256, "in_force",
+      json_array_size (json_object_get (spread, "waiting")) == 0, "spread",
+      spread, "history", k->state.history, "document", k->state.document,
+      "view", control_view_to_json (&k->state.view));
+  char *text = json_dumps (o, JSON_COMPACT);
+
+  json_decref (spread);
+  json_decref (o);
+  reply_text (from, id, STATUS_OK, text);
+  free (text);
+}
+
+static struct keeper_proposal *
+free_proposal (struct keeper *k)
+{
+  for (uint32_t i = 0; i < PROPOSAL_LIMIT; i++)
+    if (k->proposals[i].index == 0)
+      return &k->proposals[i];
+  return NULL;
+}
+
+static void
+receive_propose (struct keeper *k, struct peer_conn *from,
+                 const struct peer_call *call)
+{
+  struct keeper_proposal *p = free_proposal (k);
+  json_t *o = json_loadb (call->body.data, call->body.length, 0, NULL);
+  char *text;
+
+  if (strcmp (json_get_text (o, "type", ""), "show") == 0)
+    {
+      answer_show (k, from, call->id);
+      json_decref (o);
+      return;
+    }
+  if (!json_is_object (o) || p == NULL)
+    {
+      reply_text (from, call->id, o == NULL ? 400 : 503,
+                  "{\"error\":{\"code\":\"invalid_command\",\"message\":"
+                  "\"not a command, or too many are under way\"}}");
+      json_decref (o);
+      return;
+    }
+  json_object_set_new (o, "wall_ms",
+                       json_integer ((json_int_t)now_wall_ms ()));
+  text = json_dumps (o, JSON_COMPACT);
+  /* The place is taken before: a quorum of one applies at once.  */
+  p->index = replicated_log_last_index (&k->log) + 1;
+  p->from = peer_conn_hold (from);
+  p->call_id = call->id;
+  replicated_log_propose (&k->log, now_ms (), text, (uint32_t)strlen (text));
+  free (text);
+  json_decref (o);
+}
+
+static void
+receive_call (struct keeper *k, struct peer_conn *from,
+              const struct peer_call *call)
+{
+  json_t *o;
+  char *text;
+
+  if (k->log.role != LOG_LEADER || k->stopping)
+    {
+      reply_text (from, call->id, STATUS_MISDIRECTED, "{}");
+      return;
+    }
+  if (call->method == METHOD_PROPOSE)
+    {
+      receive_propose (k, from, call);
+      return;
+    }
+  o = json_pack ("{s:I s:O?}", "number",
+                 (json_int_t)k->state.view.config_number, "document",
+                 k->state.document);
+  text = json_dumps (o, JSON_COMPACT);
+  reply_text (from, call->id, STATUS_OK, text);
+  free (text);
+  json_decref (o);
+}
+
+static void
+on_message (void *arg, struct peer_conn *from, const struct peer_message *m)
+{
+  struct keeper *k = arg;
+
+  switch (m->type)
+    {
+    case PEER_BEAT:
+      receive_beat (k, from, &m->u.beat);
+      return;
+    case PEER_CALL:
+      receive_call (k, from, &m->u.call);
+      return;
+    default:
+      break;
+    }
+  for (int i = 0; i < k->member_count; i++)
+    if (strcmp (k->names[i], from->vm) == 0)
+      replicated_log_receive (&k->log, now_ms (), i, m);
+}
+
+static void
+on_link (void *arg, const char *vm, bool up)
+{
+  (void)arg;
+  (void)vm;
+  (void)up;
+}
+
+static const struct peer_network_events network_events
+    = { on_message, on_link };
+
+static void
+propose_text (struct keeper *k, char *text)
+{
+  k->group_change_index = replicated_log_propose (&k->log, now_ms (), text,
+                                                  (uint32_t)strlen (text));
+  free (text);
+}
+
+static void
+propose_synced (struct keeper *k, const struct group *g,
+                const struct entry_beat *b)
+{
+  json_t *o = json_pack ("{s:s s:s s:I s:s s:I}", "type", "synced", "domain",
+                         g->domain, "incarnation", (json_int_t)g->incarnation,
+                         "vm", b->vm, "boot_id", (json_int_t)b->boot_id);
+
+  propose_text (k, json_dumps (o, JSON_COMPACT));
+  json_decref (o);
+}
+
+/* One group change at a time is under way.  */
+static void
+manage_groups (struct keeper *k, int64_t now)
+{
+  struct group next;
+
+  if (k->log.role != LOG_LEADER || k->stopping
+      || k->group_change_index > k->log.applied_index
+      || k->log.applied_index < k->log.commit_index)
+    return;
+  for (uint32_t i = 0; i < k->settings->domain_count; i++)
+    {
+      const char *domain = k->settings->domains[i];
+      const struct group *g = control_view_group (&k->state.view, domain);
+      const struct entry_beat *synced
+          = g == NULL ? NULL : group_manager_newly_synced (&k->groups, g);
+
+      if (group_manager_decide (&k->groups, g, domain, now, now_wall_ms (),
+                                &next))
+        {
+          if (g != NULL && next.complete_since != g->complete_since
+              && g->complete_since != 0)
+            event_ring_add (EVENT_GROUP_MEMORY_LOST, domain,
+                            "incarnation=%" PRIu64, next.incarnation);
+          propose_text (k, control_command_group (&next, now_wall_ms ()));
+          return;
+        }
+      if (synced != NULL)
+        {
+          propose_synced (k, g, synced);
+          return;
+        }
+    }
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  struct keeper *k = arg;
+  int64_t now = now_ms ();
+
+  (void)fd;
+  (void)what;
+  replicated_log_tick (&k->log, now);
+  manage_groups (k, now);
+}
+
+static json_t *
+status_json (void *arg)
+{
+  struct keeper *k = arg;
+  static const char *const roles[]
+      = { "follower", "pre_candidate", "candidate", "leader" };
+
+  return json_pack (
+      "{s:s s:s s:s s:s s:I s:s s:I s:I s:I s:o}", "vm", k->settings->vm,
+      "role", "keeper", "domain", k->settings->domain, "quorum",
+      roles[k->log.role], "term", (json_int_t)k->log.term, "leader",
+      k->log.leader == LOG_NO_MEMBER ? "" : k->names[k->log.leader],
+      "commit_index", (json_int_t)k->log.commit_index, "config_number",
+      (json_int_t)k->state.view.config_number, "journal_bytes",
+      (json_int_t)k->journal.size, "view",
+      control_view_to_json (&k->state.view));
+}
+
+static void
+request_stop (void *arg)
+{
+  keeper_stop (arg);
+}
+
+static void
+on_http (void *arg, struct http_call *c)
+{
+  struct keeper *k = arg;
+  const struct operator_source source
+      = { k->settings, status_json, request_stop, k };
+
+  if (!operator_api_handle (&source, c))
+    http_call_refuse (c, 404, "not_found", NULL, "%s: no such resource here",
+                      c->path);
+}
+
+static bool
+open_journal (struct keeper *k, struct error *e)
+{
+  const struct settings *s = k->settings;
+  enum store_error status = journal_open (&k->journal, s->data_folder,
+                                          s->sync_delay_ms, load_record, k);
+
+  if (status != STORE_OK)
+    {
+      error_wrap (e, status, "journal", &k->journal.error);
+      return false;
+    }
+  event_ring_add (EVENT_STORE_LOADED, s->vm,
+                  "last_index=%" PRIu64 " bytes=%" PRIu64,
+                  replicated_log_last_index (&k->log), k->journal.size);
+  if (k->journal.cut_bytes != 0)
+    event_ring_add (EVENT_STORE_TAIL_CUT, s->vm, "bytes=%" PRIu64,
+                    k->journal.cut_bytes);
+  return true;
+}
+
+static int
+find_members (struct keeper *k)
+{
+  int self = 0;
+
+  for (uint32_t i = 0; i < k->settings->vm_count; i++)
+    {
+      const struct vm_settings *v = &k->settings->vms[i];
+
+      if (v->role != ROLE_KEEPER)
+        continue;
+      if (strcmp (v->name, k->settings->vm) == 0)
+        self = k->member_count;
+      memcpy (k->names[k->member_count++], v->name, NAME_BYTES);
+    }
+  return self;
+}
+
+bool
+keeper_start (struct keeper *k, struct event_base *base,
+              const struct settings *s, uint64_t boot_id, struct error *e)
+{
+  struct timeval tick = { 0, TICK_MS * 1000 };
+  int self;
+
+  memset (k, 0, sizeof *k);
+  k->base = base;
+  k->settings = s;
+  k->boot_id = boot_id;
+  self = find_members (k);
+  control_state_init (&k->state, s->environment);
+  group_manager_init (&k->groups, s);
+  replicated_log_init (&k->log, self, k->member_count, s->heartbeat_ms / 2,
+                       s->lease_ms / 2, boot_id, &log_output, k);
+  if (!open_journal (k, e))
+    return false;
+  k->network = peer_network_new (base, s, boot_id, &network_events, k, e);
+  if (k->network == NULL)
+    return false;
+  k->http = http_server_new (base, s, on_http, k, e);
+  if (k->http == NULL)
+    return false;
+  for (int i = 0; i < k->member_count; i++)
+    if (i != self)
+      peer_network_reach (k->network, k->names[i]);
+  replicated_log_start (&k->log, now_ms ());
+  k->tick = event_new (base, -1, EV_PERSIST, on_tick, k);
+  event_add (k->tick, &tick);
+  return true;
+}
+
+void
+keeper_stop (struct keeper *k)
+{
+  struct timeval t = { 0, STOP_MS * 1000 };
+
+  if (k->stopping)
+    return;
+  k->stopping = true;
+  event_ring_add (EVENT_PROCESS_STOPPING, k->settings->vm, "%s", "");
+  replicated_log_step_down (&k->log, now_ms ());
+  event_base_loopexit (k->base, &t);
+}
+
+void
+keeper_done (struct keeper *k)
+{
+  if (k->tick != NULL)
+    event_free (k->tick);
+  forget_proposals (k);
+  for (uint32_t i = 0; i < k->groups.count; i++)
+    if (k->entries[i] != NULL)
+      peer_conn_release (k->entries[i]);
+  if (k->http != NULL)
+    http_server_free (k->http);
+  if (k->network != NULL)
+    peer_network_free (k->network);
+  journal_close (&k->journal);
+  replicated_log_done (&k->log);
+  control_state_done (&k->state);
+}
--- /dev/null
+++ b/src/controller/keeper.h
@@ -0,0 +1,60 @@
+/* A keeper process: a member of the control quorum.  */
+#ifndef CONTROLLER_KEEPER_H
+#define CONTROLLER_KEEPER_H
+
+#include <event2/event.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include "base/error.h"
+#include "base/settings.h"
+#include "coord/control_state.h"
+#include "coord/group_manager.h"
+#include "coord/replicated_log.h"
+#include "net/http_server.h"
+#include "net/peer_network.h"
+#include "store/journal.h"
+
+enum
+{
+  PROPOSAL_LIMIT = 256
+};
+
+/* A command whose answer someone waits for.  */
+struct keeper_proposal
+{
+  uint64_t index; /* 0: free */
+  struct peer_conn *from;
+  uint64_t call_id;
+};
+
+struct keeper
+{
+  struct event_base *base;
+  const struct settings *settings;
+  uint64_t boot_id;
+  struct peer_network *network;
+  struct http_server *http;
+  struct event *tick;
+
+  char names[LOG_MEMBER_LIMIT][NAME_BYTES];
+  int member_count;
+  struct journal journal;
+  struct replicated_log log;
+  struct control_state state;
+  struct group_manager groups;
+  struct peer_conn *entries[VM_LIMIT]; /* by beat, to push changes to */
+  struct keeper_proposal proposals[PROPOSAL_LIMIT];
+  uint64_t group_change_index; /* the last one proposed */
+  bool stopping;
+};
+
+/* Opens the journal and begins.  Returns false with E set on failure.  */
+bool keeper_start (struct keeper *k, struct event_base *base,
+                   const struct settings *s, uint64_t boot_id,
+                   struct error *e);
+
+/* Begins a graceful stop: leadership is given up, then the loop ends.  */
+void keeper_stop (struct keeper *k);
+void keeper_done (struct keeper *k);
+
+#endif
--- /dev/null
+++ b/src/controller/membership_controller.c
@@ -0,0 +1,227 @@
+#include "controller/membership_controller.h"
+
+#include <inttypes.h>
+#include <openssl/rand.h>
+#include <stdio.h>
+#include <string.h>
+#include "base/event_ring.h"
+#include "base/now.h"
+#include "controller/config_controller.h"
+#include "controller/dispatch_controller.h"
+#include "controller/job_controller.h"
+#include "controller/replica_controller.h"
+#include "controller/target_controller.h"
+
+enum
+{
+  FAR_HEARTBEAT_FACTOR = 2 /* heartbeats to other domains are so much rarer */
+};
+
+static struct peer_heartbeat
+own_heartbeat (const struct entry *n)
+{
+  int64_t now = now_ms ();
+  bool spare = n->teams.queued_tasks == 0 && n->leaving == LEAVING_NOT;
+
+  return (struct peer_heartbeat){
+    .incarnation = n->submissions.group.incarnation,
+    .config_number = n->environment.number,
+    .free_slots = spare ? target_table_free_slots (&n->targets, now) : 0,
+    .total_slots = target_table_total_slots (&n->targets, now),
+    .queued_tasks = n->teams.queued_tasks,
+    .draining = n->leaving != LEAVING_NOT,
+  };
+}
+
+static void
+send_heartbeats (struct entry *n, int64_t now)
+{
+  struct peer_message m = { .type = PEER_HEARTBEAT };
+
+  for (uint32_t i = 0; i < n->peers.count; i++)
+    {
+      struct peer *p = &n->peers.peers[i];
+      int64_t interval = n->settings->heartbeat_ms
+                         * (p->same_domain ? 1 : FAR_HEARTBEAT_FACTOR);
+
+      if (now - p->sent_ms < interval)
+        continue;
+      if (p->heard_ms != 0 && p->sent_ms > p->heard_ms
+          && now - p->heard_ms > n->settings->lease_ms)
+        {
+          p->heard_ms = 0;
+          peer_network_reset (n->network, p->vm->name);
+        }
+      p->sent_ms = now;
+      m.u.heartbeat = own_heartbeat (n);
+      peer_network_send (n->network, p->vm->name, &m);
+    }
+}
+
+static void
+fill_beat (const struct entry *n, struct peer_message *m)
+{
+  memset (m, 0, sizeof *m);
+  m->type = PEER_BEAT;
+  m->u.beat = (struct peer_beat){
+    .boot_id = n->boot_id,
+    .state_version = n->view.version,
+    .config_number = n->environment.number,
+    .synced_incarnation
+    = n->submissions.synced ? n->submissions.group.incarnation : 0,
+    .leaving = n->leaving,
+  };
+}
+
+/* To the leader where it is known and heard, otherwise to each keeper in
+   turn.  */
+static void
+send_beat (struct entry *n, int64_t now)
+{
+  struct peer_message m;
+  bool heard = n->leader[0] != '\0'
+               && now - n->leader_heard_ms < n->settings->lease_ms;
+
+  if (now - n->last_beat_ms < n->settings->heartbeat_ms)
+    return;
+  n->last_beat_ms = now;
+  fill_beat (n, &m);
+  if (heard && peer_network_send (n->network, n->leader, &m))
+    return;
+  for (uint32_t i = 0; i < n->settings->vm_count; i++)
+    if (n->settings->vms[i].role == ROLE_KEEPER)
+      peer_network_send (n->network, n->settings->vms[i].name, &m);
+}
+
+static void
+watch_quorum (struct entry *n, int64_t now)
+{
+  bool lost = now - n->leader_heard_ms > n->settings->lease_ms;
+
+  if (lost == n->quorum_lost)
+    return;
+  n->quorum_lost = lost;
+  event_ring_add (lost ? EVENT_QUORUM_LOST : EVENT_QUORUM_BACK,
+                  n->settings->vm, "leader=%s", n->leader);
+}
+
+void
+membership_tick (struct entry *n, int64_t now)
+{
+  send_heartbeats (n, now);
+  send_beat (n, now);
+  watch_quorum (n, now);
+  config_check (n);
+}
+
+static void
+take_heartbeat (struct entry *n, const char *vm, const struct peer_message *m)
+{
+  const struct peer_heartbeat *h = &m->u.heartbeat;
+  struct peer *p = peer_table_find (&n->peers, vm);
+
+  if (p == NULL)
+    return;
+  p->heard_ms = now_ms ();
+  p->free_slots = (uint32_t)h->free_slots;
+  p->total_slots = (uint32_t)h->total_slots;
+  p->queued_tasks = (uint32_t)h->queued_tasks;
+  p->draining = h->draining != 0;
+  if (p->free_slots != 0)
+    dispatch_run (n);
+}
+
+/* This VM was in the group and is no more: it gives up what it executes, and
+   joins again as a member that knows nothing.  */
+static void
+leave_group (struct entry *n)
+{
+  RAND_bytes ((unsigned char *)&n->boot_id, sizeof n->boot_id);
+  n->boot_id >>= 1;
+  job_abandon_all (n);
+  n->submissions.boot_id = n->boot_id;
+}
+
+static void
+take_group (struct entry *n, const struct group *g)
+{
+  bool was_member
+      = group_has (&n->submissions.group, n->settings->vm, n->boot_id);
+  bool is_member = group_has (g, n->settings->vm, n->boot_id);
+
+  if (was_member && !is_member
+      && g->incarnation > n->submissions.group.incarnation)
+    leave_group (n);
+  if (!submission_register_set_group (&n->submissions, g))
+    return;
+  event_ring_add (EVENT_GROUP_CHANGED, g->domain,
+                  "incarnation=%" PRIu64 " members=%u%s", g->incarnation,
+                  g->member_count, is_member ? "" : " without this VM");
+  if (!is_member)
+    return;
+  replica_sync_others (n);
+  job_take_over (n);
+  target_tick (n, now_ms ());
+}
+
+static void
+take_view (struct entry *n, const struct peer_beat_reply *r)
+{
+  json_t *o = json_loadb (r->state.data, r->state.length, 0, NULL);
+  struct control_view v;
+  const struct group *g;
+
+  if (o != NULL && control_view_from_json (&v, o)
+      && v.version > n->view.version)
+    {
+      n->view = v;
+      g = control_view_group (&n->view, n->settings->domain);
+      if (g != NULL)
+        take_group (n, g);
+      config_check (n);
+    }
+  json_decref (o);
+}
+
+static void
+take_beat_reply (struct entry *n, const char *vm,
+                 const struct peer_beat_reply *r)
+{
+  if (r->term < n->leader_term)
+    return;
+  if (!r->is_leader)
+    {
+      if (r->term > n->leader_term)
+        slice_copy (r->leader, n->leader, sizeof n->leader);
+      return;
+    }
+  n->leader_term = r->term;
+  n->leader_heard_ms = now_ms ();
+  snprintf (n->leader, sizeof n->leader, "%s", vm);
+  if (r->state.length != 0)
+    take_view (n, r);
+}
+
+void
+membership_receive (struct entry *n, struct peer_conn *from,
+                    const struct peer_message *m)
+{
+  struct peer_message reply = { .type = PEER_HEARTBEAT_REPLY };
+
+  switch (m->type)
+    {
+    case PEER_HEARTBEAT:
+      take_heartbeat (n, from->vm, m);
+      reply.u.heartbeat = own_heartbeat (n);
+      peer_conn_send (from, &reply);
+      break;
+    case PEER_HEARTBEAT_REPLY:
+      take_heartbeat (n, from->vm, m);
+      break;
+    case PEER_BEAT_REPLY:
+      take_beat_reply (n, from->vm, &m->u.beat_reply);
+      break;
+    default:
+      break;
+    }
+}
--- /dev/null
+++ b/src/controller/replica_controller.c
@@ -0,0 +1,368 @@
+#include "controller/replica_controller.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include "base/counters.h"
+#include "base/event_ring.h"
+#include "base/now.h"
+
+enum
+{
+  RETRY_MS = 25,
+  SYNC_WINDOW = 32
+};
+
+/* One change of one record on its way to all members.  */
+struct round
+{
+  struct entry *entry;
+  struct submission *submission;
+  enum peer_message_type type;
+  uint32_t may_start;
+  int64_t until_ms;
+  uint32_t pending;
+  bool refused;
+  replica_done done;
+};
+
+/* The part of a round that concerns one member.  */
+struct round_member
+{
+  struct round *round;
+  char vm[NAME_BYTES];
+  uint64_t boot_id;
+};
+
+static void member_send (struct round_member *rm);
+
+static void
+round_check (struct round *r)
+{
+  if (r->pending != 0)
+    return;
+  r->done (r->entry, r->submission, !r->refused);
+  submission_release (r->submission);
+  free (r);
+}
+
+static void
+member_finish (struct round_member *rm, bool acked)
+{
+  struct round *r = rm->round;
+
+  r->refused = r->refused || !acked;
+  r->pending--;
+  free (rm);
+  round_check (r);
+}
+
+static void
+on_retry (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  member_send (arg);
+}
+
+/* Tries again, unless the member has left the group meanwhile (then it need
+   not know), this VM has left it, or the time is over.  */
+static void
+member_retry (struct round_member *rm)
+{
+  struct entry *n = rm->round->entry;
+  const struct group *g = &n->submissions.group;
+  struct timeval t = { 0, RETRY_MS * 1000 };
+
+  if (!group_has (g, n->settings->vm, n->boot_id))
+    member_finish (rm, false);
+  else if (!group_has (g, rm->vm, rm->boot_id))
+    member_finish (rm, true);
+  else if (now_ms () >= rm->round->until_ms)
+    member_finish (rm, false);
+  else
+    event_base_once (n->base, -1, EV_TIMEOUT, on_retry, rm, &t);
+}
+
+static void
+on_member_reply (void *arg, enum call_outcome outcome,
+                 const struct peer_reply *reply)
+{
+  struct round_member *rm = arg;
+
+  if (outcome == CALL_REPLIED && reply->status == RECORD_OK)
+    {
+      member_finish (rm, true);
+      return;
+    }
+  if (outcome == CALL_REPLIED)
+    {
+      counters_add (COUNTER_RECORD_REFUSALS, 1);
+      if (reply->status == RECORD_MISSING)
+        rm->round->type = PEER_RECORD_PUT;
+    }
+  member_retry (rm);
+}
+
+static void
+fill_message (const struct round *r, struct peer_message *m)
+{
+  const struct submission_register *reg = &r->entry->submissions;
+  const struct submission *s = r->submission;
+
+  memset (m, 0, sizeof *m);
+  m->type = r->type;
+  switch (r->type)
+    {
+    case PEER_RECORD_ADVANCE:
+      m->u.record_advance
+          = (struct peer_record_advance){ 0, reg->group.incarnation,
+                                          slice_of (s->id), r->may_start };
+      break;
+    case PEER_RECORD_DONE:
+      m->u.record_done
+          = (struct peer_record_done){ 0, reg->group.incarnation,
+                                       slice_of (s->id), SUBMISSION_ENDED,
+                                       slice_of (s->answer) };
+      break;
+    default:
+      submission_register_fill_put (reg, s, m);
+      if (r->may_start > s->may_start)
+        m->u.record_put.may_start = r->may_start;
+      if (s->state == SUBMISSION_ENDING)
+        {
+          m->u.record_put.state = SUBMISSION_ENDED;
+          m->u.record_put.answer = slice_of (s->answer);
+        }
+      break;
+    }
+}
+
+static void
+member_send (struct round_member *rm)
+{
+  struct entry *n = rm->round->entry;
+  struct peer_message m;
+
+  if (!group_has (&n->submissions.group, rm->vm, rm->boot_id))
+    {
+      member_retry (rm);
+      return;
+    }
+  fill_message (rm->round, &m);
+  counters_add (COUNTER_RECORD_MESSAGES, 1);
+  peer_network_call (n->network, rm->vm, &m, n->settings->record_timeout_ms,
+                     on_member_reply, rm);
+}
+
+static void
+round_start (struct entry *n, struct submission *s,
+             enum peer_message_type type, uint32_t may_start, int64_t until_ms,
+             replica_done done)
+{
+  const struct group *g = &n->submissions.group;
+  struct round *r = calloc (1, sizeof *r);
+
+  r->entry = n;
+  r->submission = submission_hold (s);
+  r->type = type;
+  r->may_start = may_start;
+  r->until_ms = until_ms;
+  r->done = done;
+  r->pending = 1;
+  for (uint32_t i = 0; i < g->member_count; i++)
+    {
+      struct round_member *rm;
+
+      if (strcmp (g->members[i].vm, n->settings->vm) == 0)
+        continue;
+      rm = calloc (1, sizeof *rm);
+      rm->round = r;
+      memcpy (rm->vm, g->members[i].vm, sizeof rm->vm);
+      rm->boot_id = g->members[i].boot_id;
+      r->pending++;
+      member_send (rm);
+    }
+  r->pending--;
+  round_check (r);
+}
+
+void
+replica_put (struct entry *n, struct submission *s, int64_t until_ms,
+             replica_done done)
+{
+  round_start (n, s, PEER_RECORD_PUT, s->may_start, until_ms, done);
+}
+
+void
+replica_advance (struct entry *n, struct submission *s, uint32_t may_start,
+                 int64_t until_ms, replica_done done)
+{
+  round_start (n, s, PEER_RECORD_ADVANCE, may_start, until_ms, done);
+}
+
+void
+replica_end (struct entry *n, struct submission *s, int64_t until_ms,
+             replica_done done)
+{
+  round_start (n, s, PEER_RECORD_DONE, 0, until_ms, done);
+}
+
+/* All records on their way to one new member, at most SYNC_WINDOW at a time,
+   then PEER_RECORD_SYNCED.  Given up where the incarnation changes; the next
+   one begins anew.  */
+struct sync_run
+{
+  struct entry *entry;
+  char vm[NAME_BYTES];
+  uint64_t incarnation;
+  struct submission **records;
+  uint32_t count;
+  uint32_t next;
+  uint32_t outstanding;
+  bool failed;
+};
+
+static void sync_continue (struct sync_run *r);
+
+static void
+sync_finish (struct sync_run *r)
+{
+  for (uint32_t i = 0; i < r->count; i++)
+    submission_release (r->records[i]);
+  free (r->records);
+  free (r);
+}
+
+static void
+on_sync_reply (void *arg, enum call_outcome outcome,
+               const struct peer_reply *reply)
+{
+  struct sync_run *r = arg;
+
+  r->outstanding--;
+  if (outcome != CALL_REPLIED || reply->status != RECORD_OK)
+    r->failed = true;
+  sync_continue (r);
+}
+
+static void
+on_sync_again (evutil_socket_t fd, short what, void *arg)
+{
+  struct sync_run *r = arg;
+
+  (void)fd;
+  (void)what;
+  if (r->entry->submissions.group.incarnation == r->incarnation)
+    replica_sync_others (r->entry);
+  sync_finish (r);
+}
+
+static void
+sync_send_end (struct sync_run *r)
+{
+  struct peer_message m = { .type = PEER_RECORD_SYNCED };
+
+  m.u.record_synced.incarnation = r->incarnation;
+  r->next++;
+  r->outstanding++;
+  peer_network_call (r->entry->network, r->vm, &m,
+                     r->entry->settings->record_timeout_ms * 4, on_sync_reply,
+                     r);
+}
+
+static void
+sync_continue (struct sync_run *r)
+{
+  struct timeval t = { 0, RETRY_MS * 1000 };
+
+  while (!r->failed && r->next < r->count && r->outstanding < SYNC_WINDOW)
+    {
+      struct peer_message m;
+
+      submission_register_fill_put (&r->entry->submissions,
+                                    r->records[r->next++], &m);
+      r->outstanding++;
+      peer_network_call (r->entry->network, r->vm, &m,
+                         r->entry->settings->record_timeout_ms * 4,
+                         on_sync_reply, r);
+    }
+  if (r->outstanding != 0)
+    return;
+  if (r->failed)
+    event_base_once (r->entry->base, -1, EV_TIMEOUT, on_sync_again, r, &t);
+  else if (r->next == r->count)
+    sync_send_end (r);
+  else
+    sync_finish (r);
+}
+
+static void
+sync_start (struct entry *n, const char *vm)
+{
+  struct sync_run *r = calloc (1, sizeof *r);
+  struct submission *s;
+
+  r->entry = n;
+  memcpy (r->vm, vm, sizeof r->vm);
+  r->incarnation = n->submissions.group.incarnation;
+  r->records
+      = calloc (HASH_COUNT (n->submissions.records) + 1, sizeof *r->records);
+  for (s = n->submissions.records; s != NULL; s = s->hh.next)
+    r->records[r->count++] = submission_hold (s);
+  sync_continue (r);
+}
+
+void
+replica_sync_others (struct entry *n)
+{
+  const struct group *g = &n->submissions.group;
+
+  if (!submission_register_is_sync_source (&n->submissions))
+    return;
+  for (uint32_t i = 0; i < g->member_count; i++)
+    if (!g->members[i].synced)
+      sync_start (n, g->members[i].vm);
+}
+
+static enum record_status
+take_synced (struct entry *n, const struct peer_record_synced *m)
+{
+  if (m->incarnation != n->submissions.group.incarnation)
+    return m->incarnation < n->submissions.group.incarnation ? RECORD_STALE
+                                                             : RECORD_BEHIND;
+  if (!n->submissions.synced)
+    event_ring_add (EVENT_GROUP_SYNCED, n->settings->vm, "%u records",
+                    HASH_COUNT (n->submissions.records));
+  n->submissions.synced = true;
+  n->last_beat_ms = 0;
+  return RECORD_OK;
+}
+
+void
+replica_receive (struct entry *n, struct peer_conn *from,
+                 const struct peer_message *m)
+{
+  struct peer_message reply = { .type = PEER_REPLY };
+  enum record_status status;
+
+  switch (m->type)
+    {
+    case PEER_RECORD_PUT:
+      status = submission_register_put (&n->submissions, &m->u.record_put);
+      break;
+    case PEER_RECORD_ADVANCE:
+      status = submission_register_advance (&n->submissions,
+                                            &m->u.record_advance);
+      break;
+    case PEER_RECORD_DONE:
+      status = submission_register_end (&n->submissions, &m->u.record_done);
+      break;
+    default:
+      status = take_synced (n, &m->u.record_synced);
+      break;
+    }
+  memcpy (&reply.u.reply.id, &m->u, sizeof reply.u.reply.id);
+  reply.u.reply.status = status;
+  reply.u.reply.body = slice_of ("");
+  peer_conn_send (from, &reply);
+}
--- /dev/null
+++ b/src/coord/environment.h
@@ -0,0 +1,74 @@
+/* The document of one environment: teams, task kinds, limits and policy.
+   Checked whole before it is accepted; a node takes only documents that list
+   its own environment.  */
+#ifndef COORD_ENVIRONMENT_H
+#define COORD_ENVIRONMENT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <jansson.h>
+#include "base/json_check.h"
+#include "base/settings.h"
+
+enum
+{
+  KIND_LIMIT = 256,
+  TEAM_LIMIT = 1000,
+  DOCUMENT_BYTES_MAXIMUM = 1 << 20
+};
+
+struct task_kind
+{
+  char name[NAME_BYTES];
+  int64_t run_ms;     /* declared; a hint */
+  int64_t timeout_ms; /* a start that takes longer is given up as unknown */
+  int64_t cpus;
+  int64_t memory_mb;
+};
+
+struct policy
+{
+  double response_weight;
+  double waste_weight;
+  double retry_ratio;
+  int64_t default_deadline_ms;
+  int64_t maximum_deadline_ms;
+  uint32_t eject_failures;
+  double eject_share;
+  int64_t eject_ms;
+};
+
+struct environment
+{
+  uint64_t number; /* 0 while no document is in force */
+  char sha256[HASH_TEXT_BYTES];
+  json_t *document;
+  struct task_kind kinds[KIND_LIMIT];
+  uint32_t kind_count;
+  struct policy policy;
+  uint64_t queued_tasks;
+  uint32_t records;
+  double cut_off_quota_share;
+};
+
+void environment_init (struct environment *e);
+void environment_done (struct environment *e);
+
+/* Checks DOCUMENT for the environment NAME; NAME may be NULL.  */
+void environment_check (const json_t *document, const char *name,
+                        struct json_report *r);
+
+/* Takes the checked DOCUMENT as NUMBER in force.  */
+void environment_set (struct environment *e, uint64_t number,
+                      json_t *document);
+
+const struct task_kind *environment_kind (const struct environment *e,
+                                          const char *name);
+
+/* The SHA-256, in hex, of the document's canonical text.  */
+void environment_sha256 (const json_t *document, char *sha256);
+
+/* The SHA-256, in hex, of TEXT; for tokens.  */
+void sha256_text (const char *text, size_t length, char *sha256);
+
+#endif
--- /dev/null
+++ b/src/coord/group_manager.c
@@ -0,0 +1,198 @@
+#include "coord/group_manager.h"
+
+#include <stdio.h>
+#include <string.h>
+
+void
+group_manager_init (struct group_manager *m, const struct settings *s)
+{
+  memset (m, 0, sizeof *m);
+  m->lease_ms = s->lease_ms;
+  for (uint32_t i = 0; i < s->vm_count; i++)
+    if (s->vms[i].role == ROLE_ENTRY)
+      {
+        struct entry_beat *b = &m->beats[m->count++];
+
+        memcpy (b->vm, s->vms[i].name, sizeof b->vm);
+        memcpy (b->domain, s->vms[i].domain, sizeof b->domain);
+      }
+}
+
+void
+group_manager_start (struct group_manager *m, int64_t now)
+{
+  m->leader_since_ms = now;
+  for (uint32_t i = 0; i < m->count; i++)
+    {
+      m->beats[i].heard_ms = 0;
+      m->beats[i].leaving = LEAVING_NOT;
+    }
+}
+
+struct entry_beat *
+group_manager_find (struct group_manager *m, const char *vm)
+{
+  for (uint32_t i = 0; i < m->count; i++)
+    if (strcmp (m->beats[i].vm, vm) == 0)
+      return &m->beats[i];
+  return NULL;
+}
+
+static const struct entry_beat *
+beat_of (const struct group_manager *m, const struct group_member *member)
+{
+  const struct entry_beat *b
+      = group_manager_find ((struct group_manager *)m, member->vm);
+
+  return b != NULL && b->heard_ms != 0 && b->boot_id == member->boot_id ? b
+                                                                        : NULL;
+}
+
+/* When MEMBER was last heard; the start of this leader at the earliest.  */
+static int64_t
+heard_at (const struct group_manager *m, const struct group_member *member)
+{
+  const struct entry_beat *b = beat_of (m, member);
+
+  return b == NULL ? m->leader_since_ms : b->heard_ms;
+}
+
+/* Whether another member was heard a lease later than MEMBER.  */
+static bool
+is_outlived (const struct group_manager *m, const struct group *g,
+             const struct group_member *member)
+{
+  for (uint32_t i = 0; i < g->member_count; i++)
+    {
+      const struct group_member *o = &g->members[i];
+
+      if (o != member && o->synced && beat_of (m, o) != NULL
+          && heard_at (m, o) > heard_at (m, member) + m->lease_ms)
+        return true;
+    }
+  return false;
+}
+
+/* Whether the VM of MEMBER runs again under another boot.  */
+static bool
+is_restarted (const struct group_manager *m, const struct group_member *member)
+{
+  const struct entry_beat *b
+      = group_manager_find ((struct group_manager *)m, member->vm);
+
+  return b != NULL && b->heard_ms != 0 && b->boot_id != member->boot_id;
+}
+
+static bool
+is_gone (const struct group_manager *m, const struct group_member *member)
+{
+  const struct entry_beat *b = beat_of (m, member);
+
+  return b != NULL && b->leaving == LEAVING_GONE;
+}
+
+static bool
+keep_members (const struct group_manager *m, const struct group *g,
+              struct group *next)
+{
+  bool changed = false;
+
+  for (uint32_t i = 0; i < g->member_count; i++)
+    {
+      const struct group_member *o = &g->members[i];
+      const struct entry_beat *b = beat_of (m, o);
+      struct group_member *kept;
+
+      if (is_gone (m, o) || is_restarted (m, o) || is_outlived (m, g, o))
+        {
+          changed = true;
+          continue;
+        }
+      kept = &next->members[next->member_count++];
+      *kept = *o;
+      kept->draining
+          = b != NULL ? b->leaving == LEAVING_DRAINING : o->draining;
+      changed = changed || kept->draining != o->draining;
+    }
+  return changed;
+}
+
+static bool
+add_members (const struct group_manager *m, const char *domain, int64_t now,
+             struct group *next)
+{
+  bool changed = false;
+
+  for (uint32_t i = 0; i < m->count; i++)
+    {
+      const struct entry_beat *b = &m->beats[i];
+      struct group_member *added;
+
+      if (strcmp (b->domain, domain) != 0 || b->heard_ms == 0
+          || now - b->heard_ms > m->lease_ms || b->leaving != LEAVING_NOT
+          || group_member_find (next, b->vm) != NULL
+          || next->member_count == GROUP_MEMBER_LIMIT)
+        continue;
+      added = &next->members[next->member_count++];
+      memset (added, 0, sizeof *added);
+      memcpy (added->vm, b->vm, sizeof added->vm);
+      added->boot_id = b->boot_id;
+      changed = true;
+    }
+  return changed;
+}
+
+static uint32_t
+count_synced (const struct group *g)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < g->member_count; i++)
+    n += g->members[i].synced;
+  return n;
+}
+
+bool
+group_manager_decide (const struct group_manager *m,
+                      const struct group *current, const char *domain,
+                      int64_t now, int64_t wall_ms, struct group *next)
+{
+  static const struct group empty;
+  bool changed;
+
+  if (current == NULL)
+    current = &empty;
+  memset (next, 0, sizeof *next);
+  snprintf (next->domain, sizeof next->domain, "%s", domain);
+  changed = keep_members (m, current, next);
+  if (add_members (m, domain, now, next))
+    changed = true;
+  if (!changed)
+    return false;
+  next->incarnation = current->incarnation + 1;
+  next->complete_since = current->complete_since;
+  next->complete_since_wall_ms = current->complete_since_wall_ms;
+  if (count_synced (next) != 0 || next->member_count == 0)
+    return true;
+  /* Nobody is left who has the records: the new memory begins empty.  */
+  next->complete_since = next->incarnation;
+  next->complete_since_wall_ms = wall_ms;
+  for (uint32_t i = 0; i < next->member_count; i++)
+    next->members[i].synced = true;
+  return true;
+}
+
+const struct entry_beat *
+group_manager_newly_synced (const struct group_manager *m,
+                            const struct group *g)
+{
+  for (uint32_t i = 0; i < g->member_count; i++)
+    {
+      const struct entry_beat *b = beat_of (m, &g->members[i]);
+
+      if (!g->members[i].synced && b != NULL
+          && b->synced_incarnation == g->incarnation)
+        return b;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/src/coord/rendezvous.h
@@ -0,0 +1,10 @@
+/* Rendezvous (highest random weight) hashing: Thaler and Ravishankar 1998.  */
+#ifndef COORD_RENDEZVOUS_H
+#define COORD_RENDEZVOUS_H
+
+#include <stdint.h>
+
+/* The weight of candidate NAME for KEY; the highest one owns the key.  */
+uint64_t rendezvous_weight (const char *key, const char *name);
+
+#endif
--- /dev/null
+++ b/src/coord/submission.c
@@ -0,0 +1,315 @@
+#include "coord/submission.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+#include "base/json_check.h"
+
+struct submission *
+submission_new (const char *team, const char *key)
+{
+  struct submission *s = calloc (1, sizeof *s);
+
+  s->references = 1;
+  snprintf (s->team, sizeof s->team, "%s", team);
+  snprintf (s->id, sizeof s->id, "%s/%s", team, key);
+  return s;
+}
+
+struct submission *
+submission_hold (struct submission *s)
+{
+  s->references++;
+  return s;
+}
+
+static void
+free_tasks (struct submission *s)
+{
+  for (uint32_t i = 0; i < s->task_count; i++)
+    {
+      free (s->tasks[i].payload);
+      free (s->tasks[i].result);
+    }
+  free (s->tasks);
+  free (s->returned);
+  s->tasks = NULL;
+  s->returned = NULL;
+  s->task_count = 0;
+}
+
+void
+submission_release (struct submission *s)
+{
+  if (--s->references != 0)
+    return;
+  while (s->waiters != NULL)
+    {
+      struct submission_waiter *w = s->waiters;
+
+      s->waiters = w->next;
+      free (w);
+    }
+  free_tasks (s);
+  free (s->body);
+  free (s->answer);
+  free (s);
+}
+
+struct submission_digest
+submission_digest_of (const json_t *value)
+{
+  char *text
+      = json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+  XXH128_hash_t h = XXH3_128bits (text, strlen (text));
+
+  free (text);
+  return (struct submission_digest){ h.high64, h.low64 };
+}
+
+static void
+read_task (struct submission_task *t, const json_t *o)
+{
+  json_t *payload = json_object_get (o, "payload");
+
+  snprintf (t->kind, sizeof t->kind, "%s", json_get_text (o, "kind", ""));
+  t->payload = payload == NULL
+                   ? strdup ("null")
+                   : json_dumps (payload, JSON_COMPACT | JSON_ENCODE_ANY);
+  t->outcome = outcome_not_run (PROOF_STILL_QUEUED);
+}
+
+bool
+submission_set_body (struct submission *s, const char *text, size_t length)
+{
+  json_t *root = json_loadb (text, length, 0, NULL);
+  json_t *tasks = json_object_get (root, "tasks");
+  uint32_t count = (uint32_t)json_array_size (tasks);
+
+  if (count == 0 || count > TASKS_PER_JOB_LIMIT)
+    {
+      json_decref (root);
+      return false;
+    }
+  free_tasks (s);
+  free (s->body);
+  s->body = malloc (length + 1);
+  memcpy (s->body, text, length);
+  s->body[length] = '\0';
+  s->tasks = calloc (count, sizeof *s->tasks);
+  s->returned = calloc (count, sizeof *s->returned);
+  s->task_count = count;
+  for (uint32_t i = 0; i < count; i++)
+    read_task (&s->tasks[i], json_array_get (tasks, i));
+  json_decref (root);
+  return true;
+}
+
+const char *
+submission_key_text (const struct submission *s)
+{
+  return s->id + strlen (s->team) + 1;
+}
+
+void
+submission_add_waiter (struct submission *s,
+                       void (*done) (void *arg, struct submission *s),
+                       void *arg)
+{
+  struct submission_waiter *w = malloc (sizeof *w);
+
+  w->done = done;
+  w->arg = arg;
+  w->next = s->waiters;
+  s->waiters = w;
+}
+
+void
+submission_remove_waiter (struct submission *s, const void *arg)
+{
+  struct submission_waiter **at = &s->waiters;
+
+  while (*at != NULL && (*at)->arg != arg)
+    at = &(*at)->next;
+  if (*at != NULL)
+    {
+      struct submission_waiter *w = *at;
+
+      *at = w->next;
+      free (w);
+    }
+}
+
+void
+submission_tell (struct submission *s)
+{
+  submission_hold (s);
+  while (s->waiters != NULL)
+    {
+      struct submission_waiter *w = s->waiters;
+
+      s->waiters = w->next;
+      w->done (w->arg, s);
+      free (w);
+    }
+  submission_release (s);
+}
+
+uint32_t
+submission_tasks_left (const struct submission *s)
+{
+  return s->task_count - s->next_task + s->returned_count;
+}
+
+uint32_t
+submission_take_task (struct submission *s)
+{
+  if (s->returned_count != 0)
+    return s->returned[--s->returned_count];
+  return s->next_task++;
+}
+
+void
+submission_return_task (struct submission *s, uint32_t index)
+{
+  s->returned[s->returned_count++] = (uint16_t)index;
+}
+
+bool
+submission_is_finished (const struct submission *s)
+{
+  return s->running == 0 && (s->doomed || s->finished == s->task_count);
+}
+
+struct text_buffer
+{
+  char *text;
+  size_t length;
+  size_t room;
+};
+
+static void
+buffer_add (struct text_buffer *b, const char *text)
+{
+  size_t n = strlen (text);
+
+  if (b->length + n + 1 > b->room)
+    {
+      b->room = (b->length + n + 1) * 2;
+      b->text = realloc (b->text, b->room);
+    }
+  memcpy (b->text + b->length, text, n + 1);
+  b->length += n;
+}
+
+static void
+add_head (struct text_buffer *b, const struct submission *s, bool complete)
+{
+  buffer_add (b, "{\"key\":\"");
+  buffer_add (b, submission_key_text (s));
+  buffer_add (b, complete ? "\",\"state\":\"complete\""
+                          : "\",\"state\":\"failed\"");
+}
+
+/* Results are JSON texts that were checked when the target gave them.  */
+static void
+add_results (struct text_buffer *b, const struct submission *s)
+{
+  if (s->single)
+    {
+      buffer_add (b, ",\"result\":");
+      buffer_add (b, s->tasks[0].result);
+      return;
+    }
+  buffer_add (b, ",\"results\":[");
+  for (uint32_t i = 0; i < s->task_count; i++)
+    {
+      if (i != 0)
+        buffer_add (b, ",");
+      buffer_add (b, s->tasks[i].result == NULL ? "null" : s->tasks[i].result);
+    }
+  buffer_add (b, "]");
+}
+
+/* A failed answer tells per task whether it ran, and gives no results.  */
+static void
+add_task_outcomes (struct text_buffer *b, const struct submission *s)
+{
+  buffer_add (b, ",\"tasks\":[");
+  for (uint32_t i = 0; i < s->task_count; i++)
+    {
+      const struct submission_task *t = &s->tasks[i];
+      const char *word = outcome_word (t->outcome);
+
+      if (t->outcome.kind == OUTCOME_DONE)
+        word = "ran";
+      else if (t->outcome.kind == OUTCOME_FAILED)
+        word = "ran_failed";
+      buffer_add (b, i == 0 ? "\"" : ",\"");
+      buffer_add (b, word);
+      buffer_add (b, "\"");
+    }
+  buffer_add (b, "]");
+}
+
+/* "not_run" for the whole submission holds only where it holds for every
+   task; otherwise "unknown" if it holds for any, otherwise "ran".  */
+static const char *
+overall_word (const struct submission *s)
+{
+  uint32_t not_run = 0;
+  uint32_t unknown = 0;
+
+  for (uint32_t i = 0; i < s->task_count; i++)
+    {
+      not_run += s->tasks[i].outcome.kind == OUTCOME_NOT_RUN;
+      unknown += s->tasks[i].outcome.kind == OUTCOME_UNKNOWN;
+    }
+  if (not_run == s->task_count)
+    return "not_run";
+  return unknown != 0 ? "unknown" : "ran";
+}
+
+void
+submission_write_answer (struct submission *s, const char *reason)
+{
+  struct text_buffer b = { NULL, 0, 0 };
+  bool complete = true;
+
+  for (uint32_t i = 0; i < s->task_count; i++)
+    complete = complete && s->tasks[i].outcome.kind == OUTCOME_DONE;
+  add_head (&b, s, complete);
+  if (complete)
+    add_results (&b, s);
+  else
+    {
+      buffer_add (&b, ",\"outcome\":\"");
+      buffer_add (&b, overall_word (s));
+      buffer_add (&b, "\",\"error\":{\"code\":\"");
+      buffer_add (&b, reason == NULL ? "task_failed" : reason);
+      buffer_add (&b, "\",\"message\":\"the job failed; each task says "
+                      "whether it ran\"}");
+      add_task_outcomes (&b, s);
+    }
+  buffer_add (&b, "}");
+  free (s->answer);
+  s->answer = b.text;
+}
+
+void
+submission_write_lost_answer (struct submission *s)
+{
+  for (uint32_t i = 0; i < s->task_count; i++)
+    s->tasks[i].outcome = i < s->may_start
+                              ? outcome_unknown ()
+                              : outcome_not_run (PROOF_ABOVE_WATERMARK);
+  submission_write_answer (s, "executor_lost");
+}
+
+bool
+submission_is_complete (const struct submission *s)
+{
+  return s->answer != NULL
+         && strstr (s->answer, "\",\"state\":\"complete\"") != NULL;
+}
--- /dev/null
+++ b/src/coord/submission.h
@@ -0,0 +1,150 @@
+/* One submission and its tasks.  Reference counted.  */
+#ifndef COORD_SUBMISSION_H
+#define COORD_SUBMISSION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <jansson.h>
+#include <uthash.h>
+#include "coord/outcome.h"
+#include "coord/submission_key.h"
+
+enum
+{
+  RECORD_ID_BYTES = KEY_BYTES + NAME_BYTES,
+  TASKS_PER_JOB_LIMIT = 200
+};
+
+enum submission_state
+{
+  SUBMISSION_PREPARING, /* not yet at every member of the group */
+  SUBMISSION_OPEN,
+  SUBMISSION_ENDING, /* answered for, not yet at every member */
+  SUBMISSION_ENDED
+};
+
+struct submission_task
+{
+  char kind[NAME_BYTES];
+  char *payload;
+  char *result;
+  struct outcome outcome;
+  char place[NAME_BYTES + ADDRESS_BYTES + 8]; /* target id or entry */
+};
+
+struct submission;
+
+/* Someone to be told when the submission has ended.  */
+struct submission_waiter
+{
+  void (*done) (void *arg, struct submission *s);
+  void *arg;
+  struct submission_waiter *next;
+};
+
+struct submission_digest
+{
+  uint64_t high;
+  uint64_t low;
+};
+
+struct submission
+{
+  uint32_t references;
+
+  /* identity */
+  char id[RECORD_ID_BYTES]; /* TEAM/KEY */
+  char team[NAME_BYTES];
+  struct submission_digest digest;
+  int64_t issued_wall_ms;
+  uint64_t accepted_incarnation;
+
+  /* the member that runs it */
+  char executor[NAME_BYTES];
+  uint64_t executor_boot;
+
+  /* state that the group's members share */
+  enum submission_state state;
+  uint32_t may_start; /* tasks below this index may have started */
+  char *body;         /* canonical JSON of the tasks, while open */
+  char *answer;       /* once ended */
+
+  int64_t deadline_wall_ms;
+
+  /* the executor's own */
+  int64_t accepted_ms;
+  int64_t deadline_ms;
+  bool single; /* a single request rather than a job */
+  bool idempotent;
+  bool cancelled;
+  bool advance_pending;
+  bool queued;
+  struct submission_task *tasks;
+  uint32_t task_count;
+  uint32_t next_task;
+  uint16_t *returned; /* begun tasks that came back unrun, to begin again */
+  uint32_t returned_count;
+  uint32_t running;
+  uint32_t finished;
+  uint32_t failed;
+  bool unregistered;  /* a request without a key; no record of it is kept */
+  bool doomed;        /* a task failed; no further one is begun */
+  const char *reason; /* why it failed, a stable word, or NULL */
+  int status;         /* the HTTP status that goes with the answer */
+  struct submission_waiter *waiters;
+
+  struct submission *queue_next;
+  struct submission *open_next; /* the executor's open submissions */
+  struct submission *open_prev;
+  UT_hash_handle hh;
+};
+
+/* A new submission with one reference, which the caller holds.  */
+struct submission *submission_new (const char *team, const char *key);
+struct submission *submission_hold (struct submission *s);
+void submission_release (struct submission *s);
+
+/* The digest of a JSON value, equal for any order of members and blanks.  */
+struct submission_digest submission_digest_of (const json_t *value);
+
+/* Sets the body, and the tasks from it.  Returns false if TEXT is not a
+   checked submission.  */
+bool submission_set_body (struct submission *s, const char *text,
+                          size_t length);
+
+/* The key part of the id.  */
+const char *submission_key_text (const struct submission *s);
+
+void submission_add_waiter (struct submission *s,
+                            void (*done) (void *arg, struct submission *s),
+                            void *arg);
+
+/* Forgets a waiter that no longer wants the answer.  */
+void submission_remove_waiter (struct submission *s, const void *arg);
+
+/* Tells all waiters, once.  */
+void submission_tell (struct submission *s);
+
+/* The tasks yet to be begun.  */
+uint32_t submission_tasks_left (const struct submission *s);
+
+/* Takes the index of the next task to begin; there must be one.  */
+uint32_t submission_take_task (struct submission *s);
+
+/* Puts back a task that was begun and provably did not run.  */
+void submission_return_task (struct submission *s, uint32_t index);
+
+/* Whether nothing is left to run or wait for.  */
+bool submission_is_finished (const struct submission *s);
+
+/* Writes the answer from the tasks' outcomes: complete with every result, or
+   failed with none.  REASON is NULL or a stable word for why it failed.  */
+void submission_write_answer (struct submission *s, const char *reason);
+
+/* Writes the answer of a submission whose executor was lost.  */
+void submission_write_lost_answer (struct submission *s);
+
+/* Whether the written answer is a complete one.  */
+bool submission_is_complete (const struct submission *s);
+
+#endif
--- /dev/null
+++ b/src/filter/filter_authenticate.c
@@ -0,0 +1,30 @@
+/* Knows the caller's team by its token, and refuses while this entry does not
+   yet know the configuration or is stopping.  */
+#include <string.h>
+#include "coord/environment.h"
+#include "filter/request.h"
+
+enum filter_result
+filter_authenticate (struct request *r)
+{
+  const char *token = http_call_token (r->call);
+  char sha256[HASH_TEXT_BYTES];
+  const struct team *team;
+
+  if (r->entry->environment.number == 0)
+    return request_refuse (r, 503, "no_configuration", "not_run",
+                           "this VM has not learnt the configuration yet");
+  if (r->entry->draining)
+    return request_refuse (r, 503, "stopping", "not_run",
+                           "this VM is stopping; submit at another one");
+  if (token == NULL)
+    return request_refuse (r, 401, "no_token", "not_run",
+                           "the Authorization header must be Bearer TOKEN");
+  sha256_text (token, strlen (token), sha256);
+  team = team_table_find_token (&r->entry->teams, sha256);
+  if (team == NULL)
+    return request_refuse (r, 401, "unknown_token", "not_run",
+                           "no team has this token");
+  memcpy (r->team, team->name, sizeof r->team);
+  return FILTER_PASS;
+}
--- /dev/null
+++ b/src/filter/filter_home.c
@@ -0,0 +1,193 @@
+/* Sends a submission to the entry that owns its key, in its home failure
+   domain, where that is another one.  The submission's key makes it safe to
+   send it again; an attempt that may have reached the owner is never turned
+   into "not run".  */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/counters.h"
+#include "base/now.h"
+#include "filter/request.h"
+
+enum
+{
+  RETRY_FIRST_MS = 20,
+  RETRY_LAST_MS = 320,
+  ANSWER_MARGIN_MS = 600,
+
+  STATUS_MISDIRECTED = 421,
+  STATUS_TOO_EARLY = 425
+};
+
+static void forward (struct request *r);
+
+static const struct group_member *
+owner_of (const struct request *r)
+{
+  const struct group *g = control_view_group (&r->entry->view, r->key.domain);
+  char id[RECORD_ID_BYTES];
+
+  if (g == NULL)
+    return NULL;
+  snprintf (id, sizeof id, "%s/%s", r->team, r->key.text);
+  return group_owner (g, id);
+}
+
+static void
+on_retry (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  forward (arg);
+}
+
+static void
+give_up (struct request *r)
+{
+  if (r->may_have_run)
+    request_refuse (r, 503, "home_unreachable", "unknown",
+                    "the home failure domain %s did not answer; the "
+                    "submission may have run: repeat it with the same key",
+                    r->key.domain);
+  else
+    request_refuse (r, 503, "home_unreachable", "not_run",
+                    "the home failure domain %s cannot be reached; a new key "
+                    "with the prefix of this answer is served here",
+                    r->key.domain);
+  request_release (r);
+}
+
+/* How long to go on trying: to the deadline where something may have run, and
+   for the time of a group change otherwise, so that the caller can turn to
+   another key.  */
+static int64_t
+patience_ms (const struct request *r)
+{
+  int64_t change = r->begun_ms + 2 * r->entry->settings->lease_ms;
+
+  return r->may_have_run || r->deadline_ms < change ? r->deadline_ms : change;
+}
+
+static void
+try_again (struct request *r)
+{
+  int64_t delay_ms = RETRY_FIRST_MS << (r->attempts < 5 ? r->attempts : 5);
+  struct timeval t;
+
+  if (delay_ms > RETRY_LAST_MS)
+    delay_ms = RETRY_LAST_MS;
+  delay_ms = delay_ms / 2 + rand () % (delay_ms / 2 + 1);
+  if (now_ms () + delay_ms > patience_ms (r))
+    {
+      give_up (r);
+      return;
+    }
+  r->attempts++;
+  counters_add (COUNTER_FORWARD_RETRIES, 1);
+  t.tv_sec = 0;
+  t.tv_usec = delay_ms * 1000;
+  event_base_once (r->entry->base, -1, EV_TIMEOUT, on_retry, r, &t);
+}
+
+static void
+on_forwarded (void *arg, enum call_outcome outcome,
+              const struct peer_reply *reply)
+{
+  struct request *r = arg;
+  char *text;
+
+  if (outcome == CALL_LOST
+      || (outcome == CALL_REPLIED && reply->status == STATUS_TOO_EARLY))
+    r->may_have_run = true;
+  if (outcome != CALL_REPLIED || reply->status == STATUS_MISDIRECTED
+      || reply->status == STATUS_TOO_EARLY)
+    {
+      try_again (r);
+      return;
+    }
+  text = strndup (reply->body.data, reply->body.length);
+  request_answer (r, (int)reply->status, text);
+  free (text);
+  request_release (r);
+}
+
+/* The body as forwarded has the key in it, whoever made it.  */
+static void
+set_owned_body (struct request *r)
+{
+  if (r->owned_body != NULL)
+    return;
+  json_object_set_new (r->root, "key", json_string (r->key.text));
+  r->owned_body = json_dumps (r->root, JSON_COMPACT);
+}
+
+static void
+forward (struct request *r)
+{
+  struct entry *n = r->entry;
+  const struct group_member *owner = owner_of (r);
+  const char *to = owner == NULL ? "" : owner->vm;
+  int64_t left_ms = r->deadline_ms - now_ms ();
+  struct peer_message m = { .type = PEER_CALL };
+
+  if (r->forward_to[0] != '\0' && r->attempts == 0)
+    to = r->forward_to;
+  if (to[0] == '\0' || left_ms <= 0)
+    {
+      try_again (r);
+      return;
+    }
+  if (strcmp (to, n->settings->vm) == 0)
+    {
+      /* The group changed, and the key is this entry's now.  */
+      r->body = r->owned_body;
+      r->body_length = strlen (r->owned_body);
+      json_decref (r->root);
+      r->root = NULL;
+      request_run_forwarded (r);
+      request_release (r);
+      return;
+    }
+  m.u.call.method = r->single ? METHOD_REQUEST : METHOD_SUBMIT;
+  m.u.call.team = slice_of (r->team);
+  m.u.call.key = slice_of (r->key.text);
+  m.u.call.timeout_ms = left_ms;
+  m.u.call.body = slice_of (r->owned_body);
+  counters_add (COUNTER_FORWARDS, 1);
+  peer_network_call (n->network, to, &m, left_ms + ANSWER_MARGIN_MS,
+                     on_forwarded, r);
+}
+
+void
+request_forward_to (struct request *r, const char *vm)
+{
+  snprintf (r->forward_to, sizeof r->forward_to, "%s", vm);
+  r->attempts = 0;
+  set_owned_body (r);
+  forward (r);
+}
+
+void
+request_retry (struct request *r)
+{
+  set_owned_body (r);
+  request_hold (r);
+  try_again (r);
+}
+
+enum filter_result
+filter_home (struct request *r)
+{
+  const struct group_member *owner;
+
+  if (r->single && r->keyless)
+    return FILTER_PASS;
+  owner = owner_of (r);
+  if (owner != NULL && strcmp (owner->vm, r->entry->settings->vm) == 0)
+    return FILTER_PASS;
+  set_owned_body (r);
+  request_hold (r);
+  forward (r);
+  return FILTER_PARKED;
+}
--- /dev/null
+++ b/src/net/http_server.c
@@ -0,0 +1,293 @@
+#include "net/http_server.h"
+
+#include <evhtp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/counters.h"
+
+enum
+{
+  BACKLOG = 1024,
+  ERROR_TEXT_BYTES = 4200
+};
+
+struct http_server
+{
+  evhtp_t *htp;
+  http_handler handler;
+  void *arg;
+  struct timeval idle;
+  uint32_t connections;
+  uint32_t connections_maximum;
+  uint32_t open_calls;
+};
+
+struct http_call *
+http_call_hold (struct http_call *c)
+{
+  c->references++;
+  return c;
+}
+
+void
+http_call_release (struct http_call *c)
+{
+  if (--c->references != 0)
+    return;
+  free (c->body);
+  free (c);
+}
+
+static void
+detach (struct http_call *c)
+{
+  c->request = NULL;
+  c->server->open_calls--;
+  c->gone = NULL;
+}
+
+/* The request is about to be freed: answered, or its caller has gone.  */
+static evhtp_res
+on_request_fini (evhtp_request_t *request, void *arg)
+{
+  struct http_call *c = arg;
+
+  (void)request;
+  if (c->request != NULL)
+    {
+      void (*gone) (void *, struct http_call *) = c->gone;
+      void *gone_arg = c->gone_arg;
+
+      detach (c);
+      if (gone != NULL)
+        gone (gone_arg, c);
+    }
+  http_call_release (c);
+  return EVHTP_RES_OK;
+}
+
+static enum http_method
+method_of (const evhtp_request_t *request)
+{
+  switch (request->method)
+    {
+    case htp_method_GET:
+      return HTTP_GET;
+    case htp_method_POST:
+      return HTTP_POST;
+    case htp_method_DELETE:
+      return HTTP_DELETE;
+    default:
+      return HTTP_OTHER;
+    }
+}
+
+static void
+on_request (evhtp_request_t *request, void *arg)
+{
+  struct http_server *s = arg;
+  struct http_call *c = calloc (1, sizeof *c);
+  size_t length = evbuffer_get_length (request->buffer_in);
+
+  c->references = 1;
+  c->request = request;
+  c->server = s;
+  c->method = method_of (request);
+  c->path = request->uri->path->full;
+  c->query = request->uri->query_raw == NULL
+                 ? ""
+                 : (const char *)request->uri->query_raw;
+  c->body = malloc (length + 1);
+  c->body_length = length;
+  evbuffer_copyout (request->buffer_in, c->body, length);
+  c->body[length] = '\0';
+  s->open_calls++;
+  counters_add (COUNTER_HTTP_REQUESTS, 1);
+  evhtp_request_set_hook (request, evhtp_hook_on_request_fini,
+                          (evhtp_hook)on_request_fini, c);
+  /* A held request must not run into the read timeout.  */
+  bufferevent_set_timeouts (request->conn->bev, NULL, NULL);
+  s->handler (s->arg, c);
+}
+
+static evhtp_res
+on_connection_fini (evhtp_connection_t *conn, void *arg)
+{
+  struct http_server *s = arg;
+
+  (void)conn;
+  s->connections--;
+  return EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_accept (evhtp_connection_t *conn, void *arg)
+{
+  struct http_server *s = arg;
+
+  if (s->connections >= s->connections_maximum)
+    {
+      counters_add (COUNTER_HTTP_REFUSED, 1);
+      return EVHTP_RES_ERROR;
+    }
+  s->connections++;
+  evhtp_connection_set_hook (conn, evhtp_hook_on_connection_fini,
+                             (evhtp_hook)on_connection_fini, s);
+  return EVHTP_RES_OK;
+}
+
+struct http_server *
+http_server_new (struct event_base *base, const struct settings *settings,
+                 http_handler handler, void *arg, struct error *e)
+{
+  struct http_server *s = calloc (1, sizeof *s);
+  char address[ADDRESS_BYTES + 8];
+
+  s->handler = handler;
+  s->arg = arg;
+  s->connections_maximum = settings->connections;
+  s->idle.tv_sec = settings->idle_timeout_ms / 1000;
+  s->idle.tv_usec = settings->idle_timeout_ms % 1000 * 1000;
+  s->htp = evhtp_new (base, NULL);
+  evhtp_set_gencb (s->htp, on_request, s);
+  evhtp_set_post_accept_cb (s->htp, on_accept, s);
+  evhtp_set_max_body_size (s->htp, settings->body_bytes);
+  evhtp_set_timeouts (s->htp, &s->idle, &s->idle);
+  snprintf (address, sizeof address, "%s%s",
+            strchr (settings->address, ':') != NULL ? "ipv6:" : "",
+            settings->address);
+  if (evhtp_bind_socket (s->htp, address, settings->http_port, BACKLOG) != 0)
+    {
+      error_set (e, HTTP_SERVER_ADDRESS_IN_USE,
+                 "cannot listen on %s port %u for HTTP", settings->address,
+                 settings->http_port);
+      evhtp_free (s->htp);
+      free (s);
+      return NULL;
+    }
+  return s;
+}
+
+void
+http_server_free (struct http_server *s)
+{
+  evhtp_free (s->htp);
+  free (s);
+}
+
+void
+http_server_close (struct http_server *s)
+{
+  evhtp_unbind_socket (s->htp);
+}
+
+uint32_t
+http_server_open_calls (const struct http_server *s)
+{
+  return s->open_calls;
+}
+
+const char *
+http_call_token (const struct http_call *c)
+{
+  static const char scheme[] = "Bearer ";
+  const char *value;
+
+  if (c->request == NULL)
+    return NULL;
+  value = evhtp_header_find (c->request->headers_in, "Authorization");
+  if (value == NULL || strncmp (value, scheme, sizeof scheme - 1) != 0)
+    return NULL;
+  return value + sizeof scheme - 1;
+}
+
+bool
+http_call_query (const struct http_call *c, const char *name, char *value,
+                 size_t size)
+{
+  size_t length = strlen (name);
+  const char *at = c->query;
+
+  while (*at != '\0')
+    {
+      size_t pair = strcspn (at, "&");
+
+      if (pair > length && strncmp (at, name, length) == 0
+          && at[length] == '=')
+        {
+          snprintf (value, size, "%.*s", (int)(pair - length - 1),
+                    at + length + 1);
+          return true;
+        }
+      at += pair;
+      at += *at == '&';
+    }
+  return false;
+}
+
+void
+http_call_set_header (struct http_call *c, const char *name, const char *value)
+{
+  if (c->request != NULL)
+    evhtp_headers_add_header (c->request->headers_out,
+                              evhtp_header_new (name, value, 1, 1));
+}
+
+void
+http_call_answer (struct http_call *c, int status, const char *json)
+{
+  evhtp_request_t *request = c->request;
+
+  if (request == NULL)
+    return;
+  detach (c);
+  evhtp_headers_add_header (
+      request->headers_out,
+      evhtp_header_new ("Content-Type", "application/json", 0, 0));
+  evbuffer_add (request->buffer_out, json, strlen (json));
+  bufferevent_set_timeouts (request->conn->bev, &c->server->idle,
+                            &c->server->idle);
+  evhtp_send_reply (request, (evhtp_res)status);
+}
+
+void
+http_call_answer_json (struct http_call *c, int status, json_t *value)
+{
+  char *text = json_dumps (value, JSON_COMPACT);
+
+  json_decref (value);
+  http_call_answer (c, status, text);
+  free (text);
+}
+
+char *
+http_error_text (const char *code, const char *outcome, const char *message)
+{
+  json_t *o
+      = json_pack ("{s:{s:s s:s}}", "error", "code", code, "message", message);
+  char *text;
+
+  if (outcome != NULL)
+    json_object_set_new (o, "outcome", json_string (outcome));
+  text = json_dumps (o, JSON_COMPACT);
+  json_decref (o);
+  return text;
+}
+
+void
+http_call_refuse (struct http_call *c, int status, const char *code,
+                  const char *outcome, const char *format, ...)
+{
+  char message[ERROR_TEXT_BYTES];
+  va_list args;
+  char *text;
+
+  va_start (args, format);
+  vsnprintf (message, sizeof message, format, args);
+  va_end (args);
+  text = http_error_text (code, outcome, message);
+  http_call_answer (c, status, text);
+  free (text);
+}
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,95 @@
+/* The HTTP server, by libevhtp.  Every request becomes a reference-counted
+   http_call that may be answered at any later time; if the caller goes away
+   first, its gone callback is called and answers are dropped.  */
+#ifndef NET_HTTP_SERVER_H
+#define NET_HTTP_SERVER_H
+
+#include <event2/event.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <jansson.h>
+#include "base/error.h"
+#include "base/settings.h"
+
+enum http_server_error
+{
+  HTTP_SERVER_OK,
+  HTTP_SERVER_ADDRESS_IN_USE
+};
+
+enum http_method
+{
+  HTTP_GET,
+  HTTP_POST,
+  HTTP_DELETE,
+  HTTP_OTHER
+};
+
+struct evhtp_request;
+struct http_server;
+
+struct http_call
+{
+  uint32_t references;
+  struct evhtp_request *request; /* NULL once answered or gone */
+  struct http_server *server;
+
+  /* what was asked */
+  enum http_method method;
+  const char *path;
+  const char *query; /* "" where there is none */
+  char *body;
+  size_t body_length;
+
+  /* told when the caller goes away unanswered */
+  void (*gone) (void *arg, struct http_call *c);
+  void *gone_arg;
+};
+
+/* Handles C; it must answer it, now or later.  */
+typedef void (*http_handler) (void *arg, struct http_call *c);
+
+/* Listens on the settings' address and HTTP port.  Returns NULL with E set on
+   failure.  */
+struct http_server *http_server_new (struct event_base *base,
+                                     const struct settings *s,
+                                     http_handler handler, void *arg,
+                                     struct error *e);
+void http_server_free (struct http_server *s);
+
+/* The calls not yet answered.  */
+uint32_t http_server_open_calls (const struct http_server *s);
+
+/* Stops accepting connections.  */
+void http_server_close (struct http_server *s);
+
+struct http_call *http_call_hold (struct http_call *c);
+void http_call_release (struct http_call *c);
+
+/* The bearer token, or NULL.  */
+const char *http_call_token (const struct http_call *c);
+
+/* The value of the query parameter NAME in VALUE, or false.  */
+bool http_call_query (const struct http_call *c, const char *name, char *value,
+                      size_t size);
+
+/* Adds a header to the coming answer.  */
+void http_call_set_header (struct http_call *c, const char *name,
+                           const char *value);
+
+/* Answers with STATUS and a JSON text.  */
+void http_call_answer (struct http_call *c, int status, const char *json);
+
+/* Answers with STATUS and VALUE, which it releases.  */
+void http_call_answer_json (struct http_call *c, int status, json_t *value);
+
+/* Answers with an error.  OUTCOME is "not_run", "unknown" or NULL.  */
+void http_call_refuse (struct http_call *c, int status, const char *code,
+                       const char *outcome, const char *format, ...)
+    __attribute__ ((format (printf, 5, 6)));
+
+/* The JSON text of an error; the caller frees it.  */
+char *http_error_text (const char *code, const char *outcome,
+                       const char *message);
+
+#endif
--- /dev/null
+++ b/src/net/peer_message.c
@@ -0,0 +1,239 @@
+#include "net/peer_message.h"
+
+#include <stddef.h>
+
+enum field_kind
+{
+  FIELD_END,
+  FIELD_UNSIGNED,
+  FIELD_SIGNED,
+  FIELD_BYTES
+};
+
+struct field
+{
+  enum field_kind kind;
+  size_t offset;
+};
+
+#define U(member)                                                             \
+  {                                                                           \
+    FIELD_UNSIGNED, offsetof (struct peer_message, u.member)                  \
+  }
+#define I(member)                                                             \
+  {                                                                           \
+    FIELD_SIGNED, offsetof (struct peer_message, u.member)                    \
+  }
+#define B(member)                                                             \
+  {                                                                           \
+    FIELD_BYTES, offsetof (struct peer_message, u.member)                     \
+  }
+
+enum
+{
+  FIELD_LIMIT = 18
+};
+
+struct message_format
+{
+  bool control;
+  struct field fields[FIELD_LIMIT];
+};
+
+static const struct message_format formats[PEER_MESSAGE_TYPES] = {
+  [PEER_HELLO] = { true,
+                   { U (hello.version), B (hello.environment), B (hello.vm),
+                     U (hello.boot_id), B (hello.nonce) } },
+  [PEER_HEARTBEAT]
+  = { true,
+      { U (heartbeat.incarnation), U (heartbeat.config_number),
+        U (heartbeat.free_slots), U (heartbeat.total_slots),
+        U (heartbeat.queued_tasks), U (heartbeat.draining) } },
+  [PEER_HEARTBEAT_REPLY]
+  = { true,
+      { U (heartbeat.incarnation), U (heartbeat.config_number),
+        U (heartbeat.free_slots), U (heartbeat.total_slots),
+        U (heartbeat.queued_tasks), U (heartbeat.draining) } },
+  [PEER_BEAT]
+  = { true,
+      { U (beat.boot_id), U (beat.state_version), U (beat.config_number),
+        U (beat.synced_incarnation), U (beat.leaving) } },
+  [PEER_BEAT_REPLY]
+  = { true,
+      { U (beat_reply.is_leader), U (beat_reply.term), B (beat_reply.leader),
+        U (beat_reply.state_version), B (beat_reply.state) } },
+  [PEER_CALL] = { false,
+                  { U (call.id), U (call.method), B (call.team), B (call.key),
+                    I (call.timeout_ms), B (call.body) } },
+  [PEER_REPLY] = { false,
+                   { U (reply.id), U (reply.status), U (reply.free_slots),
+                     B (reply.body) } },
+  [PEER_RECORD_PUT]
+  = { false,
+      { U (record_put.id), U (record_put.incarnation),
+        U (record_put.accepted_incarnation), B (record_put.key),
+        B (record_put.team), U (record_put.digest_high),
+        U (record_put.digest_low), I (record_put.issued_wall_ms),
+        I (record_put.deadline_wall_ms), B (record_put.executor),
+        U (record_put.executor_boot), U (record_put.may_start),
+        U (record_put.state), B (record_put.body), B (record_put.answer) } },
+  [PEER_RECORD_ADVANCE]
+  = { false,
+      { U (record_advance.id), U (record_advance.incarnation),
+        B (record_advance.key), U (record_advance.may_start) } },
+  [PEER_RECORD_DONE]
+  = { false,
+      { U (record_done.id), U (record_done.incarnation), B (record_done.key),
+        U (record_done.state), B (record_done.answer) } },
+  [PEER_RECORD_SYNCED]
+  = { false, { U (record_synced.id), U (record_synced.incarnation) } },
+  [PEER_TASK_RUN] = { false,
+                      { U (task_run.id), B (task_run.task), B (task_run.kind),
+                        B (task_run.payload), I (task_run.timeout_ms) } },
+  [PEER_TASK_STOP] = { false, { B (task_stop.task) } },
+  [PEER_VOTE] = { true,
+                  { U (vote.term), U (vote.last_index), U (vote.last_term),
+                    U (vote.pre_vote) } },
+  [PEER_VOTE_REPLY] = { true,
+                        { U (vote_reply.term), U (vote_reply.granted),
+                          U (vote_reply.pre_vote) } },
+  [PEER_APPEND]
+  = { true,
+      { U (append.term), U (append.previous_index), U (append.previous_term),
+        U (append.commit_index), U (append.round), B (append.entries) } },
+  [PEER_APPEND_REPLY]
+  = { true,
+      { U (append_reply.term), U (append_reply.accepted),
+        U (append_reply.match_index), U (append_reply.round) } },
+  [PEER_SNAPSHOT]
+  = { true,
+      { U (snapshot.term), U (snapshot.last_index), U (snapshot.last_term),
+        U (snapshot.round), B (snapshot.data) } },
+};
+
+#undef U
+#undef I
+#undef B
+
+static uint32_t
+count_fields (const struct field *f)
+{
+  uint32_t n = 0;
+
+  while (f[n].kind != FIELD_END)
+    n++;
+  return n;
+}
+
+static void
+pack_field (const struct peer_message *m, const struct field *f,
+            msgpack_packer *p)
+{
+  const char *at = (const char *)m + f->offset;
+  const struct slice *s;
+
+  switch (f->kind)
+    {
+    case FIELD_UNSIGNED:
+      msgpack_pack_uint64 (p, *(const uint64_t *)at);
+      break;
+    case FIELD_SIGNED:
+      msgpack_pack_int64 (p, *(const int64_t *)at);
+      break;
+    case FIELD_BYTES:
+      s = (const struct slice *)at;
+      msgpack_pack_bin (p, s->length);
+      msgpack_pack_bin_body (p, s->data, s->length);
+      break;
+    case FIELD_END:
+      break;
+    }
+}
+
+void
+peer_message_pack (const struct peer_message *m, msgpack_sbuffer *buffer)
+{
+  const struct field *f = formats[m->type].fields;
+  uint32_t n = count_fields (f);
+  msgpack_packer p;
+
+  msgpack_packer_init (&p, buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&p, n + 2);
+  msgpack_pack_uint64 (&p, (uint64_t)m->type);
+  msgpack_pack_uint64 (&p, m->clock);
+  for (uint32_t i = 0; i < n; i++)
+    pack_field (m, &f[i], &p);
+}
+
+static bool
+unpack_field (struct peer_message *m, const struct field *f,
+              const msgpack_object *o)
+{
+  char *at = (char *)m + f->offset;
+
+  switch (f->kind)
+    {
+    case FIELD_UNSIGNED:
+      if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+        return false;
+      *(uint64_t *)at = o->via.u64;
+      return true;
+    case FIELD_SIGNED:
+      if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER
+          && o->type != MSGPACK_OBJECT_NEGATIVE_INTEGER)
+        return false;
+      *(int64_t *)at = o->via.i64;
+      return true;
+    case FIELD_BYTES:
+      if (o->type != MSGPACK_OBJECT_BIN)
+        return false;
+      *(struct slice *)at = (struct slice){ o->via.bin.ptr, o->via.bin.size };
+      return true;
+    case FIELD_END:
+      break;
+    }
+  return false;
+}
+
+static bool
+unpack_array (struct peer_message *m, const msgpack_object_array *a)
+{
+  const struct field *f;
+
+  if (a->size < 2 || a->ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER
+      || a->ptr[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+    return false;
+  if (a->ptr[0].via.u64 < 1 || a->ptr[0].via.u64 >= PEER_MESSAGE_TYPES)
+    return false;
+  m->type = (enum peer_message_type)a->ptr[0].via.u64;
+  m->clock = a->ptr[1].via.u64;
+  f = formats[m->type].fields;
+  if (a->size != count_fields (f) + 2)
+    return false;
+  for (uint32_t i = 2; i < a->size; i++)
+    if (!unpack_field (m, &f[i - 2], &a->ptr[i]))
+      return false;
+  return true;
+}
+
+bool
+peer_message_unpack (struct peer_message *m, const char *data, size_t length)
+{
+  msgpack_unpacked result;
+  size_t offset = 0;
+  bool good;
+
+  msgpack_unpacked_init (&result);
+  good = msgpack_unpack_next (&result, data, length, &offset)
+             == MSGPACK_UNPACK_SUCCESS
+         && offset == length && result.data.type == MSGPACK_OBJECT_ARRAY
+         && unpack_array (m, &result.data.via.array);
+  msgpack_unpacked_destroy (&result);
+  return good;
+}
+
+bool
+peer_message_is_control (enum peer_message_type type)
+{
+  return formats[type].control;
+}
--- /dev/null
+++ b/src/net/peer_message.h
@@ -0,0 +1,245 @@
+/* The typed messages between processes and their msgpack form: an array of
+   the type number, the sender's hybrid clock and the fields in the order of
+   the tables in peer_message.c.  */
+#ifndef NET_PEER_MESSAGE_H
+#define NET_PEER_MESSAGE_H
+
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include "base/slice.h"
+
+enum
+{
+  PEER_PROTOCOL_VERSION = 1
+};
+
+enum peer_message_type
+{
+  PEER_HELLO = 1,
+  PEER_HEARTBEAT,
+  PEER_HEARTBEAT_REPLY,
+  PEER_BEAT,
+  PEER_BEAT_REPLY,
+  PEER_CALL,
+  PEER_REPLY,
+  PEER_RECORD_PUT,
+  PEER_RECORD_ADVANCE,
+  PEER_RECORD_DONE,
+  PEER_RECORD_SYNCED,
+  PEER_TASK_RUN,
+  PEER_TASK_STOP,
+  PEER_VOTE,
+  PEER_VOTE_REPLY,
+  PEER_APPEND,
+  PEER_APPEND_REPLY,
+  PEER_SNAPSHOT,
+  PEER_MESSAGE_TYPES
+};
+
+/* What a PEER_CALL asks for.  */
+enum peer_method
+{
+  METHOD_SUBMIT = 1,  /* body: job; key, team */
+  METHOD_REQUEST,     /* body: single request; key, team */
+  METHOD_ANNOUNCE,    /* body: announcement of a target */
+  METHOD_LEAVE,       /* key: target */
+  METHOD_CANCEL,      /* key, team */
+  METHOD_LOOKUP,      /* key, team: answer of a job, without waiting */
+  METHOD_PROPOSE,     /* body: a control command for the keepers' leader */
+  METHOD_CONFIG_FETCH /* the document in force */
+};
+
+struct peer_hello
+{
+  uint64_t version;
+  struct slice environment;
+  struct slice vm;
+  uint64_t boot_id;
+  struct slice nonce;
+};
+
+/* Between entries; the reply has the same fields.  */
+struct peer_heartbeat
+{
+  uint64_t incarnation;
+  uint64_t config_number;
+  uint64_t free_slots;
+  uint64_t total_slots;
+  uint64_t queued_tasks;
+  uint64_t draining;
+};
+
+/* From an entry to a keeper.  */
+struct peer_beat
+{
+  uint64_t boot_id;
+  uint64_t state_version;
+  uint64_t config_number;
+  uint64_t synced_incarnation;
+  uint64_t leaving;
+};
+
+struct peer_beat_reply
+{
+  uint64_t is_leader;
+  uint64_t term;
+  struct slice leader;
+  uint64_t state_version;
+  struct slice state; /* empty where the entry has this version */
+};
+
+struct peer_call
+{
+  uint64_t id;
+  uint64_t method;
+  struct slice team;
+  struct slice key;
+  int64_t timeout_ms;
+  struct slice body;
+};
+
+struct peer_reply
+{
+  uint64_t id;
+  uint64_t status; /* an HTTP status, or a record_status for records */
+  uint64_t free_slots;
+  struct slice body;
+};
+
+struct peer_record_put
+{
+  uint64_t id;
+  uint64_t incarnation;          /* the sender's present one */
+  uint64_t accepted_incarnation; /* when its executor took the record */
+  struct slice key;
+  struct slice team;
+  uint64_t digest_high;
+  uint64_t digest_low;
+  int64_t issued_wall_ms;
+  int64_t deadline_wall_ms;
+  struct slice executor;
+  uint64_t executor_boot;
+  uint64_t may_start;
+  uint64_t state;
+  struct slice body;   /* the submission, or empty when ended */
+  struct slice answer; /* empty while open */
+};
+
+struct peer_record_advance
+{
+  uint64_t id;
+  uint64_t incarnation;
+  struct slice key;
+  uint64_t may_start;
+};
+
+struct peer_record_done
+{
+  uint64_t id;
+  uint64_t incarnation;
+  struct slice key;
+  uint64_t state;
+  struct slice answer;
+};
+
+struct peer_record_synced
+{
+  uint64_t id;
+  uint64_t incarnation;
+};
+
+struct peer_task_run
+{
+  uint64_t id;
+  struct slice task;
+  struct slice kind;
+  struct slice payload;
+  int64_t timeout_ms;
+};
+
+struct peer_task_stop
+{
+  struct slice task;
+};
+
+struct peer_vote
+{
+  uint64_t term;
+  uint64_t last_index;
+  uint64_t last_term;
+  uint64_t pre_vote;
+};
+
+struct peer_vote_reply
+{
+  uint64_t term;
+  uint64_t granted;
+  uint64_t pre_vote;
+};
+
+struct peer_append
+{
+  uint64_t term;
+  uint64_t previous_index;
+  uint64_t previous_term;
+  uint64_t commit_index;
+  uint64_t round;
+  struct slice entries;
+};
+
+struct peer_append_reply
+{
+  uint64_t term;
+  uint64_t accepted;
+  uint64_t match_index; /* or where to try next, when not accepted */
+  uint64_t round;
+};
+
+struct peer_snapshot
+{
+  uint64_t term;
+  uint64_t last_index;
+  uint64_t last_term;
+  uint64_t round;
+  struct slice data;
+};
+
+struct peer_message
+{
+  enum peer_message_type type;
+  uint64_t clock;
+  union
+  {
+    struct peer_hello hello;
+    struct peer_heartbeat heartbeat;
+    struct peer_beat beat;
+    struct peer_beat_reply beat_reply;
+    struct peer_call call;
+    struct peer_reply reply;
+    struct peer_record_put record_put;
+    struct peer_record_advance record_advance;
+    struct peer_record_done record_done;
+    struct peer_record_synced record_synced;
+    struct peer_task_run task_run;
+    struct peer_task_stop task_stop;
+    struct peer_vote vote;
+    struct peer_vote_reply vote_reply;
+    struct peer_append append;
+    struct peer_append_reply append_reply;
+    struct peer_snapshot snapshot;
+  } u;
+};
+
+/* Appends M to BUFFER.  */
+void peer_message_pack (const struct peer_message *m, msgpack_sbuffer *buffer);
+
+/* Reads M from LENGTH bytes at DATA; slices of M point into DATA.  Returns
+   false for anything that is not a whole message of a known type.  */
+bool peer_message_unpack (struct peer_message *m, const char *data,
+                          size_t length);
+
+/* Whether messages of TYPE belong to control rather than to tasks.  */
+bool peer_message_is_control (enum peer_message_type type);
+
+#endif
--- /dev/null
+++ b/src/net/peer_network.c
@@ -0,0 +1,443 @@
+#include "net/peer_network.h"
+
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include "base/event_ring.h"
+
+enum
+{
+  RECONNECT_FIRST_MS = 50,
+  RECONNECT_LAST_MS = 1000,
+  HANDSHAKE_TIMEOUT_MS = 2000
+};
+
+struct pending_call
+{
+  uint64_t id;
+  struct peer_network *network;
+  struct link *link; /* NULL for one that was not sent */
+  call_done done;
+  void *arg;
+  struct event *timer;
+  struct pending_call *next_lost;
+  UT_hash_handle hh;
+};
+
+/* A connection of this process's own making.  */
+struct link
+{
+  struct peer_network *network;
+  const struct vm_settings *vm;
+  struct peer_conn *conn;
+  struct event *timer; /* reconnect, or the handshake's deadline */
+  int64_t delay_ms;
+  bool was_up;
+};
+
+/* An accepted connection.  */
+struct accepted
+{
+  struct peer_conn *conn;
+  struct accepted *next;
+};
+
+struct peer_network
+{
+  struct event_base *base;
+  const struct settings *settings;
+  uint64_t boot_id;
+  const struct peer_network_events *events;
+  void *arg;
+  struct evconnlistener *listener;
+  struct link links[VM_LIMIT];
+  uint32_t link_count;
+  struct accepted *accepted;
+  struct pending_call *calls;
+  uint64_t next_id;
+};
+
+static void link_connect (struct link *l);
+
+static void
+set_no_delay (struct bufferevent *bev)
+{
+  int on = 1;
+
+  setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_NODELAY, &on,
+              sizeof on);
+}
+
+static struct timeval
+to_timeval (int64_t ms)
+{
+  return (struct timeval){ .tv_sec = ms / 1000,
+                           .tv_usec = (ms % 1000) * 1000 };
+}
+
+/* Ends P, which is no longer in the table.  */
+static void
+call_end (struct pending_call *p, enum call_outcome outcome,
+          const struct peer_reply *reply)
+{
+  event_free (p->timer);
+  p->done (p->arg, outcome, reply);
+  free (p);
+}
+
+static void
+call_finish (struct peer_network *n, struct pending_call *p,
+             enum call_outcome outcome, const struct peer_reply *reply)
+{
+  HASH_DEL (n->calls, p);
+  call_end (p, outcome, reply);
+}
+
+static void
+on_call_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct pending_call *p = arg;
+
+  (void)fd;
+  (void)what;
+  call_finish (p->network, p, p->link == NULL ? CALL_NOT_SENT : CALL_LOST,
+               NULL);
+}
+
+/* Takes the calls of L, or all where L is NULL, out of the table before any
+   callback runs, since callbacks make new calls.  */
+static void
+lose_calls (struct peer_network *n, const struct link *l)
+{
+  struct pending_call *lost = NULL;
+  struct pending_call *p;
+  struct pending_call *next;
+
+  HASH_ITER (hh, n->calls, p, next)
+  if (l == NULL || p->link == l)
+    {
+      HASH_DEL (n->calls, p);
+      p->next_lost = lost;
+      lost = p;
+    }
+  for (p = lost; p != NULL; p = next)
+    {
+      next = p->next_lost;
+      call_end (p, CALL_LOST, NULL);
+    }
+}
+
+static void
+link_schedule (struct link *l)
+{
+  int64_t jitter = l->delay_ms / 2 + rand () % (l->delay_ms / 2 + 1);
+  struct timeval t = to_timeval (jitter);
+
+  evtimer_add (l->timer, &t);
+  l->delay_ms *= 2;
+  if (l->delay_ms > RECONNECT_LAST_MS)
+    l->delay_ms = RECONNECT_LAST_MS;
+}
+
+static void
+link_down (struct link *l)
+{
+  struct peer_network *n = l->network;
+
+  if (l->conn != NULL)
+    {
+      peer_conn_close (l->conn);
+      peer_conn_release (l->conn);
+      l->conn = NULL;
+    }
+  link_schedule (l);
+  if (l->was_up)
+    {
+      l->was_up = false;
+      event_ring_add (EVENT_PEER_DOWN, l->vm->name, "%s", "");
+      n->events->link (n->arg, l->vm->name, false);
+    }
+  lose_calls (n, l);
+}
+
+static void
+on_link_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct link *l = arg;
+
+  (void)fd;
+  (void)what;
+  if (l->conn == NULL)
+    link_connect (l);
+  else if (!l->conn->ready)
+    link_down (l);
+}
+
+static void
+on_link_ready (void *arg, struct peer_conn *c)
+{
+  struct link *l = arg;
+
+  if (strcmp (c->vm, l->vm->name) != 0)
+    {
+      event_ring_add (EVENT_PEER_REFUSED, l->vm->name, "answered as %s",
+                      c->vm);
+      link_down (l);
+      return;
+    }
+  evtimer_del (l->timer);
+  l->delay_ms = RECONNECT_FIRST_MS;
+  l->was_up = true;
+  event_ring_add (EVENT_PEER_UP, l->vm->name, "%s", "");
+  l->network->events->link (l->network->arg, l->vm->name, true);
+}
+
+static void
+on_link_message (void *arg, struct peer_conn *c, const struct peer_message *m)
+{
+  struct link *l = arg;
+  struct peer_network *n = l->network;
+  struct pending_call *p;
+
+  if (m->type != PEER_REPLY)
+    {
+      n->events->message (n->arg, c, m);
+      return;
+    }
+  HASH_FIND (hh, n->calls, &m->u.reply.id, sizeof m->u.reply.id, p);
+  if (p != NULL && p->link == l)
+    call_finish (n, p, CALL_REPLIED, &m->u.reply);
+}
+
+static void
+on_link_closed (void *arg, struct peer_conn *c)
+{
+  (void)c;
+  link_down (arg);
+}
+
+static const struct peer_conn_events link_events
+    = { on_link_ready, on_link_message, on_link_closed };
+
+static int
+fill_address (const char *address, uint16_t port, struct sockaddr_storage *to)
+{
+  char text[ADDRESS_BYTES + 10];
+  int length = sizeof *to;
+
+  if (strchr (address, ':') != NULL)
+    snprintf (text, sizeof text, "[%s]:%u", address, port);
+  else
+    snprintf (text, sizeof text, "%s:%u", address, port);
+  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)to, &length) != 0)
+    return -1;
+  return length;
+}
+
+static void
+link_connect (struct link *l)
+{
+  struct peer_network *n = l->network;
+  struct timeval t = to_timeval (HANDSHAKE_TIMEOUT_MS);
+  struct sockaddr_storage to;
+  int length = fill_address (l->vm->address, l->vm->peer_port, &to);
+  struct bufferevent *bev
+      = bufferevent_socket_new (n->base, -1, BEV_OPT_CLOSE_ON_FREE);
+
+  if (bufferevent_socket_connect (bev, (struct sockaddr *)&to, length) != 0)
+    {
+      bufferevent_free (bev);
+      link_schedule (l);
+      return;
+    }
+  set_no_delay (bev);
+  l->conn
+      = peer_conn_new (bev, true, n->settings, n->boot_id, &link_events, l);
+  evtimer_add (l->timer, &t);
+  peer_conn_start (l->conn);
+}
+
+static void
+on_accepted_message (void *arg, struct peer_conn *c,
+                     const struct peer_message *m)
+{
+  struct peer_network *n = arg;
+
+  n->events->message (n->arg, c, m);
+}
+
+static void
+on_accepted_closed (void *arg, struct peer_conn *c)
+{
+  struct peer_network *n = arg;
+  struct accepted **at = &n->accepted;
+
+  while (*at != NULL && (*at)->conn != c)
+    at = &(*at)->next;
+  if (*at != NULL)
+    {
+      struct accepted *gone = *at;
+
+      *at = gone->next;
+      free (gone);
+      peer_conn_release (c);
+    }
+}
+
+static const struct peer_conn_events accepted_events
+    = { NULL, on_accepted_message, on_accepted_closed };
+
+static void
+on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+           struct sockaddr *from, int length, void *arg)
+{
+  struct peer_network *n = arg;
+  struct accepted *a = calloc (1, sizeof *a);
+  struct bufferevent *bev
+      = bufferevent_socket_new (n->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+  (void)listener;
+  (void)from;
+  (void)length;
+  set_no_delay (bev);
+  a->conn = peer_conn_new (bev, false, n->settings, n->boot_id,
+                           &accepted_events, n);
+  a->next = n->accepted;
+  n->accepted = a;
+  peer_conn_start (a->conn);
+}
+
+struct peer_network *
+peer_network_new (struct event_base *base, const struct settings *s,
+                  uint64_t boot_id, const struct peer_network_events *ev,
+                  void *arg, struct error *e)
+{
+  struct peer_network *n = calloc (1, sizeof *n);
+  struct sockaddr_storage at;
+  int length = fill_address (s->address, s->peer_port, &at);
+
+  n->base = base;
+  n->settings = s;
+  n->boot_id = boot_id;
+  n->events = ev;
+  n->arg = arg;
+  n->listener = evconnlistener_new_bind (
+      base, on_accept, n, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64,
+      (struct sockaddr *)&at, length);
+  if (n->listener == NULL)
+    {
+      error_set (e, NETWORK_ADDRESS_IN_USE, "cannot listen on %s port %u: %s",
+                 s->address, s->peer_port,
+                 evutil_socket_error_to_string (EVUTIL_SOCKET_ERROR ()));
+      free (n);
+      return NULL;
+    }
+  return n;
+}
+
+void
+peer_network_free (struct peer_network *n)
+{
+  evconnlistener_free (n->listener);
+  lose_calls (n, NULL);
+  for (uint32_t i = 0; i < n->link_count; i++)
+    {
+      event_free (n->links[i].timer);
+      if (n->links[i].conn != NULL)
+        {
+          peer_conn_close (n->links[i].conn);
+          peer_conn_release (n->links[i].conn);
+        }
+    }
+  while (n->accepted != NULL)
+    {
+      struct accepted *a = n->accepted;
+
+      n->accepted = a->next;
+      peer_conn_close (a->conn);
+      peer_conn_release (a->conn);
+      free (a);
+    }
+  free (n);
+}
+
+void
+peer_network_reach (struct peer_network *n, const char *vm)
+{
+  struct link *l = &n->links[n->link_count++];
+
+  l->network = n;
+  l->vm = settings_vm (n->settings, vm);
+  l->delay_ms = RECONNECT_FIRST_MS;
+  l->timer = evtimer_new (n->base, on_link_timer, l);
+  link_connect (l);
+}
+
+static struct link *
+link_find (const struct peer_network *n, const char *vm)
+{
+  for (uint32_t i = 0; i < n->link_count; i++)
+    if (strcmp (n->links[i].vm->name, vm) == 0)
+      return (struct link *)&n->links[i];
+  return NULL;
+}
+
+bool
+peer_network_is_up (const struct peer_network *n, const char *vm)
+{
+  const struct link *l = link_find (n, vm);
+
+  return l != NULL && l->conn != NULL && l->conn->ready;
+}
+
+bool
+peer_network_send (struct peer_network *n, const char *vm,
+                   const struct peer_message *m)
+{
+  struct link *l = link_find (n, vm);
+
+  return l != NULL && l->conn != NULL && peer_conn_send (l->conn, m);
+}
+
+/* The id is the first member of every message that has one.  */
+static void
+set_id (struct peer_message *m, uint64_t id)
+{
+  memcpy (&m->u, &id, sizeof id);
+}
+
+void
+peer_network_call (struct peer_network *n, const char *vm,
+                   struct peer_message *m, int64_t timeout_ms, call_done done,
+                   void *arg)
+{
+  struct pending_call *p = calloc (1, sizeof *p);
+  struct timeval when = to_timeval (timeout_ms < 1 ? 1 : timeout_ms);
+  struct link *l = link_find (n, vm);
+
+  p->id = ++n->next_id;
+  p->network = n;
+  p->done = done;
+  p->arg = arg;
+  set_id (m, p->id);
+  if (l != NULL && l->conn != NULL && peer_conn_send (l->conn, m))
+    p->link = l;
+  else
+    when = to_timeval (0);
+  p->timer = evtimer_new (n->base, on_call_timer, p);
+  evtimer_add (p->timer, &when);
+  HASH_ADD (hh, n->calls, id, sizeof p->id, p);
+}
+
+void
+peer_network_reset (struct peer_network *n, const char *vm)
+{
+  struct link *l = link_find (n, vm);
+
+  if (l != NULL && l->conn != NULL)
+    link_down (l);
+}
--- /dev/null
+++ b/src/net/target_client.c
@@ -0,0 +1,282 @@
+#include "net/target_client.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <jansson.h>
+#include "base/now.h"
+
+enum
+{
+  STATUS_OK = 200,
+  STOP_TIMEOUT_MS = 2000,
+  RESULT_BYTES_MAXIMUM = 1 << 20
+};
+
+struct client_connection
+{
+  struct target_client *client;
+  struct evhttp_connection *evcon;
+  struct client_connection *next_idle;
+};
+
+struct target_client
+{
+  struct event_base *base;
+  char address[ADDRESS_BYTES];
+  uint16_t port;
+  uint32_t connections_maximum;
+  struct client_connection *idle;
+  uint32_t open;
+  uint32_t busy;
+  bool freed;
+};
+
+/* One start under way; DONE is NULL for a stop.  */
+struct client_request
+{
+  struct client_connection *connection;
+  target_done done;
+  void *arg;
+  int64_t begun_us;
+};
+
+struct target_client *
+target_client_new (struct event_base *base, const char *address, uint16_t port,
+                   uint32_t connections)
+{
+  struct target_client *c = calloc (1, sizeof *c);
+
+  c->base = base;
+  snprintf (c->address, sizeof c->address, "%s", address);
+  c->port = port;
+  c->connections_maximum = connections;
+  return c;
+}
+
+static void
+close_connection (struct client_connection *n)
+{
+  n->client->open--;
+  evhttp_connection_free (n->evcon);
+  free (n);
+}
+
+static void
+finish_free (struct target_client *c)
+{
+  while (c->idle != NULL)
+    {
+      struct client_connection *n = c->idle;
+
+      c->idle = n->next_idle;
+      close_connection (n);
+    }
+  free (c);
+}
+
+void
+target_client_free (struct target_client *c)
+{
+  c->freed = true;
+  if (c->busy == 0)
+    finish_free (c);
+}
+
+static struct client_connection *
+take_connection (struct target_client *c)
+{
+  struct client_connection *n = c->idle;
+
+  c->busy++;
+  if (n != NULL)
+    {
+      c->idle = n->next_idle;
+      return n;
+    }
+  n = calloc (1, sizeof *n);
+  n->client = c;
+  n->evcon = evhttp_connection_base_bufferevent_new (c->base, NULL, NULL,
+                                                     c->address, c->port);
+  evhttp_connection_set_retries (n->evcon, 0);
+  evhttp_connection_set_max_body_size (n->evcon, RESULT_BYTES_MAXIMUM);
+  c->open++;
+  return n;
+}
+
+static void
+give_connection (struct client_connection *n)
+{
+  struct target_client *c = n->client;
+
+  c->busy--;
+  n->next_idle = c->idle;
+  c->idle = n;
+}
+
+static void
+on_free_later (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  finish_free (arg);
+}
+
+/* evhttp still uses the connection after the callback of a request, so the
+   last one is closed from the loop.  */
+static void
+check_freed (struct target_client *c)
+{
+  struct timeval now = { 0, 0 };
+
+  if (c->freed && c->busy == 0)
+    event_base_once (c->base, -1, EV_TIMEOUT, on_free_later, c, &now);
+}
+
+static bool
+says_not_run (struct evhttp_request *request)
+{
+  const char *v = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "Ragwort-Outcome");
+
+  return v != NULL && strcmp (v, "not_run") == 0;
+}
+
+/* Reads the outcome.  evhttp gives no request where a connection failed under
+   it, so that bytes may have gone out, and a request with code 0 where the
+   connection was never established.  */
+static struct outcome
+read_outcome (struct evhttp_request *request, char **result)
+{
+  struct evbuffer *body;
+  size_t length;
+  json_t *value;
+
+  if (request == NULL)
+    return outcome_unknown ();
+  if (evhttp_request_get_response_code (request) == 0)
+    return outcome_not_run (PROOF_NOT_CONNECTED);
+  if (says_not_run (request))
+    return outcome_not_run (PROOF_TARGET_REFUSED);
+  if (evhttp_request_get_response_code (request) != STATUS_OK)
+    return outcome_failed ();
+  body = evhttp_request_get_input_buffer (request);
+  length = evbuffer_get_length (body);
+  value = json_loadb (length == 0 ? ""
+                                  : (const char *)evbuffer_pullup (body, -1),
+                      length, JSON_DECODE_ANY, NULL);
+  if (value == NULL)
+    return outcome_failed ();
+  json_decref (value);
+  *result = malloc (length + 1);
+  evbuffer_copyout (body, *result, length);
+  (*result)[length] = '\0';
+  return outcome_done ();
+}
+
+static void
+on_response (struct evhttp_request *request, void *arg)
+{
+  struct client_request *q = arg;
+  struct target_client *c = q->connection->client;
+  char *result = NULL;
+  struct outcome outcome = read_outcome (request, &result);
+
+  give_connection (q->connection);
+  if (q->done != NULL)
+    q->done (q->arg, outcome, result, now_us () - q->begun_us);
+  free (result);
+  free (q);
+  check_freed (c);
+}
+
+/* evhttp refuses at once, and calls nothing, where the connection cannot even
+   be begun.  */
+static void
+on_not_begun (evutil_socket_t fd, short what, void *arg)
+{
+  struct client_request *q = arg;
+  struct target_client *c = q->connection->client;
+
+  (void)fd;
+  (void)what;
+  give_connection (q->connection);
+  if (q->done != NULL)
+    q->done (q->arg, outcome_not_run (PROOF_NOT_CONNECTED), NULL,
+             now_us () - q->begun_us);
+  free (q);
+  check_freed (c);
+}
+
+static void
+send_request (struct target_client *c, const char *path, int64_t timeout_ms,
+              struct client_request *q, struct evhttp_request *request,
+              const char *body)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  struct timeval t
+      = { .tv_sec = timeout_ms / 1000, .tv_usec = timeout_ms % 1000 * 1000 };
+  struct timeval at_once = { 0, 0 };
+  char host[ADDRESS_BYTES + 8];
+
+  snprintf (host, sizeof host, "%s:%u", c->address, c->port);
+  evhttp_add_header (headers, "Host", host);
+  evhttp_add_header (headers, "Content-Type", "application/json");
+  evbuffer_add (evhttp_request_get_output_buffer (request), body,
+                strlen (body));
+  evhttp_connection_set_timeout_tv (q->connection->evcon, &t);
+  if (evhttp_make_request (q->connection->evcon, request, EVHTTP_REQ_POST,
+                           path)
+      != 0)
+    event_base_once (c->base, -1, EV_TIMEOUT, on_not_begun, q, &at_once);
+}
+
+static struct client_request *
+request_new (struct target_client *c, target_done done, void *arg)
+{
+  struct client_request *q = malloc (sizeof *q);
+
+  q->connection = take_connection (c);
+  q->done = done;
+  q->arg = arg;
+  q->begun_us = now_us ();
+  return q;
+}
+
+void
+target_client_start (struct target_client *c, const struct target_start *s,
+                     target_done done, void *arg)
+{
+  struct client_request *q = request_new (c, done, arg);
+  struct evhttp_request *request = evhttp_request_new (on_response, q);
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  char number[24];
+
+  evhttp_add_header (headers, "Ragwort-Task", s->task);
+  evhttp_add_header (headers, "Ragwort-Kind", s->kind);
+  evhttp_add_header (headers, "Ragwort-Owner", s->owner);
+  snprintf (number, sizeof number, "%" PRIu64, s->incarnation);
+  evhttp_add_header (headers, "Ragwort-Incarnation", number);
+  snprintf (number, sizeof number, "%" PRId64, s->timeout_ms);
+  evhttp_add_header (headers, "Ragwort-Timeout-Ms", number);
+  send_request (c, "/v1/tasks/start", s->timeout_ms, q, request, s->payload);
+}
+
+void
+target_client_stop (struct target_client *c, const char *task)
+{
+  struct client_request *q;
+  struct evhttp_request *request;
+
+  if (c->open >= c->connections_maximum && c->idle == NULL)
+    return;
+  q = request_new (c, NULL, NULL);
+  request = evhttp_request_new (on_response, q);
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Ragwort-Task", task);
+  send_request (c, "/v1/tasks/stop", STOP_TIMEOUT_MS, q, request, "{}");
+}
--- /dev/null
+++ b/src/store/journal.c
@@ -0,0 +1,320 @@
+#include "store/journal.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <time.h>
+#include <unistd.h>
+#include <xxhash.h>
+#include "base/counters.h"
+
+static const char magic[] = "ragwort journal 1\n";
+static const char journal_name[] = "journal";
+static const char fresh_name[] = "journal.new";
+
+enum
+{
+  MAGIC_BYTES = sizeof magic - 1,
+  HEAD_BYTES = 4 + 1 + 8,
+  RECORD_BYTES_MAXIMUM = 16 << 20
+};
+
+struct record_head
+{
+  uint32_t length;
+  uint8_t type;
+  uint64_t checksum;
+};
+
+static enum store_error
+fail (struct journal *j, const char *what)
+{
+  return (enum store_error)error_set (&j->error, STORE_IO, "%s in %s: %s",
+                                      what, j->folder, strerror (errno));
+}
+
+static uint64_t
+checksum_of (uint8_t type, const void *data, uint32_t length)
+{
+  return XXH3_64bits_withSeed (data, length, (uint64_t)type + 1);
+}
+
+static bool
+write_all (int fd, const void *data, size_t length)
+{
+  const char *at = data;
+
+  while (length != 0)
+    {
+      ssize_t n = write (fd, at, length);
+
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n <= 0)
+        return false;
+      at += n;
+      length -= (size_t)n;
+    }
+  return true;
+}
+
+enum store_error
+journal_create (const char *folder, struct error *e)
+{
+  int folder_fd;
+  int fd;
+  bool good;
+
+  if (mkdir (folder, 0700) != 0 && errno != EEXIST)
+    return (enum store_error)error_set (e, STORE_IO, "cannot make %s: %s",
+                                        folder, strerror (errno));
+  folder_fd = open (folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder_fd < 0)
+    return (enum store_error)error_set (e, STORE_IO, "cannot open %s: %s",
+                                        folder, strerror (errno));
+  fd = openat (folder_fd, journal_name,
+               O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0600);
+  if (fd < 0)
+    {
+      int code = errno == EEXIST ? STORE_ALREADY_INITIALISED : STORE_IO;
+
+      error_set (e, code, "cannot make a journal in %s: %s", folder,
+                 strerror (errno));
+      close (folder_fd);
+      return (enum store_error)code;
+    }
+  good = write_all (fd, magic, MAGIC_BYTES) && fsync (fd) == 0
+         && fsync (folder_fd) == 0;
+  if (!good)
+    error_set (e, STORE_IO, "cannot write the journal in %s: %s", folder,
+               strerror (errno));
+  close (fd);
+  close (folder_fd);
+  return good ? STORE_OK : STORE_IO;
+}
+
+static char *
+read_whole (struct journal *j, size_t *length)
+{
+  struct stat st;
+  char *text;
+  size_t n = 0;
+
+  if (fstat (j->fd, &st) != 0)
+    return NULL;
+  text = malloc ((size_t)st.st_size + 1);
+  while (n < (size_t)st.st_size)
+    {
+      ssize_t got = pread (j->fd, text + n, (size_t)st.st_size - n, (off_t)n);
+
+      if (got < 0 && errno == EINTR)
+        continue;
+      if (got <= 0)
+        {
+          free (text);
+          return NULL;
+        }
+      n += (size_t)got;
+    }
+  *length = n;
+  return text;
+}
+
+/* Reads the record at AT.  Returns its whole size, or 0 if none is there.  */
+static size_t
+read_record (const char *at, size_t room, struct record_head *h)
+{
+  if (room < HEAD_BYTES)
+    return 0;
+  memcpy (&h->length, at, 4);
+  memcpy (&h->type, at + 4, 1);
+  memcpy (&h->checksum, at + 5, 8);
+  if (h->length > RECORD_BYTES_MAXIMUM || room - HEAD_BYTES < h->length)
+    return 0;
+  if (checksum_of (h->type, at + HEAD_BYTES, h->length) != h->checksum)
+    return 0;
+  return HEAD_BYTES + h->length;
+}
+
+/* Whether any whole record stands behind a wrong one: then it is damage and
+   not a torn tail.  */
+static bool
+has_record_behind (const char *at, size_t room)
+{
+  struct record_head h;
+
+  for (size_t skip = 1; skip + HEAD_BYTES <= room; skip++)
+    if (read_record (at + skip, room - skip, &h) > HEAD_BYTES)
+      return true;
+  return false;
+}
+
+static enum store_error
+load (struct journal *j, const char *text, size_t length,
+      journal_record record, void *arg)
+{
+  size_t at = MAGIC_BYTES;
+  struct record_head h;
+
+  if (length < MAGIC_BYTES || memcmp (text, magic, MAGIC_BYTES) != 0)
+    return (enum store_error)error_set (&j->error, STORE_DAMAGED,
+                                        "%s/%s is not a journal", j->folder,
+                                        journal_name);
+  while (at < length)
+    {
+      size_t size = read_record (text + at, length - at, &h);
+
+      if (size == 0)
+        break;
+      if (!record (arg, h.type, text + at + HEAD_BYTES, h.length))
+        return (enum store_error)error_set (
+            &j->error, STORE_DAMAGED, "record at byte %zu of %s/%s is wrong",
+            at, j->folder, journal_name);
+      at += size;
+    }
+  if (at < length && has_record_behind (text + at, length - at))
+    return (enum store_error)error_set (
+        &j->error, STORE_DAMAGED,
+        "%s/%s is damaged at byte %zu, with records behind it", j->folder,
+        journal_name, at);
+  j->cut_bytes = length - at;
+  j->size = at;
+  return STORE_OK;
+}
+
+static enum store_error
+cut_tail (struct journal *j)
+{
+  if (j->cut_bytes != 0
+      && (ftruncate (j->fd, (off_t)j->size) != 0 || fsync (j->fd) != 0))
+    return fail (j, "cannot cut the torn tail");
+  if (lseek (j->fd, (off_t)j->size, SEEK_SET) < 0)
+    return fail (j, "cannot seek");
+  return STORE_OK;
+}
+
+static enum store_error
+open_files (struct journal *j)
+{
+  j->folder_fd = open (j->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (j->folder_fd < 0)
+    return fail (j, "cannot open the data folder");
+  if (flock (j->folder_fd, LOCK_EX | LOCK_NB) != 0)
+    return (enum store_error)error_set (
+        &j->error, STORE_IN_USE, "%s is in use by another process", j->folder);
+  unlinkat (j->folder_fd, fresh_name, 0);
+  j->fd = openat (j->folder_fd, journal_name, O_RDWR | O_CLOEXEC);
+  if (j->fd < 0 && errno == ENOENT)
+    return (enum store_error)error_set (
+        &j->error, STORE_NOT_INITIALISED,
+        "%s has no journal; make one with ragwortd --init-store, but never "
+        "for a keeper that has voted before: see operate/keepers.md",
+        j->folder);
+  return j->fd < 0 ? fail (j, "cannot open the journal") : STORE_OK;
+}
+
+enum store_error
+journal_open (struct journal *j, const char *folder, int64_t sync_delay_ms,
+              journal_record record, void *arg)
+{
+  enum store_error status;
+  size_t length;
+  char *text;
+
+  memset (j, 0, sizeof *j);
+  j->fd = -1;
+  j->folder_fd = -1;
+  j->sync_delay_ms = sync_delay_ms;
+  snprintf (j->folder, sizeof j->folder, "%s", folder);
+  status = open_files (j);
+  if (status != STORE_OK)
+    return status;
+  text = read_whole (j, &length);
+  if (text == NULL)
+    return fail (j, "cannot read the journal");
+  status = load (j, text, length, record, arg);
+  free (text);
+  return status == STORE_OK ? cut_tail (j) : status;
+}
+
+void
+journal_close (struct journal *j)
+{
+  if (j->fd >= 0)
+    close (j->fd);
+  if (j->folder_fd >= 0)
+    close (j->folder_fd);
+  j->fd = -1;
+  j->folder_fd = -1;
+}
+
+enum store_error
+journal_append (struct journal *j, uint8_t type, const void *data,
+                uint32_t length)
+{
+  char *record = malloc (HEAD_BYTES + (size_t)length);
+  uint64_t checksum = checksum_of (type, data, length);
+  bool good;
+
+  memcpy (record, &length, 4);
+  memcpy (record + 4, &type, 1);
+  memcpy (record + 5, &checksum, 8);
+  if (length != 0)
+    memcpy (record + HEAD_BYTES, data, length);
+  good = write_all (j->fd, record, HEAD_BYTES + (size_t)length);
+  free (record);
+  if (!good)
+    return fail (j, "cannot write");
+  j->size += HEAD_BYTES + (uint64_t)length;
+  return STORE_OK;
+}
+
+enum store_error
+journal_sync (struct journal *j)
+{
+  struct timespec delay
+      = { j->sync_delay_ms / 1000, j->sync_delay_ms % 1000 * 1000000 };
+
+  counters_add (COUNTER_STORE_SYNCS, 1);
+  if (j->sync_delay_ms != 0)
+    nanosleep (&delay, NULL);
+  if (fdatasync (j->fd) != 0)
+    return fail (j, "cannot sync");
+  return STORE_OK;
+}
+
+enum store_error
+journal_rewrite_begin (struct journal *j, struct journal *fresh)
+{
+  memset (fresh, 0, sizeof *fresh);
+  memcpy (fresh->folder, j->folder, sizeof fresh->folder);
+  fresh->folder_fd = -1;
+  fresh->sync_delay_ms = j->sync_delay_ms;
+  fresh->fd = openat (j->folder_fd, fresh_name,
+                      O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fresh->fd < 0 || !write_all (fresh->fd, magic, MAGIC_BYTES))
+    return fail (j, "cannot write a new journal");
+  fresh->size = MAGIC_BYTES;
+  return STORE_OK;
+}
+
+enum store_error
+journal_rewrite_commit (struct journal *j, struct journal *fresh)
+{
+  if (journal_sync (fresh) != STORE_OK
+      || renameat (j->folder_fd, fresh_name, j->folder_fd, journal_name) != 0
+      || fsync (j->folder_fd) != 0)
+    {
+      fail (j, "cannot replace the journal");
+      close (fresh->fd);
+      return STORE_IO;
+    }
+  close (j->fd);
+  j->fd = fresh->fd;
+  j->size = fresh->size;
+  return STORE_OK;
+}
--- /dev/null
+++ b/src/tool/command.c
@@ -0,0 +1,62 @@
+#include "tool/command.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/json_check.h"
+
+enum
+{
+  FILE_BYTES_MAXIMUM = 16 << 20
+};
+
+const struct command commands[] = {
+  { "submit", "FILE", "Submit the job in FILE and print its answer", 1,
+    command_submit },
+  { "request", "FILE", "Send the single request in FILE", 1, command_request },
+  { "wait", "KEY", "Wait for the answer of the job KEY", 1, command_wait },
+  { "cancel", "KEY", "Cancel the job KEY", 1, command_cancel },
+  { "status", "", "Show the state of each --server", 0, command_status },
+  { "counters", "", "Show the counters of each --server", 0,
+    command_counters },
+  { "target list", "", "Show the targets of each --server", 0,
+    command_target_list },
+  { "stop", "", "Stop each --server gracefully", 0, command_stop },
+  { "config check", "FILE", "Check a document without any server", 1,
+    command_config_check },
+  { "config show", "", "Show the document in force and where it is", 0,
+    command_config_show },
+  { "config accept", "FILE", "Put the document in FILE in force", 1,
+    command_config_accept },
+  { "config promote", "",
+    "Put the document in force at --from in force at --server", 0,
+    command_config_promote },
+  { "timeline", "", "Merge the events of all --server processes", 0,
+    command_timeline },
+  { "events", "", "Print the catalogue of events as Markdown", 0,
+    command_events },
+  { "token hash", "TOKEN", "Print the SHA-256 of a token", 1,
+    command_token_hash },
+  { NULL, NULL, NULL, 0, NULL },
+};
+
+char *
+command_read_file (const struct tool_options *o, uint32_t i)
+{
+  size_t length;
+  char *text = json_read_file (o->operands[i], FILE_BYTES_MAXIMUM, &length);
+
+  if (text == NULL)
+    fprintf (stderr, "ragwortctl: %s: %s\n", o->operands[i], strerror (errno));
+  return text;
+}
+
+void
+command_print_json (const json_t *value)
+{
+  char *text = json_dumps (value, JSON_INDENT (2) | JSON_ENCODE_ANY);
+
+  puts (text == NULL ? "null" : text);
+  free (text);
+}
--- /dev/null
+++ b/src/tool/command.h
@@ -0,0 +1,89 @@
+/* The commands of ragwortctl: a table of names, help and functions.  */
+#ifndef TOOL_COMMAND_H
+#define TOOL_COMMAND_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <jansson.h>
+
+enum
+{
+  SERVER_LIMIT = 64,
+  OPERAND_LIMIT = 8
+};
+
+enum tool_exit
+{
+  TOOL_GOOD = 0,
+  TOOL_FAILED = 1, /* refused, or the job failed */
+  TOOL_USAGE = 2,
+  TOOL_UNREACHED = 3,
+  TOOL_UNKNOWN = 4 /* the outcome is not known */
+};
+
+struct tool_options
+{
+  const char *servers[SERVER_LIMIT]; /* IP:PORT */
+  uint32_t server_count;
+  const char *token;
+  bool json;
+  const char *operands[OPERAND_LIMIT];
+  uint32_t operand_count;
+
+  /* submissions */
+  const char *key;
+  int64_t timeout_ms;
+
+  /* configuration */
+  int64_t expect; /* -1 where not given */
+  const char *request_id;
+  const char *operator_name;
+  const char *environment;
+  const char *from;
+  const char *from_token;
+
+  /* timeline */
+  const char *match;
+  const char *vm;
+  int64_t event;
+  int64_t limit;
+  const char *format;
+};
+
+struct command
+{
+  const char *name; /* one or two words */
+  const char *operands;
+  const char *help;
+  uint32_t operand_minimum;
+  enum tool_exit (*run) (const struct tool_options *o);
+};
+
+/* The table, ended by an entry without a name.  */
+extern const struct command commands[];
+
+/* The commands, by file.  */
+enum tool_exit command_submit (const struct tool_options *o);
+enum tool_exit command_request (const struct tool_options *o);
+enum tool_exit command_wait (const struct tool_options *o);
+enum tool_exit command_cancel (const struct tool_options *o);
+enum tool_exit command_status (const struct tool_options *o);
+enum tool_exit command_counters (const struct tool_options *o);
+enum tool_exit command_target_list (const struct tool_options *o);
+enum tool_exit command_stop (const struct tool_options *o);
+enum tool_exit command_config_check (const struct tool_options *o);
+enum tool_exit command_config_show (const struct tool_options *o);
+enum tool_exit command_config_accept (const struct tool_options *o);
+enum tool_exit command_config_promote (const struct tool_options *o);
+enum tool_exit command_timeline (const struct tool_options *o);
+enum tool_exit command_events (const struct tool_options *o);
+enum tool_exit command_token_hash (const struct tool_options *o);
+
+/* Reads the file named by operand I whole, or says why not and returns NULL.
+   The caller frees the text.  */
+char *command_read_file (const struct tool_options *o, uint32_t i);
+
+/* Prints VALUE as indented JSON.  */
+void command_print_json (const json_t *value);
+
+#endif
--- /dev/null
+++ b/src/tool/command_config.c
@@ -0,0 +1,272 @@
+/* Commands about the environment's document.  */
+#include <inttypes.h>
+#include <openssl/rand.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include "base/json_check.h"
+#include "base/now.h"
+#include "coord/environment.h"
+#include "tool/command.h"
+#include "tool/http_client.h"
+
+enum
+{
+  SPREAD_POLL_MS = 100
+};
+
+static json_t *
+read_document (const struct tool_options *o)
+{
+  struct json_report r;
+  char *text = command_read_file (o, 0);
+  json_error_t e;
+  json_t *document;
+
+  if (text == NULL)
+    return NULL;
+  document = json_loads (text, JSON_REJECT_DUPLICATES, &e);
+  free (text);
+  json_report_init (&r);
+  if (document == NULL)
+    json_report_add (&r, o->operands[0], "not JSON at line %d, column %d: %s",
+                     e.line, e.column, e.text);
+  else
+    environment_check (document, o->environment, &r);
+  if (r.faults == 0)
+    return document;
+  printf ("%s\n", r.text);
+  json_decref (document);
+  return NULL;
+}
+
+enum tool_exit
+command_config_check (const struct tool_options *o)
+{
+  json_t *document = read_document (o);
+  char sha256[HASH_TEXT_BYTES];
+
+  if (document == NULL)
+    return TOOL_FAILED;
+  environment_sha256 (document, sha256);
+  if (o->json)
+    printf ("{\"valid\": true, \"sha256\": \"%s\"}\n", sha256);
+  else
+    printf ("valid, sha256 %s\n", sha256);
+  json_decref (document);
+  return TOOL_GOOD;
+}
+
+/* Fetches the state of the configuration at SERVER into A.  */
+static bool
+fetch_config (const char *server, const char *token, int64_t timeout_ms,
+              struct http_answer *a)
+{
+  http_client_call (server, "GET", "/v1/config", token, NULL, timeout_ms, a);
+  if (a->status == 200)
+    return true;
+  fprintf (stderr, "%s: %s\n", server,
+           a->status == 0 ? "no answer"
+                          : json_get_text (json_object_get (a->body, "error"),
+                                           "message", "refused"));
+  http_answer_done (a);
+  return false;
+}
+
+static void
+print_spread (const json_t *body)
+{
+  static const char *const lists[] = { "taken", "waiting", "silent" };
+  const json_t *spread = json_object_get (body, "spread");
+
+  for (int i = 0; i < 3; i++)
+    {
+      json_t *array = json_object_get (spread, lists[i]);
+      json_t *v;
+      size_t j;
+
+      printf ("%-8s", lists[i]);
+      json_array_foreach (array, j, v) printf (" %s", json_string_value (v));
+      printf ("\n");
+    }
+}
+
+enum tool_exit
+command_config_show (const struct tool_options *o)
+{
+  struct http_answer a;
+
+  if (o->server_count == 0)
+    {
+      fprintf (stderr, "ragwortctl: --server is missing\n");
+      return TOOL_USAGE;
+    }
+  if (!fetch_config (o->servers[0], o->token, o->timeout_ms, &a))
+    return TOOL_UNREACHED;
+  if (o->json)
+    command_print_json (a.body);
+  else
+    {
+      printf ("number %lld, sha256 %s, %s\n",
+              (long long)json_get_integer (a.body, "number", 0),
+              json_get_text (a.body, "sha256", ""),
+              json_get_boolean (a.body, "in_force", false)
+                  ? "in force at every VM that is heard"
+                  : "not yet in force everywhere");
+      print_spread (a.body);
+    }
+  http_answer_done (&a);
+  return TOOL_GOOD;
+}
+
+/* Waits until the number is in force at every VM that is heard.  */
+static enum tool_exit
+await_spread (const struct tool_options *o, int64_t number)
+{
+  int64_t begun_ms = now_ms ();
+
+  for (;;)
+    {
+      struct http_answer a;
+      bool in_force;
+
+      if (!fetch_config (o->servers[0], o->token, o->timeout_ms, &a))
+        return TOOL_UNKNOWN;
+      in_force = json_get_boolean (a.body, "in_force", false)
+                 && json_get_integer (a.body, "number", 0) >= number;
+      if (in_force || now_ms () - begun_ms > o->timeout_ms)
+        {
+          if (!o->json)
+            {
+              printf ("%s after %lld ms\n",
+                      in_force ? "in force" : "not yet in force",
+                      (long long)(now_ms () - begun_ms));
+              print_spread (a.body);
+            }
+          http_answer_done (&a);
+          return in_force ? TOOL_GOOD : TOOL_UNKNOWN;
+        }
+      http_answer_done (&a);
+      usleep (SPREAD_POLL_MS * 1000);
+    }
+}
+
+static int64_t
+number_in_force (const struct tool_options *o)
+{
+  struct http_answer a;
+  int64_t number;
+
+  if (o->expect >= 0)
+    return o->expect;
+  if (!fetch_config (o->servers[0], o->token, o->timeout_ms, &a))
+    return -1;
+  number = json_get_integer (a.body, "number", 0);
+  http_answer_done (&a);
+  return number;
+}
+
+/* Sends the command with a request id, under which a repeat gets the same
+   answer, and waits until it is in force.  */
+static enum tool_exit
+send_document (const struct tool_options *o, json_t *command)
+{
+  char request_id[40];
+  struct http_answer a;
+  enum tool_exit status;
+  uint64_t random;
+  int64_t number;
+  char *text;
+
+  RAND_bytes ((unsigned char *)&random, sizeof random);
+  snprintf (request_id, sizeof request_id, "ctl-%" PRIx64, random);
+  json_object_set_new (
+      command, "request_id",
+      json_string (o->request_id == NULL ? request_id : o->request_id));
+  json_object_set_new (command, "operator", json_string (o->operator_name));
+  text = json_dumps (command, JSON_COMPACT);
+  http_client_call (o->servers[0], "POST", "/v1/config/accept", o->token, text,
+                    o->timeout_ms, &a);
+  free (text);
+  number = json_get_integer (a.body, "number", 0);
+  if (a.status == 200)
+    {
+      if (o->json)
+        command_print_json (a.body);
+      else
+        printf ("accepted as number %lld, sha256 %s\n", (long long)number,
+                json_get_text (a.body, "sha256", ""));
+      status = await_spread (o, number);
+    }
+  else
+    {
+      printf ("%s (request id %s)\n",
+              a.status == 0 ? "no answer; repeat with the same request id"
+                            : json_get_text (json_object_get (a.body, "error"),
+                                             "message", "refused"),
+              o->request_id == NULL ? request_id : o->request_id);
+      status = a.status == 0 || a.status == 503 ? TOOL_UNKNOWN : TOOL_FAILED;
+    }
+  http_answer_done (&a);
+  return status;
+}
+
+enum tool_exit
+command_config_accept (const struct tool_options *o)
+{
+  json_t *document;
+  json_t *command;
+  enum tool_exit status;
+  int64_t expect;
+
+  if (o->server_count == 0)
+    return TOOL_USAGE;
+  document = read_document (o);
+  if (document == NULL)
+    return TOOL_FAILED;
+  expect = number_in_force (o);
+  if (expect < 0)
+    {
+      json_decref (document);
+      return TOOL_UNREACHED;
+    }
+  command = json_pack ("{s:I s:o}", "expect", (json_int_t)expect, "document",
+                       document);
+  status = send_document (o, command);
+  json_decref (command);
+  return status;
+}
+
+enum tool_exit
+command_config_promote (const struct tool_options *o)
+{
+  struct http_answer a;
+  json_t *command;
+  enum tool_exit status;
+  int64_t expect;
+
+  if (o->server_count == 0 || o->from == NULL)
+    {
+      fprintf (stderr, "ragwortctl: --server or --from is missing\n");
+      return TOOL_USAGE;
+    }
+  if (!fetch_config (o->from, o->from_token == NULL ? o->token : o->from_token,
+                     o->timeout_ms, &a))
+    return TOOL_UNREACHED;
+  expect = number_in_force (o);
+  if (expect < 0 || !json_is_object (json_object_get (a.body, "document")))
+    {
+      fprintf (stderr, "ragwortctl: nothing to promote\n");
+      http_answer_done (&a);
+      return TOOL_FAILED;
+    }
+  command = json_pack ("{s:I s:O s:s s:s}", "expect", (json_int_t)expect,
+                       "document", json_object_get (a.body, "document"),
+                       "promoted_from", "trial", "promoted_sha256",
+                       json_get_text (a.body, "sha256", ""));
+  http_answer_done (&a);
+  status = send_document (o, command);
+  json_decref (command);
+  return status;
+}
--- /dev/null
+++ b/src/tool/command_job.c
@@ -0,0 +1,187 @@
+/* Commands of callers: submit, request, wait and cancel.  */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include "base/json_check.h"
+#include "tool/command.h"
+#include "tool/http_client.h"
+
+enum
+{
+  POLL_FIRST_MS = 50,
+  POLL_LAST_MS = 1000
+};
+
+static enum tool_exit
+exit_of (const struct http_answer *a)
+{
+  const char *state = json_get_text (a->body, "state", "");
+  const char *outcome = json_get_text (a->body, "outcome", "");
+
+  if (a->status == 0)
+    return a->sent ? TOOL_UNKNOWN : TOOL_UNREACHED;
+  if (strcmp (outcome, "unknown") == 0)
+    return TOOL_UNKNOWN;
+  if (a->status < 300
+      && (strcmp (state, "complete") == 0 || strcmp (state, "accepted") == 0
+          || strcmp (state, "cancelling") == 0))
+    return TOOL_GOOD;
+  return TOOL_FAILED;
+}
+
+static void
+print_refusal (const json_t *body)
+{
+  const json_t *e = json_object_get (body, "error");
+
+  if (e != NULL)
+    printf ("%s: %s\n", json_get_text (e, "code", "error"),
+            json_get_text (e, "message", ""));
+  if (json_object_get (body, "outcome") != NULL)
+    printf ("outcome: %s\n", json_get_text (body, "outcome", ""));
+}
+
+static void
+print_list (const json_t *body, const char *field)
+{
+  json_t *array = json_object_get (body, field);
+  json_t *o;
+  size_t i;
+
+  json_array_foreach (array, i, o)
+  {
+    char *text = json_dumps (o, JSON_COMPACT | JSON_ENCODE_ANY);
+
+    printf ("  %zu: %s\n", i, text);
+    free (text);
+  }
+}
+
+static void
+print_answer (const struct tool_options *o, const struct http_answer *a)
+{
+  if (o->json)
+    {
+      command_print_json (a->body);
+      return;
+    }
+  if (a->status == 0)
+    {
+      printf ("no answer from %s%s\n", o->servers[0],
+              a->sent ? "; the submission may have run" : "");
+      return;
+    }
+  if (json_object_get (a->body, "state") != NULL)
+    printf ("%s %s\n", json_get_text (a->body, "key", ""),
+            json_get_text (a->body, "state", ""));
+  print_list (a->body, "results");
+  print_refusal (a->body);
+  print_list (a->body, "tasks");
+  if (json_object_get (a->body, "result") != NULL)
+    command_print_json (json_object_get (a->body, "result"));
+  if (a->key_prefix[0] != '\0')
+    printf ("key prefix for new submissions: %s\n", a->key_prefix);
+}
+
+static bool
+has_server (const struct tool_options *o)
+{
+  if (o->server_count != 0)
+    return true;
+  fprintf (stderr, "ragwortctl: --server is missing\n");
+  return false;
+}
+
+static enum tool_exit
+send_file (const struct tool_options *o, const char *path)
+{
+  char *text;
+  json_t *body;
+  json_error_t e;
+  struct http_answer a;
+  enum tool_exit status;
+
+  if (!has_server (o))
+    return TOOL_USAGE;
+  text = command_read_file (o, 0);
+  if (text == NULL)
+    return TOOL_USAGE;
+  body = json_loads (text, 0, &e);
+  if (o->key != NULL && json_is_object (body))
+    {
+      json_object_set_new (body, "key", json_string (o->key));
+      free (text);
+      text = json_dumps (body, JSON_COMPACT);
+    }
+  json_decref (body);
+  http_client_call (o->servers[0], "POST", path, o->token, text, o->timeout_ms,
+                    &a);
+  print_answer (o, &a);
+  status = exit_of (&a);
+  http_answer_done (&a);
+  free (text);
+  return status;
+}
+
+enum tool_exit
+command_submit (const struct tool_options *o)
+{
+  return send_file (o, "/v1/jobs");
+}
+
+enum tool_exit
+command_request (const struct tool_options *o)
+{
+  return send_file (o, "/v1/requests");
+}
+
+enum tool_exit
+command_wait (const struct tool_options *o)
+{
+  int64_t waited_ms = 0;
+  int64_t pause_ms = POLL_FIRST_MS;
+  char path[256];
+
+  if (!has_server (o))
+    return TOOL_USAGE;
+  snprintf (path, sizeof path, "/v1/jobs/%s", o->operands[0]);
+  for (;;)
+    {
+      struct http_answer a;
+      enum tool_exit status;
+      bool running;
+
+      http_client_call (o->servers[0], "GET", path, o->token, NULL,
+                        o->timeout_ms, &a);
+      running = a.status == 202 && waited_ms < o->timeout_ms;
+      if (!running)
+        print_answer (o, &a);
+      status = exit_of (&a);
+      http_answer_done (&a);
+      if (!running)
+        return status;
+      fprintf (stderr, "running, %lld ms\n", (long long)waited_ms);
+      usleep ((useconds_t)pause_ms * 1000);
+      waited_ms += pause_ms;
+      pause_ms = pause_ms * 2 > POLL_LAST_MS ? POLL_LAST_MS : pause_ms * 2;
+    }
+}
+
+enum tool_exit
+command_cancel (const struct tool_options *o)
+{
+  struct http_answer a;
+  enum tool_exit status;
+  char path[256];
+
+  if (!has_server (o))
+    return TOOL_USAGE;
+  snprintf (path, sizeof path, "/v1/jobs/%s", o->operands[0]);
+  http_client_call (o->servers[0], "DELETE", path, o->token, NULL,
+                    o->timeout_ms, &a);
+  print_answer (o, &a);
+  status = exit_of (&a);
+  http_answer_done (&a);
+  return status;
+}
--- /dev/null
+++ b/src/tool/http_client.c
@@ -0,0 +1,106 @@
+#include "tool/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct client_call
+{
+  struct event_base *base;
+  struct http_answer *answer;
+};
+
+static void
+on_response (struct evhttp_request *request, void *arg)
+{
+  struct client_call *c = arg;
+  struct evbuffer *in;
+  const char *prefix;
+  size_t n;
+
+  event_base_loopbreak (c->base);
+  c->answer->sent
+      = request == NULL || evhttp_request_get_response_code (request) != 0;
+  if (request == NULL)
+    return;
+  c->answer->status = evhttp_request_get_response_code (request);
+  if (c->answer->status == 0)
+    return;
+  in = evhttp_request_get_input_buffer (request);
+  n = evbuffer_get_length (in);
+  c->answer->body
+      = json_loadb (n == 0 ? "" : (const char *)evbuffer_pullup (in, -1), n,
+                    JSON_DECODE_ANY, NULL);
+  prefix = evhttp_find_header (evhttp_request_get_input_headers (request),
+                               "Ragwort-Key-Prefix");
+  snprintf (c->answer->key_prefix, sizeof c->answer->key_prefix, "%s",
+            prefix == NULL ? "" : prefix);
+}
+
+static enum evhttp_cmd_type
+command_of (const char *method)
+{
+  if (strcmp (method, "POST") == 0)
+    return EVHTTP_REQ_POST;
+  if (strcmp (method, "DELETE") == 0)
+    return EVHTTP_REQ_DELETE;
+  return EVHTTP_REQ_GET;
+}
+
+static void
+add_headers (struct evhttp_request *request, const char *server,
+             const char *token)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  char bearer[256];
+
+  evhttp_add_header (headers, "Host", server);
+  evhttp_add_header (headers, "Connection", "close");
+  if (token == NULL)
+    return;
+  snprintf (bearer, sizeof bearer, "Bearer %s", token);
+  evhttp_add_header (headers, "Authorization", bearer);
+}
+
+void
+http_client_call (const char *server, const char *method, const char *path,
+                  const char *token, const char *body, int64_t timeout_ms,
+                  struct http_answer *answer)
+{
+  const char *colon = strrchr (server, ':');
+  struct client_call c = { event_base_new (), answer };
+  struct timeval t = { timeout_ms / 1000, timeout_ms % 1000 * 1000 };
+  struct evhttp_connection *connection;
+  struct evhttp_request *request;
+  char address[64];
+
+  memset (answer, 0, sizeof *answer);
+  snprintf (address, sizeof address, "%.*s",
+            colon == NULL ? (int)strlen (server) : (int)(colon - server),
+            server);
+  connection = evhttp_connection_base_new (
+      c.base, NULL, address,
+      colon == NULL ? 80 : (uint16_t)strtoul (colon + 1, NULL, 10));
+  evhttp_connection_set_timeout_tv (connection, &t);
+  request = evhttp_request_new (on_response, &c);
+  add_headers (request, server, token);
+  if (body != NULL)
+    evbuffer_add (evhttp_request_get_output_buffer (request), body,
+                  strlen (body));
+  if (evhttp_make_request (connection, request, command_of (method), path)
+      == 0)
+    event_base_dispatch (c.base);
+  evhttp_connection_free (connection);
+  event_base_free (c.base);
+}
+
+void
+http_answer_done (struct http_answer *answer)
+{
+  json_decref (answer->body);
+  answer->body = NULL;
+}
--- /dev/null
+++ b/tests/fakes/fake_target.c
@@ -0,0 +1,530 @@
+/* fake_target: stands in for targets.  It announces itself, runs tasks by
+   waiting, and appends every start to a record file, which is the ground
+   truth of tests: one line "WALL_MS TARGET start|end|stop TASK KIND".
+
+   One process stands for COUNT targets on consecutive ports.  */
+#include <argp.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <jansson.h>
+#include <uthash.h>
+#include "base/json_check.h"
+#include "base/now.h"
+
+enum
+{
+  ENTRY_LIMIT = 32,
+  TARGET_LIMIT = 256,
+  ANNOUNCE_TIMEOUT_S = 2,
+  RETRY_MS = 200
+};
+
+enum fault_mode
+{
+  MODE_OK,
+  MODE_FAIL, /* every task runs and fails at once */
+  MODE_DROP, /* the connection is closed after the start */
+  MODE_BUSY  /* every start is refused as not run */
+};
+
+struct fake_options
+{
+  const char *name;
+  const char *address;
+  uint16_t port;
+  const char *domain;
+  const char *rack;
+  int slots;
+  int count;
+  int run_ms;
+  int lease_ms;
+  const char *token;
+  const char *record;
+  enum fault_mode mode;
+  char entries[ENTRY_LIMIT][64];
+  int entry_count;
+};
+
+struct fake_task
+{
+  struct fake_target *target;
+  char id[256];
+  struct evhttp_request *request;
+  struct event *timer;
+  UT_hash_handle hh;
+};
+
+struct fake_target
+{
+  char name[64];
+  uint16_t port;
+  struct fake_task *tasks;
+  uint64_t incarnation;
+  char owner[64]; /* address:port to announce to, once told */
+  int next_entry;
+  struct event *announce_timer;
+  bool leaving;
+  bool left;
+};
+
+static struct fake_options options_given = { .name = "target",
+                                             .address = "127.0.0.1",
+                                             .domain = "",
+                                             .rack = "rack-1",
+                                             .slots = 8,
+                                             .count = 1,
+                                             .run_ms = 50,
+                                             .lease_ms = 3000,
+                                             .token = "target-token",
+                                             .record = NULL,
+                                             .mode = MODE_OK };
+static struct event_base *base;
+static struct fake_target targets[TARGET_LIMIT];
+static int record_fd = -1;
+
+static const struct argp_option options[] = {
+  { "name", 'n', "NAME", 0, "Name, or its beginning with --count", 0 },
+  { "address", 'a', "IP", 0, "Address to listen on", 0 },
+  { "port", 'p', "PORT", 0, "First port", 0 },
+  { "domain", 'd', "DOMAIN", 0, "Failure domain", 0 },
+  { "rack", 'r', "RACK", 0, "Rack", 0 },
+  { "slots", 's', "N", 0, "Slots", 0 },
+  { "count", 'c', "N", 0, "How many targets to stand for", 0 },
+  { "run-ms", 't', "MS", 0, "Run time, unless the payload says run_ms", 0 },
+  { "lease-ms", 'l', "MS", 0, "Lease of an announcement", 0 },
+  { "token", 'k', "TOKEN", 0, "The targets' token", 0 },
+  { "record", 'f', "FILE", 0, "Append every start to FILE", 0 },
+  { "mode", 'm', "MODE", 0, "ok, fail, drop or busy", 0 },
+  { "entry", 'e', "IP:PORT", 0, "An entry to announce to; repeat", 0 },
+  { NULL, 0, NULL, 0, NULL, 0 },
+};
+
+static enum fault_mode
+mode_of (const char *word)
+{
+  static const char *const words[] = { "ok", "fail", "drop", "busy" };
+
+  for (int i = 0; i < 4; i++)
+    if (strcmp (word, words[i]) == 0)
+      return (enum fault_mode)i;
+  fprintf (stderr, "fake_target: unknown mode %s\n", word);
+  exit (2);
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct fake_options *o = &options_given;
+
+  (void)state;
+  switch (key)
+    {
+    case 'n':
+      o->name = arg;
+      break;
+    case 'a':
+      o->address = arg;
+      break;
+    case 'p':
+      o->port = (uint16_t)atoi (arg);
+      break;
+    case 'd':
+      o->domain = arg;
+      break;
+    case 'r':
+      o->rack = arg;
+      break;
+    case 's':
+      o->slots = atoi (arg);
+      break;
+    case 'c':
+      o->count = atoi (arg);
+      break;
+    case 't':
+      o->run_ms = atoi (arg);
+      break;
+    case 'l':
+      o->lease_ms = atoi (arg);
+      break;
+    case 'k':
+      o->token = arg;
+      break;
+    case 'f':
+      o->record = arg;
+      break;
+    case 'm':
+      o->mode = mode_of (arg);
+      break;
+    case 'e':
+      snprintf (o->entries[o->entry_count++ % ENTRY_LIMIT], 64, "%s", arg);
+      break;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+  return 0;
+}
+
+static void
+record (const struct fake_target *g, const char *what, const char *task,
+        const char *kind)
+{
+  char line[512];
+  int n;
+
+  if (record_fd < 0)
+    return;
+  n = snprintf (line, sizeof line, "%" PRId64 " %s %s %s %s\n", now_wall_ms (),
+                g->name, what, task, kind);
+  if (write (record_fd, line, (size_t)n) != n)
+    perror ("fake_target: record");
+}
+
+static void announce (struct fake_target *g);
+static void check_left (struct fake_target *g);
+
+static void
+reply (struct evhttp_request *request, int code, const char *outcome,
+       const char *body)
+{
+  struct evbuffer *b = evbuffer_new ();
+
+  evbuffer_add_printf (b, "%s", body);
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Ragwort-Outcome", outcome);
+  evhttp_send_reply (request, code, outcome, b);
+  evbuffer_free (b);
+}
+
+static void
+end_task (struct fake_task *t, int code, const char *outcome, const char *body)
+{
+  struct fake_target *g = t->target;
+
+  record (g, "end", t->id, outcome);
+  HASH_DEL (g->tasks, t);
+  event_free (t->timer);
+  reply (t->request, code, outcome, body);
+  free (t);
+  check_left (g);
+}
+
+static void
+on_task_over (evutil_socket_t fd, short what, void *arg)
+{
+  struct fake_task *t = arg;
+  char body[400];
+
+  (void)fd;
+  (void)what;
+  snprintf (body, sizeof body, "{\"target\":\"%s\",\"task\":\"%s\"}",
+            t->target->name, t->id);
+  end_task (t, 200, "done", body);
+}
+
+static json_t *
+read_payload (struct evhttp_request *request)
+{
+  struct evbuffer *in = evhttp_request_get_input_buffer (request);
+  size_t n = evbuffer_get_length (in);
+
+  return json_loadb (n == 0 ? "" : (const char *)evbuffer_pullup (in, -1), n,
+                     JSON_DECODE_ANY, NULL);
+}
+
+static const char *
+header (struct evhttp_request *request, const char *name)
+{
+  const char *v
+      = evhttp_find_header (evhttp_request_get_input_headers (request), name);
+
+  return v == NULL ? "" : v;
+}
+
+/* NULL, or why a start is refused.  */
+static const char *
+refusal (struct fake_target *g, uint64_t incarnation)
+{
+  if (g->leaving)
+    return "leaving";
+  if (incarnation < g->incarnation)
+    return "an entry of a later incarnation owns this target";
+  if (options_given.mode == MODE_BUSY
+      || (int)HASH_COUNT (g->tasks) >= options_given.slots)
+    return "no free slot";
+  return NULL;
+}
+
+static void
+begin_task (struct fake_target *g, struct evhttp_request *request,
+            const json_t *payload)
+{
+  int64_t ms = json_get_integer (payload, "run_ms", options_given.run_ms);
+  struct timeval after = { ms / 1000, ms % 1000 * 1000 };
+  struct fake_task *t = calloc (1, sizeof *t);
+
+  t->target = g;
+  t->request = request;
+  snprintf (t->id, sizeof t->id, "%s", header (request, "Ragwort-Task"));
+  t->timer = evtimer_new (base, on_task_over, t);
+  HASH_ADD_STR (g->tasks, id, t);
+  evtimer_add (t->timer, &after);
+}
+
+static void
+on_start (struct evhttp_request *request, void *arg)
+{
+  struct fake_target *g = arg;
+  const char *task = header (request, "Ragwort-Task");
+  uint64_t incarnation
+      = strtoull (header (request, "Ragwort-Incarnation"), NULL, 10);
+  const char *why = refusal (g, incarnation);
+  json_t *payload;
+
+  if (why != NULL)
+    {
+      record (g, "refuse", task, "-");
+      reply (request, 409, "not_run", why);
+      return;
+    }
+  g->incarnation = incarnation;
+  payload = read_payload (request);
+  record (g, "start", task, header (request, "Ragwort-Kind"));
+  if (options_given.mode == MODE_FAIL
+      || json_get_boolean (payload, "fail", false))
+    reply (request, 500, "failed", "{}");
+  else if (options_given.mode == MODE_DROP
+           || json_get_boolean (payload, "drop", false))
+    evhttp_connection_free (evhttp_request_get_connection (request));
+  else
+    begin_task (g, request, payload);
+  json_decref (payload);
+}
+
+static void
+on_stop (struct evhttp_request *request, void *arg)
+{
+  struct fake_target *g = arg;
+  const char *task = header (request, "Ragwort-Task");
+  struct fake_task *t;
+
+  record (g, "stop", task, "-");
+  HASH_FIND_STR (g->tasks, task, t);
+  if (t != NULL)
+    end_task (t, 500, "failed", "{}");
+  reply (request, 200, "done", "{}");
+}
+
+static void
+schedule_announce (struct fake_target *g, int64_t ms)
+{
+  struct timeval t = { ms / 1000, ms % 1000 * 1000 };
+
+  evtimer_add (g->announce_timer, &t);
+}
+
+struct announce_call
+{
+  struct fake_target *target;
+  struct evhttp_connection *connection;
+  bool leave;
+};
+
+static void
+read_owner (struct fake_target *g, struct evhttp_request *request)
+{
+  struct evbuffer *in = evhttp_request_get_input_buffer (request);
+  size_t n = evbuffer_get_length (in);
+  json_t *o = json_loadb (n == 0 ? "" : (const char *)evbuffer_pullup (in, -1),
+                          n, 0, NULL);
+  uint64_t incarnation = (uint64_t)json_get_integer (o, "incarnation", 0);
+
+  if (incarnation > g->incarnation)
+    g->incarnation = incarnation;
+  snprintf (g->owner, sizeof g->owner, "%s:%d",
+            json_get_text (o, "owner_address", ""),
+            (int)json_get_integer (o, "owner_port", 0));
+  json_decref (o);
+}
+
+static void
+on_free_connection (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  evhttp_connection_free (arg);
+}
+
+static void
+on_announced (struct evhttp_request *request, void *arg)
+{
+  struct announce_call *c = arg;
+  struct fake_target *g = c->target;
+  bool good
+      = request != NULL && evhttp_request_get_response_code (request) == 200;
+  struct timeval now = { 0, 0 };
+
+  event_base_once (base, -1, EV_TIMEOUT, on_free_connection, c->connection,
+                   &now);
+  if (good)
+    read_owner (g, request);
+  else
+    {
+      g->owner[0] = '\0';
+      g->next_entry++;
+    }
+  if (c->leave && good && !g->left)
+    {
+      g->left = true;
+      record (g, "leave", "-", "-");
+    }
+  schedule_announce (g, good && !c->leave ? options_given.lease_ms / 3
+                                          : RETRY_MS);
+  free (c);
+  check_left (g);
+}
+
+static char *
+announcement (const struct fake_target *g)
+{
+  json_t *o = json_pack (
+      "{s:s s:s s:i s:s s:s s:i s:i s:i s:i s:i s:i}", "target", g->name,
+      "address", options_given.address, "port", (int)g->port, "domain",
+      options_given.domain, "rack", options_given.rack, "slots",
+      options_given.slots, "connections", 64, "running",
+      (int)HASH_COUNT (g->tasks), "lease_ms", options_given.lease_ms, "cpus",
+      16, "memory_mb", 32768);
+  char *text = json_dumps (o, JSON_COMPACT);
+
+  json_decref (o);
+  return text;
+}
+
+static void
+announce (struct fake_target *g)
+{
+  const char *to
+      = g->owner[0] != '\0'
+            ? g->owner
+            : options_given.entries[g->next_entry % options_given.entry_count];
+  struct announce_call *c = calloc (1, sizeof *c);
+  struct evhttp_request *request = evhttp_request_new (on_announced, c);
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  char address[64];
+  char bearer[128];
+  char *text = announcement (g);
+
+  snprintf (address, sizeof address, "%.*s", (int)strcspn (to, ":"), to);
+  c->target = g;
+  c->leave = g->leaving;
+  c->connection = evhttp_connection_base_new (
+      base, NULL, address, (uint16_t)atoi (strchr (to, ':') + 1));
+  evhttp_connection_set_timeout (c->connection, ANNOUNCE_TIMEOUT_S);
+  snprintf (bearer, sizeof bearer, "Bearer %s", options_given.token);
+  evhttp_add_header (headers, "Host", to);
+  evhttp_add_header (headers, "Authorization", bearer);
+  evhttp_add_header (headers, "Connection", "close");
+  evbuffer_add_printf (evhttp_request_get_output_buffer (request), "%s", text);
+  evhttp_make_request (c->connection, request, EVHTTP_REQ_POST,
+                       g->leaving ? "/v1/targets/leave"
+                                  : "/v1/targets/announce");
+  free (text);
+}
+
+static void
+on_announce_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct fake_target *g = arg;
+
+  (void)fd;
+  (void)what;
+  if (!g->left)
+    announce (g);
+}
+
+/* Ends the loop once every target has told of its leave and runs nothing.  */
+static void
+check_left (struct fake_target *g)
+{
+  (void)g;
+  for (int i = 0; i < options_given.count; i++)
+    if (!targets[i].left || targets[i].tasks != NULL)
+      return;
+  event_base_loopbreak (base);
+}
+
+static void
+on_terminate (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  (void)arg;
+  for (int i = 0; i < options_given.count; i++)
+    {
+      targets[i].leaving = true;
+      schedule_announce (&targets[i], 0);
+    }
+}
+
+static bool
+start_target (int i)
+{
+  struct fake_target *g = &targets[i];
+  struct evhttp *http = evhttp_new (base);
+
+  if (options_given.count == 1)
+    snprintf (g->name, sizeof g->name, "%s", options_given.name);
+  else
+    snprintf (g->name, sizeof g->name, "%s-%d", options_given.name, i);
+  g->port = (uint16_t)(options_given.port + i);
+  g->next_entry = i;
+  evhttp_set_cb (http, "/v1/tasks/start", on_start, g);
+  evhttp_set_cb (http, "/v1/tasks/stop", on_stop, g);
+  if (evhttp_bind_socket (http, options_given.address, g->port) != 0)
+    {
+      fprintf (stderr, "fake_target: cannot listen on %s:%u\n",
+               options_given.address, g->port);
+      return false;
+    }
+  g->announce_timer = evtimer_new (base, on_announce_timer, g);
+  schedule_announce (g, 0);
+  return true;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp parser
+      = { options, parse_option, NULL, "Stands in for targets.",
+          NULL,    NULL,         NULL };
+  struct event *term;
+
+  argp_parse (&parser, argc, argv, 0, NULL, NULL);
+  if (options_given.entry_count == 0 || options_given.count > TARGET_LIMIT)
+    {
+      fprintf (stderr, "fake_target: --entry is missing, or --count above "
+                       "256\n");
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  if (options_given.record != NULL)
+    record_fd
+        = open (options_given.record, O_WRONLY | O_CREAT | O_APPEND, 0600);
+  base = event_base_new ();
+  for (int i = 0; i < options_given.count; i++)
+    if (!start_target (i))
+      return 3;
+  term = evsignal_new (base, SIGTERM, on_terminate, NULL);
+  event_add (term, NULL);
+  event_base_dispatch (base);
+  return 0;
+}
--- /dev/null
+++ b/tests/runner/checker.c
@@ -0,0 +1,299 @@
+#include "tests/runner/checker.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include "base/json_check.h"
+
+enum
+{
+  ANSWER_MARGIN_MS = 2500,
+  LEAVE_MS = 2000
+};
+
+void
+record_read (struct record *r, const struct cluster *c)
+{
+  char path[2 * CLUSTER_PATH_BYTES];
+  char line[512];
+  uint32_t room = 0;
+  FILE *f;
+
+  memset (r, 0, sizeof *r);
+  snprintf (path, sizeof path, "%s/record", c->folder);
+  f = fopen (path, "r");
+  if (f == NULL)
+    return;
+  while (fgets (line, sizeof line, f) != NULL)
+    {
+      struct record_line *l;
+
+      if (r->count == room)
+        {
+          room = room * 2 + 256;
+          r->lines = realloc (r->lines, room * sizeof *r->lines);
+        }
+      l = &r->lines[r->count];
+      if (sscanf (line, "%" SCNd64 " %63s %7s %255s", &l->wall_ms, l->target,
+                  l->what, l->task)
+          == 4)
+        r->count++;
+    }
+  fclose (f);
+}
+
+void
+record_done (struct record *r)
+{
+  free (r->lines);
+}
+
+static bool
+is_start_of (const struct record_line *l, const char *key)
+{
+  const char *slash = strchr (l->task, '/');
+  size_t n = strlen (key);
+
+  return strcmp (l->what, "start") == 0 && slash != NULL
+         && strncmp (slash + 1, key, n) == 0 && slash[1 + n] == '#';
+}
+
+uint32_t
+record_starts (const struct record *r, const char *key)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < r->count; i++)
+    n += is_start_of (&r->lines[i], key);
+  return n;
+}
+
+static bool
+may_repeat (const struct calls *calls, const char *task)
+{
+  const char *slash = strchr (task, '/');
+
+  for (const struct call *c = calls->first; c != NULL; c = c->next)
+    if (c->may_repeat && slash != NULL
+        && strncmp (slash + 1, c->key, strlen (c->key)) == 0)
+      return true;
+  return false;
+}
+
+struct seen_task
+{
+  const char *task;
+  UT_hash_handle hh;
+};
+
+static uint32_t
+check_once (const struct record *r, const struct calls *calls)
+{
+  struct seen_task *seen = NULL;
+  struct seen_task *s;
+  struct seen_task *next;
+  uint32_t faults = 0;
+
+  for (uint32_t i = 0; i < r->count; i++)
+    {
+      const char *task = r->lines[i].task;
+
+      if (strcmp (r->lines[i].what, "start") != 0)
+        continue;
+      HASH_FIND_STR (seen, task, s);
+      if (s == NULL)
+        {
+          s = calloc (1, sizeof *s);
+          s->task = task;
+          HASH_ADD_KEYPTR (hh, seen, s->task, strlen (s->task), s);
+        }
+      else if (!may_repeat (calls, task))
+        {
+          printf ("VIOLATION: task started twice: %s\n", task);
+          faults++;
+        }
+    }
+  HASH_ITER (hh, seen, s, next)
+  {
+    HASH_DEL (seen, s);
+    free (s);
+  }
+  return faults;
+}
+
+/* Whether another submission of the same key was under way at the answer of C
+   or was sent later, so that a later start is not C's.  */
+static bool
+has_other (const struct calls *calls, const struct call *c)
+{
+  for (const struct call *o = calls->first; o != NULL; o = o->next)
+    if (o != c && o->submission && strcmp (o->key, c->key) == 0
+        && (!o->done || o->answered_wall_ms >= c->answered_wall_ms))
+      return true;
+  return false;
+}
+
+static uint32_t
+check_not_run (const struct record *r, const struct calls *calls)
+{
+  uint32_t faults = 0;
+
+  for (const struct call *c = calls->first; c != NULL; c = c->next)
+    {
+      if (!c->submission || c->key[0] == '\0' || c->status == 409
+          || strcmp (call_state (c), "not_run") != 0)
+        continue;
+      for (uint32_t i = 0; i < r->count; i++)
+        if (is_start_of (&r->lines[i], c->key)
+            && (r->lines[i].wall_ms < c->answered_wall_ms
+                || !has_other (calls, c)))
+          {
+            printf ("VIOLATION: %s at %s was answered \"not run\" but ran: "
+                    "%s\n",
+                    c->name, c->vm, r->lines[i].task);
+            faults++;
+          }
+    }
+  return faults;
+}
+
+/* Tasks that a failed answer calls not run have no start.  */
+static uint32_t
+check_tasks_not_run (const struct record *r, const struct calls *calls)
+{
+  uint32_t faults = 0;
+
+  for (const struct call *c = calls->first; c != NULL; c = c->next)
+    {
+      json_t *tasks = json_object_get (c->body, "tasks");
+      json_t *word;
+      size_t i;
+
+      json_array_foreach (tasks, i, word)
+      {
+        char id[200];
+
+        if (strcmp (json_string_value (word), "not_run") != 0)
+          continue;
+        snprintf (id, sizeof id, "/%s#%zu", c->key, i);
+        for (uint32_t j = 0; j < r->count; j++)
+          {
+            const char *slash = strchr (r->lines[j].task, '/');
+
+            if (strcmp (r->lines[j].what, "start") == 0 && slash != NULL
+                && strcmp (slash, id) == 0)
+              {
+                printf ("VIOLATION: task %s called not run, but it ran\n", id);
+                faults++;
+              }
+          }
+      }
+    }
+  return faults;
+}
+
+/* An answer is complete with a result a task, or failed with none; it names
+   its own key; and answers of one key agree.  */
+static uint32_t
+check_answers (const struct calls *calls)
+{
+  uint32_t faults = 0;
+
+  for (const struct call *c = calls->first; c != NULL; c = c->next)
+    {
+      bool complete = strcmp (call_state (c), "complete") == 0;
+      const char *key = json_get_text (c->body, "key", c->key);
+      bool results = json_object_get (c->body, "results") != NULL
+                     || json_object_get (c->body, "result") != NULL;
+
+      if (!c->submission || c->lost || !c->done)
+        continue;
+      if (complete != results)
+        {
+          printf ("VIOLATION: %s: partial answer: %s\n", c->name, c->text);
+          faults++;
+        }
+      if (c->key[0] != '\0' && strcmp (key, c->key) != 0)
+        {
+          printf ("VIOLATION: %s got the answer of %s\n", c->key, key);
+          faults++;
+        }
+      for (const struct call *o = c->next; complete && o != NULL; o = o->next)
+        if (o->submission && strcmp (o->key, c->key) == 0
+            && strcmp (call_state (o), "complete") == 0
+            && strcmp (o->text, c->text) != 0)
+          {
+            printf ("VIOLATION: %s has two answers\n", c->name);
+            faults++;
+          }
+    }
+  return faults;
+}
+
+static uint32_t
+check_in_time (const struct calls *calls)
+{
+  uint32_t faults = 0;
+
+  for (const struct call *c = calls->first; c != NULL; c = c->next)
+    {
+      if (!c->submission || c->vm_killed)
+        continue;
+      if (!c->done || c->lost)
+        {
+          printf ("VIOLATION: %s at %s got no answer\n", c->name, c->vm);
+          faults++;
+        }
+      else if (c->answered_wall_ms - c->sent_wall_ms
+               > c->deadline_ms + ANSWER_MARGIN_MS)
+        {
+          printf ("VIOLATION: %s at %s was answered after %" PRId64 " ms\n",
+                  c->name, c->vm, c->answered_wall_ms - c->sent_wall_ms);
+          faults++;
+        }
+    }
+  return faults;
+}
+
+/* No start on a target later than LEAVE_MS after it said that it leaves.  */
+static uint32_t
+check_leaving (const struct record *r)
+{
+  uint32_t faults = 0;
+
+  for (uint32_t i = 0; i < r->count; i++)
+    {
+      if (strcmp (r->lines[i].what, "leave") != 0)
+        continue;
+      for (uint32_t j = i + 1; j < r->count; j++)
+        if ((strcmp (r->lines[j].what, "start") == 0
+             || strcmp (r->lines[j].what, "refuse") == 0)
+            && strcmp (r->lines[j].target, r->lines[i].target) == 0
+            && r->lines[j].wall_ms > r->lines[i].wall_ms + LEAVE_MS)
+          {
+            printf ("VIOLATION: %s got new work while leaving\n",
+                    r->lines[i].target);
+            faults++;
+          }
+    }
+  return faults;
+}
+
+uint32_t
+checker_run (const struct cluster *c, const struct calls *calls)
+{
+  struct record r;
+  uint32_t faults = 0;
+
+  record_read (&r, c);
+  faults += check_once (&r, calls);
+  faults += check_not_run (&r, calls);
+  faults += check_tasks_not_run (&r, calls);
+  faults += check_answers (calls);
+  faults += check_in_time (calls);
+  faults += check_leaving (&r);
+  record_done (&r);
+  return faults;
+}
