--- /dev/null
+++ b/tests/runner/cluster.h
@@ -0,0 +1,95 @@
+/* The processes of a scenario: VMs with their settings, and fake targets.  */
+#ifndef RUNNER_CLUSTER_H
+#define RUNNER_CLUSTER_H
+
+#include <event2/event.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+enum
+{
+  CLUSTER_VM_LIMIT = 32,
+  CLUSTER_TARGET_LIMIT = 64,
+  CLUSTER_NAME_BYTES = 40,
+  CLUSTER_PATH_BYTES = 300,
+  PEER_PORT = 7100,
+  HTTP_PORT = 8100,
+  RELAY_PORT = 7200
+};
+
+#define OPERATOR_TOKEN "operator-token"
+#define TARGET_TOKEN "target-token"
+
+struct cluster_vm
+{
+  char name[CLUSTER_NAME_BYTES];
+  char domain[CLUSTER_NAME_BYTES];
+  char address[32];
+  bool keeper;
+  bool frozen;
+  pid_t pid;             /* 0: not running */
+  int64_t config_number; /* the highest seen */
+};
+
+struct cluster_target
+{
+  char name[CLUSTER_NAME_BYTES];
+  pid_t pid;
+};
+
+struct cluster
+{
+  struct event_base *base;
+  char programs[CLUSTER_PATH_BYTES]; /* the folder of the built programs */
+  char folder[CLUSTER_PATH_BYTES];   /* of this run */
+  struct cluster_vm vms[CLUSTER_VM_LIMIT];
+  uint32_t vm_count;
+  struct cluster_target targets[CLUSTER_TARGET_LIMIT];
+  uint32_t target_count;
+  char domains[CLUSTER_VM_LIMIT][CLUSTER_NAME_BYTES];
+  uint32_t domain_count;
+  uint32_t next_target_port;
+  bool relayed;
+
+  /* settings of every VM */
+  int heartbeat_ms;
+  int lease_ms;
+  int window_ms;
+  int sync_delay_ms;
+  const char *log_level;
+};
+
+/* A cluster of ENTRIES entries in each of the DOMAINS, named in one word
+   separated by commas, and KEEPERS keepers spread over them.  */
+void cluster_init (struct cluster *c, struct event_base *base,
+                   const char *programs, const char *folder);
+void cluster_build (struct cluster *c, const char *domains, int entries,
+                    int keepers);
+
+/* Kills all that still runs.  */
+void cluster_done (struct cluster *c);
+
+struct cluster_vm *cluster_vm (struct cluster *c, const char *name);
+
+/* IP:PORT of the VM's HTTP.  */
+void cluster_server (const struct cluster_vm *vm, char *text, size_t size);
+
+void cluster_start (struct cluster *c, struct cluster_vm *vm);
+
+/* Sends SIGNAL; SIGKILL is waited for.  */
+void cluster_signal (struct cluster *c, struct cluster_vm *vm, int signal);
+
+/* Empties the data folder of a keeper that does not run.  */
+void cluster_wipe (struct cluster *c, const struct cluster_vm *vm);
+
+/* Starts COUNT targets NAME in DOMAIN as one process; further ARGUMENTS of
+   fake_target end with NULL.  */
+void cluster_start_target (struct cluster *c, const char *name,
+                           const char *domain, char *const *arguments);
+struct cluster_target *cluster_target (struct cluster *c, const char *name);
+
+/* Whether PID has ended; takes its exit status in.  */
+bool cluster_reap (pid_t *pid, int *status);
+
+#endif
