Refuse as "not run" only where the register was asked

That no byte left proves only that this attempt did not run, not the submission. Two crashes besides: target_client freed itself in its own callback (target_leaves.scn, segfault), and a taken-over body was read after free (takeover.scn under AddressSanitizer).

Ruled out: a lost reply (the counters show no forward sent).

Change: request_unproven says "unknown" for a key of the caller's before the register was asked; kinds are checked after it. The client's end is deferred to the loop. The checker counts a process that ended by itself as a fault.

--- a/src/controller/entry.c
+++ b/src/controller/entry.c
@@ -463,6 +463,7 @@
   if (n->network != NULL)
     peer_network_free (n->network);
   target_drop_all (n);
+  event_base_loop (n->base, EVLOOP_NONBLOCK); /* closes their clients */
   team_table_done (&n->teams);
   submission_register_done (&n->submissions);
   environment_done (&n->environment);
--- a/src/coord/submission.c
+++ b/src/coord/submission.c
@@ -86,6 +86,7 @@
   json_t *root = json_loadb (text, length, 0, NULL);
   json_t *tasks = json_object_get (root, "tasks");
   uint32_t count = (uint32_t)json_array_size (tasks);
+  char *body;
 
   if (count == 0 || count > TASKS_PER_JOB_LIMIT)
     {
@@ -93,10 +94,9 @@
       return false;
     }
   free_tasks (s);
+  body = strndup (text, length); /* TEXT may be the old body */
   free (s->body);
-  s->body = malloc (length + 1);
-  memcpy (s->body, text, length);
-  s->body[length] = '\0';
+  s->body = body;
   s->tasks = calloc (count, sizeof *s->tasks);
   s->returned = calloc (count, sizeof *s->returned);
   s->task_count = count;
--- a/src/filter/filter_authenticate.c
+++ b/src/filter/filter_authenticate.c
@@ -12,10 +12,10 @@
   const struct team *team;
 
   if (r->entry->environment.number == 0)
-    return request_refuse (r, 503, "no_configuration", "not_run",
+    return request_refuse (r, 503, "no_configuration", request_unproven (r),
                            "this VM has not learnt the configuration yet");
   if (r->entry->draining)
-    return request_refuse (r, 503, "stopping", "not_run",
+    return request_refuse (r, 503, "stopping", request_unproven (r),
                            "this VM is stopping; submit at another one");
   if (token == NULL)
     return request_refuse (r, 401, "no_token", "not_run",
--- a/src/filter/filter_home.c
+++ b/src/filter/filter_home.c
@@ -45,16 +45,13 @@
 static void
 give_up (struct request *r)
 {
-  if (r->may_have_run)
-    request_refuse (r, 503, "home_unreachable", "unknown",
-                    "the home failure domain %s did not answer; the "
-                    "submission may have run: repeat it with the same key",
-                    r->key.domain);
-  else
-    request_refuse (r, 503, "home_unreachable", "not_run",
-                    "the home failure domain %s cannot be reached; a new key "
-                    "with the prefix of this answer is served here",
-                    r->key.domain);
+  const char *outcome = r->may_have_run ? "unknown" : request_unproven (r);
+
+  request_refuse (r, 503, "home_unreachable", outcome,
+                  "the home failure domain %s did not answer; repeat the "
+                  "submission with the same key, or use a new key with the "
+                  "prefix of this answer for a new one",
+                  r->key.domain);
   request_release (r);
 }
 
--- a/src/filter/filter_limits.c
+++ b/src/filter/filter_limits.c
@@ -1,6 +1,7 @@
-/* Quota and admission: refuses, before anything is started, what the team may
-   not have now or what cannot end before its deadline.  */
+/* Kinds, quota and admission: refuses, before anything is started, what the
+   team may not have now or what cannot end before its deadline.  */
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 #include "base/json_check.h"
 #include "base/now.h"
@@ -22,6 +23,38 @@
     submission_register_drop (&r->entry->submissions, r->submission);
 }
 
+static enum filter_result
+check_kind (struct request *r, const json_t *task, const char *path)
+{
+  const char *kind = json_get_text (task, "kind", "");
+
+  if (environment_kind (&r->entry->environment, kind) != NULL)
+    return FILTER_PASS;
+  forget (r);
+  return request_refuse (r, 400, "unknown_kind", "not_run",
+                         "%skind: the configuration has no kind %s", path,
+                         kind);
+}
+
+enum filter_result
+filter_kinds (struct request *r)
+{
+  json_t *tasks = json_object_get (r->root, "tasks");
+  char path[32];
+  json_t *o;
+  size_t i;
+
+  if (r->single)
+    return check_kind (r, r->root, "");
+  json_array_foreach (tasks, i, o)
+  {
+    snprintf (path, sizeof path, "tasks[%zu].", i);
+    if (check_kind (r, o, path) != FILTER_PASS)
+      return FILTER_ANSWERED;
+  }
+  return FILTER_PASS;
+}
+
 enum filter_result
 filter_quota (struct request *r)
 {
--- a/src/filter/filter_parse.c
+++ b/src/filter/filter_parse.c
@@ -68,12 +68,12 @@
   char made[KEY_BYTES];
   const char *fault;
 
-  r->keyless = given == NULL;
-  if (r->keyless)
+  if (given == NULL)
     {
       if (r->entry->submissions.group.incarnation == 0)
         return request_refuse (r, 503, "no_group", "not_run",
                                "this VM has not joined its replica group yet");
+      r->keyless = true;
       make_key (r, made, sizeof made);
       given = made;
     }
@@ -85,37 +85,6 @@
   return FILTER_PASS;
 }
 
-static enum filter_result
-check_kind (struct request *r, const json_t *task, const char *path)
-{
-  const char *kind = json_get_text (task, "kind", "");
-
-  if (environment_kind (&r->entry->environment, kind) != NULL)
-    return FILTER_PASS;
-  return request_refuse (r, 400, "unknown_kind", "not_run",
-                         "%skind: the configuration has no kind %s", path,
-                         kind);
-}
-
-static enum filter_result
-check_kinds (struct request *r)
-{
-  json_t *tasks = json_object_get (r->root, "tasks");
-  char path[32];
-  json_t *o;
-  size_t i;
-
-  if (r->single)
-    return check_kind (r, r->root, "");
-  json_array_foreach (tasks, i, o)
-  {
-    snprintf (path, sizeof path, "tasks[%zu].", i);
-    if (check_kind (r, o, path) != FILTER_PASS)
-      return FILTER_ANSWERED;
-  }
-  return FILTER_PASS;
-}
-
 enum filter_result
 filter_parse (struct request *r)
 {
@@ -130,13 +99,13 @@
                            report.text);
   deadline_ms
       = json_get_integer (r->root, "deadline_ms", p->default_deadline_ms);
-  if (deadline_ms > p->maximum_deadline_ms)
-    return request_refuse (r, 400, "invalid_submission", "not_run",
-                           "deadline_ms: must be 1 to %" PRId64,
-                           p->maximum_deadline_ms);
   r->deadline_ms = r->begun_ms + deadline_ms;
   r->wait = json_get_boolean (r->root, "wait", true);
-  if (check_kinds (r) != FILTER_PASS)
+  if (read_key (r) != FILTER_PASS)
     return FILTER_ANSWERED;
-  return read_key (r);
+  if (deadline_ms > p->maximum_deadline_ms)
+    return request_refuse (r, 400, "invalid_submission", request_unproven (r),
+                           "deadline_ms: must be 1 to %" PRId64,
+                           p->maximum_deadline_ms);
+  return FILTER_PASS;
 }
--- a/src/filter/request.c
+++ b/src/filter/request.c
@@ -15,12 +15,12 @@
 };
 
 static const request_filter caller_chain[]
-    = { filter_authenticate, filter_parse, filter_home,
-        filter_idempotency,  filter_quota, filter_admission,
-        filter_accept,       NULL };
+    = { filter_authenticate, filter_parse,  filter_home,
+        filter_idempotency,  filter_kinds,  filter_quota,
+        filter_admission,    filter_accept, NULL };
 
 static const request_filter forwarded_chain[]
-    = { filter_parse,     filter_idempotency, filter_quota,
+    = { filter_parse,     filter_idempotency, filter_kinds, filter_quota,
         filter_admission, filter_accept,      NULL };
 
 struct request *
@@ -110,6 +110,20 @@
   return FILTER_ANSWERED;
 }
 
+const char *
+request_unproven (const struct request *r)
+{
+  json_t *o;
+  bool keyed;
+
+  if (r->root != NULL)
+    return r->keyless ? "not_run" : "unknown";
+  o = json_loadb (r->body, r->body_length, 0, NULL);
+  keyed = o == NULL || json_object_get (o, "key") != NULL;
+  json_decref (o);
+  return keyed ? "unknown" : "not_run";
+}
+
 static void
 run_chain (struct request *r, const request_filter *chain)
 {
--- a/src/filter/request.h
+++ b/src/filter/request.h
@@ -63,6 +63,11 @@
                                    const char *format, ...)
     __attribute__ ((format (printf, 5, 6)));
 
+/* The outcome of a refusal that the submission register was not asked about:
+   "unknown" for a submission under a key of the caller's, which may have run
+   before, and "not_run" for one without.  */
+const char *request_unproven (const struct request *r);
+
 /* Runs the chain for a caller's submission, or for a forwarded one.  */
 void request_run_caller (struct request *r);
 void request_run_forwarded (struct request *r);
@@ -85,6 +90,7 @@
 enum filter_result filter_parse (struct request *r);
 enum filter_result filter_home (struct request *r);
 enum filter_result filter_idempotency (struct request *r);
+enum filter_result filter_kinds (struct request *r);
 enum filter_result filter_quota (struct request *r);
 enum filter_result filter_admission (struct request *r);
 enum filter_result filter_accept (struct request *r);
--- a/src/net/target_client.c
+++ b/src/net/target_client.c
@@ -33,6 +33,7 @@
   struct client_connection *idle;
   uint32_t open;
   uint32_t busy;
+  uint32_t in_callback;
   bool freed;
 };
 
@@ -79,14 +80,6 @@
   free (c);
 }
 
-void
-target_client_free (struct target_client *c)
-{
-  c->freed = true;
-  if (c->busy == 0)
-    finish_free (c);
-}
-
 static struct client_connection *
 take_connection (struct target_client *c)
 {
@@ -133,10 +126,33 @@
 {
   struct timeval now = { 0, 0 };
 
-  if (c->freed && c->busy == 0)
+  if (c->freed && c->busy == 0 && c->in_callback == 0)
     event_base_once (c->base, -1, EV_TIMEOUT, on_free_later, c, &now);
 }
 
+void
+target_client_free (struct target_client *c)
+{
+  c->freed = true;
+  check_freed (c);
+}
+
+/* Ends Q, whose holder may free the client meanwhile.  */
+static void
+finish_request (struct client_request *q, struct outcome outcome,
+                const char *result)
+{
+  struct target_client *c = q->connection->client;
+
+  give_connection (q->connection);
+  c->in_callback++;
+  if (q->done != NULL)
+    q->done (q->arg, outcome, result, now_us () - q->begun_us);
+  c->in_callback--;
+  free (q);
+  check_freed (c);
+}
+
 static bool
 says_not_run (struct evhttp_request *request)
 {
@@ -182,16 +198,11 @@
 on_response (struct evhttp_request *request, void *arg)
 {
   struct client_request *q = arg;
-  struct target_client *c = q->connection->client;
   char *result = NULL;
   struct outcome outcome = read_outcome (request, &result);
 
-  give_connection (q->connection);
-  if (q->done != NULL)
-    q->done (q->arg, outcome, result, now_us () - q->begun_us);
+  finish_request (q, outcome, result);
   free (result);
-  free (q);
-  check_freed (c);
 }
 
 /* evhttp refuses at once, and calls nothing, where the connection cannot even
@@ -199,17 +210,9 @@
 static void
 on_not_begun (evutil_socket_t fd, short what, void *arg)
 {
-  struct client_request *q = arg;
-  struct target_client *c = q->connection->client;
-
   (void)fd;
   (void)what;
-  give_connection (q->connection);
-  if (q->done != NULL)
-    q->done (q->arg, outcome_not_run (PROOF_NOT_CONNECTED), NULL,
-             now_us () - q->begun_us);
-  free (q);
-  check_freed (c);
+  finish_request (arg, outcome_not_run (PROOF_NOT_CONNECTED), NULL);
 }
 
 static void
--- a/tests/runner/checker.c
+++ b/tests/runner/checker.c
@@ -281,6 +281,26 @@
   return faults;
 }
 
+/* A process that nobody killed still runs, or ended in good order.  */
+static uint32_t
+check_processes (const struct cluster *c)
+{
+  uint32_t faults = 0;
+
+  for (uint32_t i = 0; i < c->vm_count; i++)
+    {
+      pid_t pid = c->vms[i].pid;
+      int status = 0;
+
+      if (pid == 0 || !cluster_reap (&pid, &status))
+        continue;
+      printf ("VIOLATION: %s ended by itself, status %d\n", c->vms[i].name,
+              status);
+      faults++;
+    }
+  return faults;
+}
+
 uint32_t
 checker_run (const struct cluster *c, const struct calls *calls)
 {
@@ -294,6 +314,7 @@
   faults += check_answers (calls);
   faults += check_in_time (calls);
   faults += check_leaving (&r);
+  faults += check_processes (c);
   record_done (&r);
   return faults;
 }
--- a/tests/runner/verbs_calls.c
+++ b/tests/runner/verbs_calls.c
@@ -341,6 +341,16 @@
                     l->words[2]);
 }
 
+/* Whether NAME is WORD, or WORD and a number.  */
+static bool
+is_named (const char *name, const char *word)
+{
+  size_t n = strlen (word);
+
+  return strncmp (name, word, n) == 0
+         && strspn (name + n, "0123456789") == strlen (name + n);
+}
+
 /* count NAME STATE RANGE: of all calls whose name begins with NAME.  */
 static void
 do_count (struct scenario *s, const struct line *l)
@@ -349,7 +359,7 @@
   uint32_t all = 0;
 
   for (const struct call *c = s->calls.first; c != NULL; c = c->next)
-    if (strncmp (c->name, l->words[1], strlen (l->words[1])) == 0)
+    if (is_named (c->name, l->words[1]))
       {
         all++;
         n += is_one_of (l->words[2], call_state (c));
