Run scenarios side by side on loopback networks of their own

The fake target ended its loop before its last reply was flushed (target_leaves.scn, 3 jobs of 40 failed as unknown, rightly so: the fault was the stand-in's).

--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -26,7 +26,8 @@
   ENTRY_LIMIT = 32,
   TARGET_LIMIT = 256,
   ANNOUNCE_TIMEOUT_S = 2,
-  RETRY_MS = 200
+  RETRY_MS = 200,
+  FLUSH_MS = 200 /* for the last replies to go out */
 };
 
 enum fault_mode
@@ -455,11 +456,13 @@
 static void
 check_left (struct fake_target *g)
 {
+  struct timeval flush = { 0, FLUSH_MS * 1000 };
+
   (void)g;
   for (int i = 0; i < options_given.count; i++)
     if (!targets[i].left || targets[i].tasks != NULL)
       return;
-  event_base_loopbreak (base);
+  event_base_loopexit (base, &flush);
 }
 
 static void
--- a/tests/runner/cluster.c
+++ b/tests/runner/cluster.c
@@ -42,8 +42,8 @@
   snprintf (vm->name, sizeof vm->name, keeper ? "keeper-%s%d" : "%s-%d",
             domain, number);
   snprintf (vm->domain, sizeof vm->domain, "%s", domain);
-  snprintf (vm->address, sizeof vm->address, "127.0.%d.%d", domain_number + 1,
-            (keeper ? 50 : 0) + number);
+  snprintf (vm->address, sizeof vm->address, "127.%d.%d.%d", 10 + 2 * c->net,
+            domain_number + 1, (keeper ? 50 : 0) + number);
   vm->keeper = keeper;
 }
 
@@ -84,6 +84,13 @@
   snprintf (text, size, "%s:%d", vm->address, HTTP_PORT);
 }
 
+void
+cluster_relay_address (const struct cluster *c, uint32_t from, uint32_t to,
+                       char *text, size_t size)
+{
+  snprintf (text, size, "127.%d.%u.%u", 11 + 2 * c->net, from + 1, to + 1);
+}
+
 /* The peer address of VM I as VM FROM sees it: its relay's, where links are
    relayed.  */
 static json_t *
@@ -93,7 +100,7 @@
   bool relayed = c->relayed && from != i;
   char address[32];
 
-  snprintf (address, sizeof address, "127.1.%u.%u", from + 1, i + 1);
+  cluster_relay_address (c, from, i, address, sizeof address);
   return json_pack ("{s:s s:s s:s s:i s:i}", "vm", vm->name, "domain",
                     vm->domain, "address", relayed ? address : vm->address,
                     "peer_port", relayed ? RELAY_PORT : PEER_PORT, "http_port",
@@ -250,7 +257,8 @@
   snprintf (t->name, sizeof t->name, "%s", name);
   argv[own++] = option_text ("--name=%s", name);
   argv[own++] = option_text ("--domain=%s", domain);
-  snprintf (text, sizeof text, "127.0.%d.100", domain_number (c, domain) + 1);
+  snprintf (text, sizeof text, "127.%d.%d.100", 10 + 2 * c->net,
+            domain_number (c, domain) + 1);
   argv[own++] = option_text ("--address=%s", text);
   snprintf (text, sizeof text, "%u", TARGET_PORT + c->next_target_port);
   argv[own++] = option_text ("--port=%s", text);
--- a/tests/runner/cluster.h
+++ b/tests/runner/cluster.h
@@ -58,6 +58,7 @@
   int window_ms;
   int sync_delay_ms;
   const char *log_level;
+  int net; /* runs side by side have different ones */
 };
 
 /* A cluster of ENTRIES entries in each of the DOMAINS, named in one word
@@ -72,6 +73,10 @@
 
 struct cluster_vm *cluster_vm (struct cluster *c, const char *name);
 
+/* The address of the relay for links from VM FROM to VM TO.  */
+void cluster_relay_address (const struct cluster *c, uint32_t from,
+                            uint32_t to, char *text, size_t size);
+
 /* IP:PORT of the VM's HTTP.  */
 void cluster_server (const struct cluster_vm *vm, char *text, size_t size);
 
--- a/tests/runner/main.c
+++ b/tests/runner/main.c
@@ -18,6 +18,7 @@
 struct runner_options
 {
   uint64_t seed;
+  int net;
   bool echo;
   bool keep;
   const char *log_level;
@@ -28,6 +29,7 @@
 static const struct argp_option options[] = {
   { "seed", 's', "N", 0, "Seed of the scenario's random choices (1)", 0 },
   { "echo", 'e', NULL, 0, "Print the script as it runs", 0 },
+  { "net", 'n', "N", 0, "Which loopback networks to use (0 to 100)", 0 },
   { "keep", 'k', NULL, 0, "Keep the folder of the run", 0 },
   { "log-level", 'l', "WORD", 0, "Log level of the processes (info)", 0 },
   { NULL, 0, NULL, 0, NULL, 0 },
@@ -46,6 +48,9 @@
     case 'e':
       o->echo = true;
       return 0;
+    case 'n':
+      o->net = atoi (arg);
+      return 0;
     case 'k':
       o->keep = true;
       return 0;
@@ -91,6 +96,7 @@
   s->echo = o->echo;
   calls_init (&s->calls, s->base);
   cluster_init (&s->cluster, s->base, programs, folder);
+  s->cluster.net = o->net;
   if (o->log_level != NULL)
     s->cluster.log_level = o->log_level;
   faults = scenario_run (s, path);
--- a/tests/runner/relay.c
+++ b/tests/runner/relay.c
@@ -126,7 +126,7 @@
   struct sockaddr_in at;
   char address[32];
 
-  snprintf (address, sizeof address, "127.1.%u.%u", from + 1, to + 1);
+  cluster_relay_address (all->cluster, from, to, address, sizeof address);
   at = to_address (address, RELAY_PORT);
   r->all = all;
   r->from = from;
