--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 TOOL_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/tool/*.c))
 FAKE_TARGET_OBJ = $(BUILD)/tests/fakes/fake_target.o
 RUNNER_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/runner/*.c))
-PROGRAMS = ragwortd ragwortctl fake_target scenario
+UNIT_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/unit/*.c))
+PROGRAMS = ragwortd ragwortctl fake_target scenario unit
 
 all: $(PROGRAMS:%=$(BUILD)/%)
 
@@ -35,13 +36,52 @@
 $(BUILD)/scenario: $(RUNNER_OBJ) $(BUILD)/libragwort.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/unit: $(UNIT_OBJ) $(BUILD)/libragwort.a
+	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
+# The seeds of each scenario's timing.
+SEEDS ?= 1 2 3
+LANES ?= 5
+
+setup:
+	@sh tools/setup.sh
+
+# The targets need the packages, but not a new look for them at each file.
+check: setup
+	@$(MAKE) --no-print-directory -j$$(nproc) all check-programs
+
+check-programs: all
+	@$(BUILD)/unit
+	@SEEDS="$(SEEDS)" LANES=$(LANES) sh tests/run_scenarios.sh $(BUILD)
+	@sh tests/check_examples.sh $(BUILD)
+
+demo: setup
+	@$(MAKE) --no-print-directory -j$$(nproc) all
+	@$(BUILD)/scenario --echo examples/demo.scn
+
+lint:
+	@sh tools/lint.sh
+
+format:
+	clang-format-14 -i $$(git ls-files '*.c' '*.h')
+
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all clean
+help:
+	@echo "all       build the programs"
+	@echo "demo      start a system of 9 VMs and 12 targets and use it"
+	@echo "check     set up, build, run unit tests and scenarios"
+	@echo "prove     show that each scenario fails with its mechanism off"
+	@echo "soak      random faults: SEED=n MINUTES=m"
+	@echo "bench     measure; QUICK=1 in under 50 s"
+	@echo "capacity  measure the slopes of docs/CAPACITY.md again"
+	@echo "lint      formatter and linter"
+
+.PHONY: all setup check check-programs demo lint format clean help
--- a/src/base/now.c
+++ b/src/base/now.c
@@ -23,6 +23,12 @@
   return now_us () / 1000;
 }
 
+struct timeval
+now_timeval (int64_t ms)
+{
+  return (struct timeval){ .tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000 };
+}
+
 int64_t
 now_wall_ms (void)
 {
--- a/src/base/now.h
+++ b/src/base/now.h
@@ -4,6 +4,7 @@
 #define BASE_NOW_H
 
 #include <stdint.h>
+#include <sys/time.h>
 
 /* Monotonic time in milliseconds, counting while the VM is suspended.  */
 int64_t now_ms (void);
@@ -11,6 +12,9 @@
 /* The same clock in microseconds.  */
 int64_t now_us (void);
 
+/* MS milliseconds, for the event loop.  */
+struct timeval now_timeval (int64_t ms);
+
 /* Wall time in milliseconds since the epoch.  */
 int64_t now_wall_ms (void);
 
--- a/src/controller/config_controller.c
+++ b/src/controller/config_controller.c
@@ -159,7 +159,7 @@
              const struct peer_reply *reply)
 {
   struct proposal *p = arg;
-  struct timeval t = { 0, PROPOSE_RETRY_MS * 1000 };
+  struct timeval t = now_timeval (PROPOSE_RETRY_MS);
   char *text;
 
   if (outcome == CALL_REPLIED && reply->status != 421)
--- a/src/controller/dispatch_controller.c
+++ b/src/controller/dispatch_controller.c
@@ -54,12 +54,13 @@
 
 /* Raises the watermark of S before the tasks reach it.  */
 static void
-on_advanced (struct entry *n, struct submission *s, bool acked)
+on_advanced (struct entry *n, struct submission *s,
+             enum replica_outcome outcome)
 {
   uint32_t reached = s->may_start + ADVANCE_TASKS;
 
   s->advance_pending = false;
-  if (!acked)
+  if (outcome != REPLICA_ACKED)
     return;
   s->may_start = reached < s->task_count ? reached : s->task_count;
   dispatch_run (n);
@@ -259,7 +260,7 @@
 {
   struct submission *s = r->submission;
   struct submission_task *t = &s->tasks[r->index];
-  char id[TASK_ID_BYTES];
+  char id[TASK_ID_BYTES] = "";
   struct target_start start
       = { .task = id,
           .kind = t->kind,
@@ -283,7 +284,7 @@
   struct submission_task *t = &s->tasks[r->index];
   int64_t timeout_ms = task_timeout (n, t->kind, s->deadline_ms, now);
   struct peer_message m = { .type = PEER_TASK_RUN };
-  char id[TASK_ID_BYTES];
+  char id[TASK_ID_BYTES] = "";
 
   task_id (id, s, r->index);
   snprintf (t->place, sizeof t->place, "%s", r->peer->vm->name);
@@ -366,7 +367,7 @@
     {
       const struct submission_task *t = &s->tasks[i];
       struct peer_message m = { .type = PEER_TASK_STOP };
-      char id[TASK_ID_BYTES];
+      char id[TASK_ID_BYTES] = "";
       struct target *g;
 
       if (t->outcome.kind != OUTCOME_UNKNOWN || t->place[0] == '\0')
@@ -470,7 +471,7 @@
 void
 dispatch_receive_stop (struct entry *n, const struct peer_task_stop *m)
 {
-  char id[TASK_ID_BYTES];
+  char id[TASK_ID_BYTES] = "";
   struct remote_run *r;
 
   slice_copy (m->task, id, sizeof id);
--- a/src/controller/entry.c
+++ b/src/controller/entry.c
@@ -425,7 +425,7 @@
 entry_start (struct entry *n, struct event_base *base,
              const struct settings *s, uint64_t boot_id, struct error *e)
 {
-  struct timeval tick = { 0, TICK_MS * 1000 };
+  struct timeval tick = now_timeval (TICK_MS);
 
   memset (n, 0, sizeof *n);
   n->base = base;
--- a/src/controller/job_controller.c
+++ b/src/controller/job_controller.c
@@ -31,26 +31,40 @@
   submission_release (s);
 }
 
-/* Answers a submission that was never started.  */
+/* Answers a submission that was never started here, and forgets it.  OUTCOME
+   is "not_run", or "unknown" where another member may yet go on with it.  */
 static void
-refuse (struct entry *n, struct submission *s, const char *code,
-        const char *message)
+refuse (struct entry *n, struct submission *s, const char *outcome)
 {
+  bool not_run = strcmp (outcome, "not_run") == 0;
+
   free (s->answer);
-  s->answer = http_error_text (code, "not_run", message);
+  s->answer = http_error_text (
+      "not_replicated", outcome,
+      "the record could not be copied to the whole replica group");
   s->status = HTTP_UNAVAILABLE;
   s->state = SUBMISSION_ENDED;
-  counters_add (COUNTER_REFUSALS_NOT_RUN, 1);
-  event_ring_add (EVENT_JOB_REFUSED, s->id, "%s", code);
+  counters_add (not_run ? COUNTER_REFUSALS_NOT_RUN : COUNTER_REFUSALS_UNKNOWN,
+                1);
+  event_ring_add (EVENT_JOB_REFUSED, s->id, "not_replicated: %s", outcome);
   submission_hold (s);
   open_list_remove (n, s);
-  if (!s->unregistered
-      && submission_register_find (&n->submissions, s->id) == s)
+  if (submission_register_find (&n->submissions, s->id) == s)
     submission_register_drop (&n->submissions, s);
   submission_tell (s);
   submission_release (s);
 }
 
+/* Every member that took the record has dropped it again, or one may not have
+   and would go on with it should this VM be lost.  */
+static void
+on_dropped (struct entry *n, struct submission *s,
+            enum replica_outcome outcome)
+{
+  if (s->state == SUBMISSION_PREPARING)
+    refuse (n, s, outcome == REPLICA_ACKED ? "not_run" : "unknown");
+}
+
 static void
 open_for_dispatch (struct entry *n, struct submission *s)
 {
@@ -59,22 +73,35 @@
                 1);
   event_ring_add (EVENT_JOB_ACCEPTED, s->id, "tasks=%u may_start=%u",
                   s->task_count, s->may_start);
+  if (s->doomed)
+    {
+      job_check_finished (n, s);
+      return;
+    }
   team_table_push (&n->teams, s);
   dispatch_run (n);
 }
 
 static void
-on_prepared (struct entry *n, struct submission *s, bool acked)
+on_prepared (struct entry *n, struct submission *s,
+             enum replica_outcome outcome)
 {
+  int64_t until = now_ms () + n->settings->record_timeout_ms;
+
   if (s->state != SUBMISSION_PREPARING)
     return;
-  if (!acked)
-    refuse (n, s, "not_replicated",
-            "the record could not be copied to the replica group");
-  else if (s->doomed)
-    refuse (n, s, s->reason, "ended before its first start");
-  else
-    open_for_dispatch (n, s);
+  switch (outcome)
+    {
+    case REPLICA_ACKED:
+      open_for_dispatch (n, s);
+      break;
+    case REPLICA_REFUSED:
+      replica_drop (n, s, until, on_dropped);
+      break;
+    case REPLICA_LOST:
+      refuse (n, s, "unknown");
+      break;
+    }
 }
 
 /* The first watermark: what can start at once, so that a task that has to
@@ -124,12 +151,12 @@
 /* An answer that the group does not hold must not reach the caller: another
    member may answer otherwise.  "Unknown" holds in either case.  */
 static void
-on_ended (struct entry *n, struct submission *s, bool acked)
+on_ended (struct entry *n, struct submission *s, enum replica_outcome outcome)
 {
   if (s->state != SUBMISSION_ENDING)
     return;
   s->state = SUBMISSION_ENDED;
-  if (!acked)
+  if (outcome != REPLICA_ACKED)
     {
       free (s->answer);
       s->answer = http_error_text (
@@ -155,7 +182,7 @@
   team_table_remove (&n->teams, s);
   s->state = SUBMISSION_ENDING;
   if (s->unregistered)
-    on_ended (n, s, true);
+    on_ended (n, s, REPLICA_ACKED);
   else
     replica_end (n, s, until > s->deadline_ms ? until : s->deadline_ms,
                  on_ended);
--- a/src/controller/keeper.c
+++ b/src/controller/keeper.c
@@ -656,7 +656,7 @@
 keeper_start (struct keeper *k, struct event_base *base,
               const struct settings *s, uint64_t boot_id, struct error *e)
 {
-  struct timeval tick = { 0, TICK_MS * 1000 };
+  struct timeval tick = now_timeval (TICK_MS);
   int self;
 
   memset (k, 0, sizeof *k);
@@ -688,7 +688,7 @@
 void
 keeper_stop (struct keeper *k)
 {
-  struct timeval t = { 0, STOP_MS * 1000 };
+  struct timeval t = now_timeval (STOP_MS);
 
   if (k->stopping)
     return;
--- a/src/controller/replica_controller.c
+++ b/src/controller/replica_controller.c
@@ -20,8 +20,10 @@
   enum peer_message_type type;
   uint32_t may_start;
   int64_t until_ms;
+  uint64_t end_state; /* of PEER_RECORD_DONE */
   uint32_t pending;
   bool refused;
+  bool lost;
   replica_done done;
 };
 
@@ -38,9 +40,13 @@
 static void
 round_check (struct round *r)
 {
+  enum replica_outcome outcome = REPLICA_ACKED;
+
   if (r->pending != 0)
     return;
-  r->done (r->entry, r->submission, !r->refused);
+  if (r->refused)
+    outcome = r->lost ? REPLICA_LOST : REPLICA_REFUSED;
+  r->done (r->entry, r->submission, outcome);
   submission_release (r->submission);
   free (r);
 }
@@ -71,7 +77,7 @@
 {
   struct entry *n = rm->round->entry;
   const struct group *g = &n->submissions.group;
-  struct timeval t = { 0, RETRY_MS * 1000 };
+  struct timeval t = now_timeval (RETRY_MS);
 
   if (!group_has (g, n->settings->vm, n->boot_id))
     member_finish (rm, false);
@@ -94,6 +100,8 @@
       member_finish (rm, true);
       return;
     }
+  if (outcome == CALL_LOST)
+    rm->round->lost = true;
   if (outcome == CALL_REPLIED)
     {
       counters_add (COUNTER_RECORD_REFUSALS, 1);
@@ -119,10 +127,10 @@
                                           slice_of (s->id), r->may_start };
       break;
     case PEER_RECORD_DONE:
-      m->u.record_done
-          = (struct peer_record_done){ 0, reg->group.incarnation,
-                                       slice_of (s->id), SUBMISSION_ENDED,
-                                       slice_of (s->answer) };
+      m->u.record_done = (struct peer_record_done){
+        0, reg->group.incarnation, slice_of (s->id), r->end_state,
+        slice_of (s->answer == NULL ? "" : s->answer)
+      };
       break;
     default:
       submission_register_fill_put (reg, s, m);
@@ -154,20 +162,28 @@
                      on_member_reply, rm);
 }
 
-static void
-round_start (struct entry *n, struct submission *s,
-             enum peer_message_type type, uint32_t may_start, int64_t until_ms,
-             replica_done done)
+static struct round *
+round_new (struct entry *n, struct submission *s, enum peer_message_type type,
+           int64_t until_ms, replica_done done)
 {
-  const struct group *g = &n->submissions.group;
   struct round *r = calloc (1, sizeof *r);
 
   r->entry = n;
   r->submission = submission_hold (s);
   r->type = type;
-  r->may_start = may_start;
+  r->may_start = s->may_start;
+  r->end_state = SUBMISSION_ENDED;
   r->until_ms = until_ms;
   r->done = done;
+  return r;
+}
+
+static void
+round_start (struct round *r)
+{
+  struct entry *n = r->entry;
+  const struct group *g = &n->submissions.group;
+
   r->pending = 1;
   for (uint32_t i = 0; i < g->member_count; i++)
     {
@@ -190,21 +206,34 @@
 replica_put (struct entry *n, struct submission *s, int64_t until_ms,
              replica_done done)
 {
-  round_start (n, s, PEER_RECORD_PUT, s->may_start, until_ms, done);
+  round_start (round_new (n, s, PEER_RECORD_PUT, until_ms, done));
 }
 
 void
 replica_advance (struct entry *n, struct submission *s, uint32_t may_start,
                  int64_t until_ms, replica_done done)
 {
-  round_start (n, s, PEER_RECORD_ADVANCE, may_start, until_ms, done);
+  struct round *r = round_new (n, s, PEER_RECORD_ADVANCE, until_ms, done);
+
+  r->may_start = may_start;
+  round_start (r);
 }
 
 void
 replica_end (struct entry *n, struct submission *s, int64_t until_ms,
              replica_done done)
 {
-  round_start (n, s, PEER_RECORD_DONE, 0, until_ms, done);
+  round_start (round_new (n, s, PEER_RECORD_DONE, until_ms, done));
+}
+
+void
+replica_drop (struct entry *n, struct submission *s, int64_t until_ms,
+              replica_done done)
+{
+  struct round *r = round_new (n, s, PEER_RECORD_DONE, until_ms, done);
+
+  r->end_state = SUBMISSION_PREPARING;
+  round_start (r);
 }
 
 /* All records on their way to one new member, at most SYNC_WINDOW at a time,
@@ -273,7 +302,7 @@
 static void
 sync_continue (struct sync_run *r)
 {
-  struct timeval t = { 0, RETRY_MS * 1000 };
+  struct timeval t = now_timeval (RETRY_MS);
 
   while (!r->failed && r->next < r->count && r->outstanding < SYNC_WINDOW)
     {
--- a/src/controller/replica_controller.h
+++ b/src/controller/replica_controller.h
@@ -6,9 +6,17 @@
 #include <stdbool.h>
 #include "controller/entry.h"
 
-/* ACKED tells whether every other member of the group has the change.  */
+/* What became of a change on its way to all other members.  */
+enum replica_outcome
+{
+  REPLICA_ACKED,   /* every one has it */
+  REPLICA_REFUSED, /* not every one took it, and each has said so or was not
+                      reached at all */
+  REPLICA_LOST     /* some message may still arrive */
+};
+
 typedef void (*replica_done) (struct entry *n, struct submission *s,
-                              bool acked);
+                              enum replica_outcome outcome);
 
 /* Sends the record S, whole, to every other member, again and again until
    UNTIL_MS.  DONE is called once, at once where there is no other member.  */
@@ -23,6 +31,10 @@
 void replica_end (struct entry *n, struct submission *s, int64_t until_ms,
                   replica_done done);
 
+/* Has every other member forget S, which was not begun.  */
+void replica_drop (struct entry *n, struct submission *s, int64_t until_ms,
+                   replica_done done);
+
 /* Sends all records to the members that do not have them yet, where that is
    this member's part.  */
 void replica_sync_others (struct entry *n);
--- a/src/coord/submission_register.c
+++ b/src/coord/submission_register.c
@@ -93,7 +93,7 @@
                             struct submission_digest digest,
                             struct submission **found)
 {
-  char id[RECORD_ID_BYTES];
+  char id[RECORD_ID_BYTES] = "";
   enum submit_verdict v;
   struct submission *s;
 
@@ -197,7 +197,7 @@
                          const struct peer_record_put *m)
 {
   enum record_status status = judge_incarnation (r, m->incarnation);
-  char id[RECORD_ID_BYTES];
+  char id[RECORD_ID_BYTES] = "";
   struct submission *s;
 
   if (status != RECORD_OK)
@@ -233,7 +233,7 @@
                              const struct peer_record_advance *m)
 {
   enum record_status status = judge_incarnation (r, m->incarnation);
-  char id[RECORD_ID_BYTES];
+  char id[RECORD_ID_BYTES] = "";
   struct submission *s;
 
   if (status != RECORD_OK)
@@ -252,13 +252,19 @@
                          const struct peer_record_done *m)
 {
   enum record_status status = judge_incarnation (r, m->incarnation);
-  char id[RECORD_ID_BYTES];
+  char id[RECORD_ID_BYTES] = "";
   struct submission *s;
 
   if (status != RECORD_OK)
     return status;
   slice_copy (m->key, id, sizeof id);
   s = submission_register_find (r, id);
+  if (m->state == SUBMISSION_PREPARING)
+    {
+      if (s != NULL && s->state != SUBMISSION_ENDED)
+        submission_register_drop (r, s);
+      return RECORD_OK;
+    }
   if (s == NULL)
     return RECORD_MISSING;
   end_record (s, m->answer);
@@ -331,8 +337,12 @@
 
   HASH_ITER (hh, r->records, s, next)
   {
-    if (s->state != SUBMISSION_ENDED
-        || s->issued_wall_ms + r->window_ms + CLOCK_SLACK_MS > now_wall_ms)
+    int64_t kept_ms = r->window_ms + CLOCK_SLACK_MS;
+
+    if (s->state != SUBMISSION_ENDED)
+      kept_ms += STRAY_RECORD_MS;
+    if (s->issued_wall_ms + kept_ms > now_wall_ms
+        || (s->state != SUBMISSION_ENDED && is_executor (r, s)))
       continue;
     submission_register_drop (r, s);
     expired++;
--- a/src/coord/submission_register.h
+++ b/src/coord/submission_register.h
@@ -19,7 +19,8 @@
 
 enum
 {
-  CLOCK_SLACK_MS = 30000
+  CLOCK_SLACK_MS = 30000,
+  STRAY_RECORD_MS = 600000 /* longer than any deadline */
 };
 
 /* What becomes of a submission that arrived here.  */
@@ -79,7 +80,8 @@
 void submission_register_drop (struct submission_register *r,
                                struct submission *s);
 
-/* Takes another member's message about a record.  */
+/* Takes another member's message about a record.  PEER_RECORD_DONE with state
+   SUBMISSION_PREPARING has an unbegun record forgotten.  */
 enum record_status submission_register_put (struct submission_register *r,
                                             const struct peer_record_put *m);
 enum record_status
@@ -102,7 +104,8 @@
 /* Whether this member sends all records to the members not yet synced.  */
 bool submission_register_is_sync_source (const struct submission_register *r);
 
-/* Forgets ended records older than the window.  Returns their number.  */
+/* Forgets ended records older than the window, and open ones of other
+   executors that nobody ended.  Returns their number.  */
 uint32_t submission_register_expire (struct submission_register *r,
                                      int64_t now_wall_ms);
 
--- a/src/filter/filter_home.c
+++ b/src/filter/filter_home.c
@@ -82,8 +82,7 @@
     }
   r->attempts++;
   counters_add (COUNTER_FORWARD_RETRIES, 1);
-  t.tv_sec = 0;
-  t.tv_usec = delay_ms * 1000;
+  t = now_timeval (delay_ms);
   event_base_once (r->entry->base, -1, EV_TIMEOUT, on_retry, r, &t);
 }
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "base/counters.h"
+#include "base/now.h"
 
 enum
 {
@@ -148,8 +149,7 @@
   s->handler = handler;
   s->arg = arg;
   s->connections_maximum = settings->connections;
-  s->idle.tv_sec = settings->idle_timeout_ms / 1000;
-  s->idle.tv_usec = settings->idle_timeout_ms % 1000 * 1000;
+  s->idle = now_timeval (settings->idle_timeout_ms);
   s->htp = evhtp_new (base, NULL);
   evhtp_set_gencb (s->htp, on_request, s);
   evhtp_set_post_accept_cb (s->htp, on_accept, s);
--- a/src/net/peer_network.c
+++ b/src/net/peer_network.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <uthash.h>
 #include "base/event_ring.h"
+#include "base/now.h"
 
 enum
 {
@@ -72,13 +73,6 @@
               sizeof on);
 }
 
-static struct timeval
-to_timeval (int64_t ms)
-{
-  return (struct timeval){ .tv_sec = ms / 1000,
-                           .tv_usec = (ms % 1000) * 1000 };
-}
-
 /* Ends P, which is no longer in the table.  */
 static void
 call_end (struct pending_call *p, enum call_outcome outcome,
@@ -135,7 +129,7 @@
 link_schedule (struct link *l)
 {
   int64_t jitter = l->delay_ms / 2 + rand () % (l->delay_ms / 2 + 1);
-  struct timeval t = to_timeval (jitter);
+  struct timeval t = now_timeval (jitter);
 
   evtimer_add (l->timer, &t);
   l->delay_ms *= 2;
@@ -242,7 +236,7 @@
 link_connect (struct link *l)
 {
   struct peer_network *n = l->network;
-  struct timeval t = to_timeval (HANDSHAKE_TIMEOUT_MS);
+  struct timeval t = now_timeval (HANDSHAKE_TIMEOUT_MS);
   struct sockaddr_storage to;
   int length = fill_address (l->vm->address, l->vm->peer_port, &to);
   struct bufferevent *bev
@@ -416,7 +410,7 @@
                    void *arg)
 {
   struct pending_call *p = calloc (1, sizeof *p);
-  struct timeval when = to_timeval (timeout_ms < 1 ? 1 : timeout_ms);
+  struct timeval when = now_timeval (timeout_ms < 1 ? 1 : timeout_ms);
   struct link *l = link_find (n, vm);
 
   p->id = ++n->next_id;
@@ -427,7 +421,7 @@
   if (l != NULL && l->conn != NULL && peer_conn_send (l->conn, m))
     p->link = l;
   else
-    when = to_timeval (0);
+    when = now_timeval (0);
   p->timer = evtimer_new (n->base, on_call_timer, p);
   evtimer_add (p->timer, &when);
   HASH_ADD (hh, n->calls, id, sizeof p->id, p);
--- a/src/net/target_client.c
+++ b/src/net/target_client.c
@@ -124,7 +124,7 @@
 static void
 check_freed (struct target_client *c)
 {
-  struct timeval now = { 0, 0 };
+  struct timeval now = now_timeval (0);
 
   if (c->freed && c->busy == 0 && c->in_callback == 0)
     event_base_once (c->base, -1, EV_TIMEOUT, on_free_later, c, &now);
@@ -223,7 +223,7 @@
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
   struct timeval t
       = { .tv_sec = timeout_ms / 1000, .tv_usec = timeout_ms % 1000 * 1000 };
-  struct timeval at_once = { 0, 0 };
+  struct timeval at_once = now_timeval (0);
   char host[ADDRESS_BYTES + 8];
 
   snprintf (host, sizeof host, "%s:%u", c->address, c->port);
--- a/src/tool/http_client.c
+++ b/src/tool/http_client.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "base/now.h"
 
 struct client_call
 {
@@ -73,7 +74,7 @@
 {
   const char *colon = strrchr (server, ':');
   struct client_call c = { event_base_new (), answer };
-  struct timeval t = { timeout_ms / 1000, timeout_ms % 1000 * 1000 };
+  struct timeval t = now_timeval (timeout_ms);
   struct evhttp_connection *connection;
   struct evhttp_request *request;
   char address[64];
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -1,6 +1,7 @@
 /* ragwortctl: the tool of operators and of callers trying things out.  */
 #include <argp.h>
 #include <signal.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,120 +9,116 @@
 
 const char *argp_program_version = "ragwortctl 0.1";
 
-enum option_key
+enum option_kind
 {
-  KEY_SERVER = 's',
-  KEY_TOKEN = 't',
-  KEY_JSON = 'j',
-  KEY_KEY = 'k',
-  KEY_TIMEOUT = 'T',
-  KEY_EXPECT = 'e',
-  KEY_REQUEST_ID = 'r',
-  KEY_OPERATOR = 'o',
-  KEY_MATCH = 'm',
-  KEY_ENVIRONMENT = 1000,
-  KEY_FROM,
-  KEY_FROM_TOKEN,
-  KEY_VM,
-  KEY_EVENT,
-  KEY_LIMIT,
-  KEY_FORMAT
+  OPTION_TEXT,
+  OPTION_NUMBER,
+  OPTION_FLAG,
+  OPTION_SERVER /* may be repeated */
 };
 
-static const struct argp_option options[] = {
-  { "server", KEY_SERVER, "IP:PORT", 0,
-    "An entry or keeper to call; repeat it to ask several", 0 },
-  { "token", KEY_TOKEN, "TOKEN", 0,
-    "The operators' or the team's token (else RAGWORT_TOKEN)", 0 },
-  { "json", KEY_JSON, NULL, 0, "Print JSON", 0 },
-  { "key", KEY_KEY, "KEY", 0, "submit, request: the submission key", 0 },
-  { "timeout-ms", KEY_TIMEOUT, "MS", 0, "How long to wait (20000)", 0 },
-  { "expect", KEY_EXPECT, "N", 0,
+/* One option and the field of struct tool_options that it sets.  */
+struct option_row
+{
+  const char *name;
+  int key;
+  const char *argument;
+  const char *help;
+  enum option_kind kind;
+  size_t offset;
+};
+
+#define FIELD(member) offsetof (struct tool_options, member)
+
+static const struct option_row rows[] = {
+  { "server", 's', "IP:PORT",
+    "An entry or keeper to call; repeat it to ask several", OPTION_SERVER, 0 },
+  { "token", 't', "TOKEN",
+    "The operators' or the team's token (else RAGWORT_TOKEN)", OPTION_TEXT,
+    FIELD (token) },
+  { "json", 'j', NULL, "Print JSON", OPTION_FLAG, FIELD (json) },
+  { "key", 'k', "KEY", "submit, request: the submission key", OPTION_TEXT,
+    FIELD (key) },
+  { "timeout-ms", 'T', "MS", "How long to wait (20000)", OPTION_NUMBER,
+    FIELD (timeout_ms) },
+  { "expect", 'e', "N",
     "config accept, promote: the number now in force (asked for if absent)",
-    0 },
-  { "request-id", KEY_REQUEST_ID, "ID", 0,
-    "config accept, promote: give the same one to repeat a lost call", 0 },
-  { "operator", KEY_OPERATOR, "NAME", 0, "config accept, promote: who", 0 },
-  { "environment", KEY_ENVIRONMENT, "NAME", 0,
-    "config check: the environment it is for", 0 },
-  { "from", KEY_FROM, "IP:PORT", 0,
-    "config promote: an entry of the environment to promote from", 0 },
-  { "from-token", KEY_FROM_TOKEN, "TOKEN", 0,
-    "config promote: the operators' token there", 0 },
-  { "match", KEY_MATCH, "TEXT", 0,
-    "timeline: only events whose key has TEXT (a job, target or VM)", 0 },
-  { "vm", KEY_VM, "NAME", 0, "timeline: only events of this VM", 0 },
-  { "event", KEY_EVENT, "NUMBER", 0, "timeline: only this event", 0 },
-  { "limit", KEY_LIMIT, "N", 0, "timeline: events from each VM (1000)", 0 },
-  { "format", KEY_FORMAT, "WORD", 0, "timeline: text, json or svg", 0 },
-  { NULL, 0, NULL, 0, NULL, 0 },
+    OPTION_NUMBER, FIELD (expect) },
+  { "request-id", 'r', "ID",
+    "config accept, promote: give the same one to repeat a lost call",
+    OPTION_TEXT, FIELD (request_id) },
+  { "operator", 'o', "NAME", "config accept, promote: who", OPTION_TEXT,
+    FIELD (operator_name) },
+  { "environment", 1000, "NAME", "config check: the environment it is for",
+    OPTION_TEXT, FIELD (environment) },
+  { "from", 1001, "IP:PORT",
+    "config promote: an entry of the environment to promote from", OPTION_TEXT,
+    FIELD (from) },
+  { "from-token", 1002, "TOKEN", "config promote: the operators' token there",
+    OPTION_TEXT, FIELD (from_token) },
+  { "match", 'm', "TEXT",
+    "timeline: only events whose key has TEXT (a job, target or VM)",
+    OPTION_TEXT, FIELD (match) },
+  { "vm", 1003, "NAME", "timeline: only events of this VM", OPTION_TEXT,
+    FIELD (vm) },
+  { "event", 1004, "NUMBER", "timeline: only this event", OPTION_NUMBER,
+    FIELD (event) },
+  { "limit", 1005, "N", "timeline: events from each VM (1000)", OPTION_NUMBER,
+    FIELD (limit) },
+  { "format", 1006, "WORD", "timeline: text, json or svg", OPTION_TEXT,
+    FIELD (format) },
+};
+
+enum
+{
+  ROW_COUNT = sizeof rows / sizeof rows[0]
 };
 
 static error_t
-parse_option (int key, char *arg, struct argp_state *state)
+set_option (struct tool_options *o, const struct option_row *row, char *arg,
+            struct argp_state *state)
 {
-  struct tool_options *o = state->input;
+  char *field = (char *)o + row->offset;
+  char *end;
 
-  switch (key)
+  switch (row->kind)
     {
-    case KEY_SERVER:
-      if (o->server_count < SERVER_LIMIT)
-        o->servers[o->server_count++] = arg;
-      break;
-    case KEY_TOKEN:
-      o->token = arg;
-      break;
-    case KEY_JSON:
-      o->json = true;
-      break;
-    case KEY_KEY:
-      o->key = arg;
-      break;
-    case KEY_TIMEOUT:
-      o->timeout_ms = strtoll (arg, NULL, 10);
-      break;
-    case KEY_EXPECT:
-      o->expect = strtoll (arg, NULL, 10);
-      break;
-    case KEY_REQUEST_ID:
-      o->request_id = arg;
-      break;
-    case KEY_OPERATOR:
-      o->operator_name = arg;
-      break;
-    case KEY_ENVIRONMENT:
-      o->environment = arg;
+    case OPTION_TEXT:
+      *(const char **)field = arg;
       break;
-    case KEY_FROM:
-      o->from = arg;
+    case OPTION_NUMBER:
+      *(int64_t *)field = strtoll (arg, &end, 10);
+      if (*end != '\0' || end == arg)
+        argp_error (state, "--%s: %s is not a number", row->name, arg);
       break;
-    case KEY_FROM_TOKEN:
-      o->from_token = arg;
+    case OPTION_FLAG:
+      *(bool *)field = true;
       break;
-    case KEY_MATCH:
-      o->match = arg;
+    case OPTION_SERVER:
+      if (o->server_count == SERVER_LIMIT)
+        argp_error (state, "--server: more than %d", SERVER_LIMIT);
+      o->servers[o->server_count++] = arg;
       break;
-    case KEY_VM:
-      o->vm = arg;
-      break;
-    case KEY_EVENT:
-      o->event = strtoll (arg, NULL, 10);
-      break;
-    case KEY_LIMIT:
-      o->limit = strtoll (arg, NULL, 10);
-      break;
-    case KEY_FORMAT:
-      o->format = arg;
-      break;
-    case ARGP_KEY_ARG:
+    }
+  return 0;
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct tool_options *o = state->input;
+
+  if (key == ARGP_KEY_ARG)
+    {
       if (o->operand_count == OPERAND_LIMIT)
         argp_usage (state);
       o->operands[o->operand_count++] = arg;
-      break;
-    default:
-      return ARGP_ERR_UNKNOWN;
+      return 0;
     }
-  return 0;
+  for (int i = 0; i < ROW_COUNT; i++)
+    if (rows[i].key == key)
+      return set_option (o, &rows[i], arg, state);
+  return ARGP_ERR_UNKNOWN;
 }
 
 /* The list of commands, from the table, behind the options in --help.  */
@@ -172,7 +169,8 @@
 int
 main (int argc, char **argv)
 {
-  static const struct argp parser
+  struct argp_option options[ROW_COUNT + 1] = { 0 };
+  const struct argp parser
       = { options,
           parse_option,
           "COMMAND [OPERAND...]",
@@ -187,6 +185,10 @@
                             .operator_name = "operator" };
   const struct command *c;
 
+  for (int i = 0; i < ROW_COUNT; i++)
+    options[i] = (struct argp_option){ rows[i].name,     rows[i].key,
+                                       rows[i].argument, 0,
+                                       rows[i].help,     0 };
   signal (SIGPIPE, SIG_IGN);
   argp_parse (&parser, argc, argv, 0, NULL, &o);
   if (o.token == NULL)
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -270,7 +270,7 @@
             const json_t *payload)
 {
   int64_t ms = json_get_integer (payload, "run_ms", options_given.run_ms);
-  struct timeval after = { ms / 1000, ms % 1000 * 1000 };
+  struct timeval after = now_timeval (ms);
   struct fake_task *t = calloc (1, sizeof *t);
 
   t->target = g;
@@ -328,7 +328,7 @@
 static void
 schedule_announce (struct fake_target *g, int64_t ms)
 {
-  struct timeval t = { ms / 1000, ms % 1000 * 1000 };
+  struct timeval t = now_timeval (ms);
 
   evtimer_add (g->announce_timer, &t);
 }
@@ -372,7 +372,7 @@
   struct fake_target *g = c->target;
   bool good
       = request != NULL && evhttp_request_get_response_code (request) == 200;
-  struct timeval now = { 0, 0 };
+  struct timeval now = now_timeval (0);
 
   event_base_once (base, -1, EV_TIMEOUT, on_free_connection, c->connection,
                    &now);
@@ -456,7 +456,7 @@
 static void
 check_left (struct fake_target *g)
 {
-  struct timeval flush = { 0, FLUSH_MS * 1000 };
+  struct timeval flush = now_timeval (FLUSH_MS);
 
   (void)g;
   for (int i = 0; i < options_given.count; i++)
--- a/tests/runner/calls.c
+++ b/tests/runner/calls.c
@@ -56,7 +56,7 @@
 {
   struct pending *p = arg;
   struct call *call = p->call;
-  struct timeval now = { 0, 0 };
+  struct timeval now = now_timeval (0);
 
   call->done = true;
   call->answered_wall_ms = now_wall_ms ();
--- a/tests/runner/cluster.c
+++ b/tests/runner/cluster.c
@@ -61,7 +61,7 @@
   for (uint32_t d = 0; d < c->domain_count; d++)
     for (int i = 1; i <= entries; i++)
       add_vm (c, c->domains[d], (int)d, i, false);
-  for (int i = 0; i < keepers; i++)
+  for (int i = 0; i < keepers && c->domain_count != 0; i++)
     {
       uint32_t d = (uint32_t)i % c->domain_count;
 
--- a/tests/runner/script.c
+++ b/tests/runner/script.c
@@ -69,7 +69,7 @@
                const void *arg)
 {
   int64_t until_ms = now_ms () + ms;
-  struct timeval poll = { 0, POLL_MS * 1000 };
+  struct timeval poll = now_timeval (POLL_MS);
   struct event *timer = event_new (s->base, -1, EV_PERSIST, on_poll, NULL);
   bool good = false;
 
--- /dev/null
+++ b/tests/unit/main.c
@@ -0,0 +1,75 @@
+/* Runs all unit tests.  */
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "tests/unit/suites.h"
+
+void
+sequence_init (struct sequence *s, uint64_t seed)
+{
+  s->state = seed * 0x9E3779B97F4A7C15U + 1;
+}
+
+uint32_t
+sequence_next (struct sequence *s, uint32_t limit)
+{
+  s->state ^= s->state << 13;
+  s->state ^= s->state >> 7;
+  s->state ^= s->state << 17;
+  return (uint32_t)((s->state >> 11) % limit);
+}
+
+uint64_t
+first_seed (void)
+{
+  const char *seed = getenv ("SEED");
+
+  return seed == NULL ? 1 : strtoull (seed, NULL, 10);
+}
+
+uint64_t
+last_seed (void)
+{
+  return getenv ("SEED") == NULL ? RANDOM_SEEDS : first_seed ();
+}
+
+void
+test_folder_make (char *folder)
+{
+  strcpy (folder, "/tmp/ragwort-unit-XXXXXX");
+  if (mkdtemp (folder) == NULL)
+    abort ();
+}
+
+void
+test_folder_remove (const char *folder)
+{
+  char command[320];
+
+  snprintf (command, sizeof command, "rm -rf '%s'", folder);
+  if (system (command) != 0)
+    abort ();
+}
+
+int
+main (void)
+{
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite_base ();
+  suite_coord ();
+  suite_register ();
+  suite_log ();
+  suite_control ();
+  suite_store ();
+  suite_net ();
+  CU_basic_set_mode (CU_BRM_NORMAL);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_tests_failed ();
+  printf ("unit: %u passed, %u failed\n",
+          CU_get_number_of_tests_run () - failed, failed);
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/unit/test_control.c
@@ -0,0 +1,178 @@
+/* The keepers' state machine and the changes of replica groups.  */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/json_check.h"
+#include "coord/control_state.h"
+#include "coord/group_manager.h"
+#include "tests/unit/suites.h"
+
+#define HASH "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+/* Applies an operator's accept; returns the status.  */
+static int
+accept_as (struct control_state *c, const char *request,
+           const char *operator_name, int expect, int run_ms)
+{
+  static uint64_t index;
+  char text[600];
+  struct control_result r;
+
+  snprintf (text, sizeof text,
+            "{\"type\":\"config\",\"request_id\":\"%s\",\"operator\":\"%s\","
+            "\"expect\":%d,\"document\":{\"environments\":[\"trial\"],"
+            "\"teams\":[{\"name\":\"a\",\"token_sha256\":\"" HASH
+            "\",\"tasks_per_s\":1,\"burst_tasks\":1}],\"kinds\":[{\"name\":"
+            "\"k\",\"run_ms\":%d,\"timeout_ms\":9}]}}",
+            request, operator_name, expect, run_ms);
+  r = control_state_apply (c, ++index, text, (uint32_t)strlen (text));
+  free (r.answer);
+  return r.status;
+}
+
+static void
+test_config (void)
+{
+  struct control_state c;
+  struct control_state other;
+  uint32_t length;
+  char *saved;
+
+  control_state_init (&c, "trial");
+  CU_ASSERT_EQUAL (accept_as (&c, "r1", "anna", 0, 5), 200);
+  CU_ASSERT_EQUAL (accept_as (&c, "r2", "boris", 0, 6), 409);
+  CU_ASSERT_EQUAL (c.view.config_number, 1);
+  CU_ASSERT_EQUAL (accept_as (&c, "r1", "anna", 0, 5), 200); /* a resend */
+  CU_ASSERT_EQUAL (c.view.config_number, 1);
+  CU_ASSERT_EQUAL (accept_as (&c, "r2", "boris", 0, 6), 409);
+  CU_ASSERT_EQUAL (accept_as (&c, "r1", "anna", 1, 7), 409); /* reused */
+  CU_ASSERT_EQUAL (accept_as (&c, "r3", "boris", 1, 6), 200);
+  CU_ASSERT_EQUAL (accept_as (&c, "r4", "boris", 2, 0), 400); /* bad run_ms */
+  CU_ASSERT_EQUAL (c.view.config_number, 2);
+  saved = control_state_save (&c, &length);
+  control_state_init (&other, "trial");
+  control_state_load (&other, saved, length);
+  free (saved);
+  CU_ASSERT_EQUAL (other.view.config_number, 2);
+  CU_ASSERT_EQUAL (accept_as (&other, "r1", "anna", 0, 5), 200);
+  CU_ASSERT_EQUAL (other.view.config_number, 2);
+  control_state_done (&c);
+  control_state_done (&other);
+  control_state_init (&c, "production");
+  CU_ASSERT_EQUAL (accept_as (&c, "r1", "anna", 0, 5), 400);
+  control_state_done (&c);
+}
+
+static struct settings *
+make_settings (void)
+{
+  struct settings *s = calloc (1, sizeof *s);
+
+  s->lease_ms = 100;
+  s->vm_count = 3;
+  for (int i = 0; i < 3; i++)
+    {
+      snprintf (s->vms[i].name, NAME_BYTES, "v%d", i);
+      snprintf (s->vms[i].domain, NAME_BYTES, "shop");
+    }
+  return s;
+}
+
+static void
+beat (struct group_manager *m, const char *vm, uint64_t boot, int64_t now)
+{
+  struct entry_beat *b = group_manager_find (m, vm);
+
+  b->boot_id = boot;
+  b->heard_ms = now;
+}
+
+static void
+test_groups (void)
+{
+  struct settings *s = make_settings ();
+  struct group_manager m;
+  struct group g = { 0 };
+  struct group next;
+
+  group_manager_init (&m, s);
+  group_manager_start (&m, 1000);
+  CU_ASSERT_FALSE (group_manager_decide (&m, &g, "shop", 1000, 7, &next));
+  beat (&m, "v0", 1, 1010);
+  beat (&m, "v1", 2, 1010);
+  CU_ASSERT_TRUE (group_manager_decide (&m, &g, "shop", 1010, 7, &next));
+  CU_ASSERT_EQUAL (next.incarnation, 1);
+  CU_ASSERT_EQUAL (next.member_count, 2);
+  CU_ASSERT_TRUE (next.members[1].synced);
+  g = next;
+  /* Both fall silent together: the domain is cut off, nothing changes.  */
+  CU_ASSERT_FALSE (group_manager_decide (&m, &g, "shop", 9000, 7, &next));
+  /* One is heard a lease later than the other: the other is dropped.  */
+  beat (&m, "v0", 1, 1111);
+  CU_ASSERT_TRUE (group_manager_decide (&m, &g, "shop", 1111, 7, &next));
+  CU_ASSERT_EQUAL (next.member_count, 1);
+  CU_ASSERT_EQUAL (next.complete_since, 1);
+  g = next;
+  /* A new one joins without the records.  */
+  beat (&m, "v2", 3, 1112);
+  CU_ASSERT_TRUE (group_manager_decide (&m, &g, "shop", 1112, 7, &next));
+  CU_ASSERT_EQUAL (next.member_count, 2);
+  CU_ASSERT_FALSE (next.members[1].synced);
+  CU_ASSERT_PTR_NULL (group_manager_newly_synced (&m, &next));
+  group_manager_find (&m, "v2")->synced_incarnation = next.incarnation;
+  CU_ASSERT_PTR_NOT_NULL (group_manager_newly_synced (&m, &next));
+  g = next;
+  /* The only one with the records restarts: the memory is lost.  */
+  beat (&m, "v0", 9, 1113);
+  CU_ASSERT_TRUE (group_manager_decide (&m, &g, "shop", 1113, 7, &next));
+  CU_ASSERT_EQUAL (next.complete_since, next.incarnation);
+  CU_ASSERT_EQUAL (next.complete_since_wall_ms, 7);
+  g = next;
+  /* A planned stop: draining first, then gone.  */
+  group_manager_find (&m, "v2")->leaving = LEAVING_DRAINING;
+  CU_ASSERT_TRUE (group_manager_decide (&m, &g, "shop", 1114, 7, &next));
+  CU_ASSERT_EQUAL (next.member_count, 2);
+  for (int i = 0; i < 50; i++)
+    {
+      char key[16];
+
+      snprintf (key, sizeof key, "key%d", i);
+      CU_ASSERT_STRING_EQUAL (group_owner (&next, key)->vm, "v0");
+    }
+  g = next;
+  group_manager_find (&m, "v2")->leaving = LEAVING_GONE;
+  CU_ASSERT_TRUE (group_manager_decide (&m, &g, "shop", 1115, 7, &next));
+  CU_ASSERT_EQUAL (next.member_count, 1);
+  free (s);
+}
+
+static void
+test_view_json (void)
+{
+  struct control_view v = { .version = 9, .config_number = 4 };
+  struct control_view got;
+  json_t *o;
+
+  v.group_count = 1;
+  snprintf (v.groups[0].domain, NAME_BYTES, "shop");
+  v.groups[0].incarnation = 3;
+  v.groups[0].member_count = 1;
+  v.groups[0].members[0] = (struct group_member){ "v0", 77, true, true };
+  o = control_view_to_json (&v);
+  CU_ASSERT_TRUE (control_view_from_json (&got, o));
+  CU_ASSERT_EQUAL (got.groups[0].members[0].boot_id, 77);
+  CU_ASSERT_TRUE (got.groups[0].members[0].draining);
+  CU_ASSERT_TRUE (group_has (&got.groups[0], "v0", 77));
+  CU_ASSERT_FALSE (group_has (&got.groups[0], "v0", 78));
+  json_decref (o);
+}
+
+void
+suite_control (void)
+{
+  CU_pSuite s = CU_add_suite ("control", NULL, NULL);
+
+  CU_add_test (s, "one operator wins a number", test_config);
+  CU_add_test (s, "groups change by the word of survivors", test_groups);
+  CU_add_test (s, "the view survives its packing", test_view_json);
+}
--- /dev/null
+++ b/tests/unit/test_coord.c
@@ -0,0 +1,288 @@
+/* Targets, teams, retries, keys and answers.  */
+#include <stdio.h>
+#include <string.h>
+#include "coord/retry_budget.h"
+#include "coord/run_time.h"
+#include "coord/submission.h"
+#include "coord/submission_key.h"
+#include "coord/target_table.h"
+#include "coord/team_table.h"
+#include "tests/unit/suites.h"
+
+static struct target_announcement
+announcement (const char *name, uint32_t slots, uint32_t running)
+{
+  struct target_announcement a = { .port = 9000,
+                                   .domain = "shop",
+                                   .slots = slots,
+                                   .running = running,
+                                   .lease_ms = 1000 };
+
+  snprintf (a.name, sizeof a.name, "%s", name);
+  snprintf (a.address, sizeof a.address, "127.0.0.1");
+  return a;
+}
+
+static void
+remove_all (struct target_table *t)
+{
+  while (t->targets != NULL)
+    {
+      t->targets->in_use = 0;
+      target_table_remove (t, t->targets);
+    }
+}
+
+static void
+test_slots (void)
+{
+  struct target_announcement a = announcement ("a", 2, 0);
+  struct target_announcement b = announcement ("b", 4, 3);
+  struct target_table t;
+  struct target *g;
+  bool joined;
+
+  target_table_init (&t);
+  target_table_announce (&t, 0, &a, &joined);
+  CU_ASSERT_TRUE (joined);
+  target_table_announce (&t, 0, &b, &joined);
+  CU_ASSERT_EQUAL (target_table_free_slots (&t, 10), 3);
+  CU_ASSERT_PTR_NOT_NULL (target_table_take (&t, 10, false));
+  CU_ASSERT_PTR_NOT_NULL (target_table_take (&t, 10, false));
+  CU_ASSERT_PTR_NOT_NULL (target_table_take (&t, 10, false));
+  CU_ASSERT_PTR_NULL (target_table_take (&t, 10, false));
+  target_table_announce (&t, 20, &a, &joined);
+  CU_ASSERT_FALSE (joined);
+  CU_ASSERT_EQUAL (target_table_free_slots (&t, 20), 0);
+  g = target_table_find (&t, "a@127.0.0.1:9000");
+  target_table_give_back (&t, g, 20, TARGET_WORKED);
+  CU_ASSERT_EQUAL (target_table_free_slots (&t, 20), 1);
+  CU_ASSERT_EQUAL (target_table_free_slots (&t, 1021), 0);
+  g->leaving = true;
+  CU_ASSERT_PTR_NULL (target_table_take (&t, 20, false));
+  remove_all (&t);
+}
+
+/* Runs N failing tasks on G.  */
+static enum target_change
+fail (struct target_table *t, struct target *g, int64_t now, int n)
+{
+  enum target_change c = TARGET_UNCHANGED;
+
+  for (int i = 0; i < n && c == TARGET_UNCHANGED; i++)
+    {
+      g->in_use++;
+      c = target_table_give_back (t, g, now, TARGET_FAILED);
+    }
+  return c;
+}
+
+static void
+test_ejection (void)
+{
+  struct target_table t;
+  struct target *first = NULL;
+  struct target *second = NULL;
+  struct target *probe;
+  bool joined;
+
+  target_table_init (&t);
+  for (int i = 0; i < 4; i++)
+    {
+      char name[8];
+      struct target_announcement a;
+
+      snprintf (name, sizeof name, "t%d", i);
+      a = announcement (name, 2, 0);
+      a.lease_ms = 100000;
+      second = first;
+      first = target_table_announce (&t, 0, &a, &joined);
+    }
+  CU_ASSERT_EQUAL (fail (&t, first, 10, 6), TARGET_NOW_EJECTED);
+  /* A share of 0.3 allows one of four.  */
+  CU_ASSERT_EQUAL (fail (&t, second, 10, 20), TARGET_UNCHANGED);
+  CU_ASSERT_EQUAL (target_free_slots (first, 10), 0);
+  CU_ASSERT_PTR_NOT_EQUAL (target_table_take (&t, 20, true), first);
+  probe = target_table_take (&t, 10000, true);
+  CU_ASSERT_PTR_EQUAL (probe, first);
+  CU_ASSERT_PTR_NOT_EQUAL (target_table_take (&t, 10000, true), first);
+  CU_ASSERT_EQUAL (target_table_give_back (&t, probe, 10010, TARGET_WORKED),
+                   TARGET_NOW_BACK);
+  CU_ASSERT_EQUAL (target_free_slots (first, 10010), 2);
+  remove_all (&t);
+}
+
+static struct submission *
+make_submission (const char *team, const char *key, int tasks)
+{
+  struct submission *s = submission_new (team, key);
+  char text[4000] = "{\"tasks\":[";
+
+  for (int i = 0; i < tasks; i++)
+    strcat (text, i == 0 ? "{\"kind\":\"a\"}" : ",{\"kind\":\"a\"}");
+  strcat (text, "]}");
+  CU_ASSERT_TRUE (submission_set_body (s, text, strlen (text)));
+  return s;
+}
+
+static void
+test_teams (void)
+{
+  struct team_table t;
+  struct submission *a = make_submission ("a", "1", 100);
+  struct submission *b = make_submission ("b", "1", 2);
+  uint32_t b_begun = 0;
+
+  team_table_init (&t);
+  team_table_push (&t, a);
+  team_table_push (&t, b);
+  CU_ASSERT_EQUAL (t.queued_tasks, 102);
+  for (int i = 0; i < 4; i++)
+    {
+      struct submission *s = team_table_turn (&t);
+
+      b_begun += s == b;
+      team_table_take (&t, s);
+    }
+  CU_ASSERT_EQUAL (b_begun, 2);
+  CU_ASSERT_FALSE (b->queued);
+  team_table_return (&t, b, 1);
+  CU_ASSERT_TRUE (b->queued);
+  CU_ASSERT_EQUAL (submission_tasks_left (b), 1);
+  team_table_remove (&t, a);
+  CU_ASSERT_EQUAL (t.queued_tasks, 1);
+  CU_ASSERT_PTR_EQUAL (team_table_turn (&t), b);
+  CU_ASSERT_EQUAL (team_table_take (&t, b), 1);
+  CU_ASSERT_PTR_NULL (team_table_turn (&t));
+  submission_release (a);
+  submission_release (b);
+  team_table_done (&t);
+}
+
+static void
+test_quota (void)
+{
+  struct team_table t;
+  struct team *m;
+
+  team_table_init (&t);
+  m = team_table_set (&t, "a", "hash", 100, 50);
+  CU_ASSERT_TRUE (team_take_quota (m, 1000, 50));
+  CU_ASSERT_FALSE (team_take_quota (m, 1000, 1));
+  CU_ASSERT_FALSE (team_take_quota (m, 1100, 20));
+  CU_ASSERT_TRUE (team_take_quota (m, 1100, 10));
+  CU_ASSERT_TRUE (team_take_quota (m, 99000, 50));
+  CU_ASSERT_FALSE (team_take_quota (m, 99000, 1));
+  CU_ASSERT_PTR_EQUAL (team_table_find_token (&t, "hash"), m);
+  m->removed = true;
+  CU_ASSERT_PTR_NULL (team_table_find_token (&t, "hash"));
+  team_table_done (&t);
+}
+
+static void
+test_retry_budget (void)
+{
+  struct retry_budget b;
+  int spent = 0;
+
+  retry_budget_init (&b, 0.1);
+  for (int i = 0; i < 1000; i++)
+    {
+      retry_budget_earn (&b);
+      spent += retry_budget_spend (&b);
+    }
+  CU_ASSERT_TRUE (spent >= 100 && spent <= 104);
+}
+
+static void
+test_run_time (void)
+{
+  struct run_time r;
+
+  run_time_init (&r);
+  CU_ASSERT_EQUAL (run_time_mean (&r, "check", 900), 900);
+  for (int i = 0; i < 200; i++)
+    run_time_add (&r, "check", i % 20 == 0 ? 200 : 50);
+  CU_ASSERT_TRUE (run_time_mean (&r, "check", 900) > 45
+                  && run_time_mean (&r, "check", 900) < 75);
+  CU_ASSERT_TRUE (r.kinds[0].tail_ms > 50);
+}
+
+static void
+test_keys (void)
+{
+  struct settings s = { .domain_count = 2, .domains = { "shop", "oven" } };
+  struct submission_key k;
+  char prefix[KEY_BYTES];
+
+  submission_key_prefix (prefix, sizeof prefix, "shop", 7, 123456);
+  strcat (prefix, ".abc-1");
+  CU_ASSERT_PTR_NULL (submission_key_parse (&k, prefix, 0, &s));
+  CU_ASSERT_STRING_EQUAL (k.domain, "shop");
+  CU_ASSERT_EQUAL (k.incarnation, 7);
+  CU_ASSERT_EQUAL (k.issued_wall_ms, 123000);
+  CU_ASSERT_PTR_NOT_NULL (submission_key_parse (&k, "bare", 0, &s));
+  CU_ASSERT_PTR_NULL (submission_key_parse (&k, "bare", 55, &s));
+  CU_ASSERT_TRUE (k.bare);
+  CU_ASSERT_PTR_NOT_NULL (submission_key_parse (&k, "moon.1.1.a", 0, &s));
+  CU_ASSERT_PTR_NOT_NULL (submission_key_parse (&k, "shop.0.1.a", 0, &s));
+  CU_ASSERT_PTR_NOT_NULL (submission_key_parse (&k, "shop.1.x.a", 0, &s));
+  CU_ASSERT_PTR_NOT_NULL (submission_key_parse (&k, "shop.-1.1.a", 0, &s));
+  CU_ASSERT_PTR_NOT_NULL (submission_key_parse (&k, "shop.1.1.a/b", 0, &s));
+  CU_ASSERT_PTR_NOT_NULL (
+      submission_key_parse (&k, "shop.1.99999999999999999999.a", 0, &s));
+}
+
+static void
+test_answers (void)
+{
+  struct submission *s = make_submission ("a", "k", 3);
+
+  for (int i = 0; i < 3; i++)
+    {
+      s->tasks[i].outcome = outcome_done ();
+      s->tasks[i].result = strdup ("1");
+    }
+  submission_write_answer (s, NULL);
+  CU_ASSERT_TRUE (submission_is_complete (s));
+  CU_ASSERT_STRING_EQUAL (
+      s->answer, "{\"key\":\"k\",\"state\":\"complete\",\"results\":[1,1,1]}");
+  s->may_start = 2;
+  submission_write_lost_answer (s);
+  CU_ASSERT_FALSE (submission_is_complete (s));
+  CU_ASSERT_PTR_NULL (strstr (s->answer, "results"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (s->answer, "\"tasks\":[\"unknown\",\"unknown\",\"not_run\"]"));
+  submission_release (s);
+}
+
+static void
+test_digest (void)
+{
+  json_t *a = json_loads ("{\"b\": 1, \"a\": [1, 2]}", 0, NULL);
+  json_t *b = json_loads ("{\"a\":[1,2],\"b\":1}", 0, NULL);
+  json_t *c = json_loads ("{\"a\":[2,1],\"b\":1}", 0, NULL);
+
+  CU_ASSERT_EQUAL (submission_digest_of (a).low, submission_digest_of (b).low);
+  CU_ASSERT_NOT_EQUAL (submission_digest_of (a).low,
+                       submission_digest_of (c).low);
+  json_decref (a);
+  json_decref (b);
+  json_decref (c);
+}
+
+void
+suite_coord (void)
+{
+  CU_pSuite s = CU_add_suite ("coord", NULL, NULL);
+
+  CU_add_test (s, "slots are counted exactly", test_slots);
+  CU_add_test (s, "ejection is capped and ends by a probe", test_ejection);
+  CU_add_test (s, "teams take turns", test_teams);
+  CU_add_test (s, "quota", test_quota);
+  CU_add_test (s, "retries are a share of first sends", test_retry_budget);
+  CU_add_test (s, "run times are learnt", test_run_time);
+  CU_add_test (s, "keys", test_keys);
+  CU_add_test (s, "answers are complete or failed", test_answers);
+  CU_add_test (s, "digests ignore order and blanks", test_digest);
+}
--- /dev/null
+++ b/tests/unit/test_net.c
@@ -0,0 +1,110 @@
+/* Peer messages and seals.  */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "net/frame_seal.h"
+#include "net/peer_message.h"
+#include "tests/unit/suites.h"
+
+static struct peer_message
+example (void)
+{
+  struct peer_message m = { .type = PEER_CALL, .clock = 77 };
+
+  m.u.call = (struct peer_call){ 5,
+                                 METHOD_SUBMIT,
+                                 slice_of ("shop"),
+                                 slice_of ("shop.1.1.a"),
+                                 -3,
+                                 slice_of ("{\"tasks\":[]}") };
+  return m;
+}
+
+static void
+test_round_trip (void)
+{
+  struct peer_message m = example ();
+  struct peer_message got;
+  msgpack_sbuffer b;
+
+  msgpack_sbuffer_init (&b);
+  peer_message_pack (&m, &b);
+  CU_ASSERT_TRUE (peer_message_unpack (&got, b.data, b.size));
+  CU_ASSERT_EQUAL (got.type, PEER_CALL);
+  CU_ASSERT_EQUAL (got.clock, 77);
+  CU_ASSERT_EQUAL (got.u.call.timeout_ms, -3);
+  CU_ASSERT_TRUE (slice_equals (got.u.call.body, "{\"tasks\":[]}"));
+  msgpack_sbuffer_destroy (&b);
+}
+
+/* Cut short or with flipped bits, a message is refused or whole, and reading
+   it touches nothing outside of it (run under AddressSanitizer).  */
+static void
+test_malformed (void)
+{
+  struct peer_message m = example ();
+  struct sequence q;
+  msgpack_sbuffer b;
+
+  sequence_init (&q, first_seed ());
+  msgpack_sbuffer_init (&b);
+  peer_message_pack (&m, &b);
+  for (size_t n = 0; n < b.size; n++)
+    {
+      char *copy = malloc (n + 1);
+      struct peer_message got;
+
+      memcpy (copy, b.data, n);
+      CU_ASSERT_FALSE (peer_message_unpack (&got, copy, n));
+      free (copy);
+    }
+  for (int i = 0; i < 20000; i++)
+    {
+      char *copy = malloc (b.size);
+      struct peer_message got;
+
+      memcpy (copy, b.data, b.size);
+      for (uint32_t j = sequence_next (&q, 4); j < 4; j++)
+        copy[sequence_next (&q, (uint32_t)b.size)]
+            = (char)sequence_next (&q, 256);
+      if (peer_message_unpack (&got, copy, b.size) && got.type == PEER_CALL)
+        CU_ASSERT_TRUE (got.u.call.body.length <= b.size);
+      free (copy);
+    }
+  msgpack_sbuffer_destroy (&b);
+}
+
+static void
+test_seal (void)
+{
+  struct frame_seal a;
+  struct frame_seal b;
+  uint8_t seal[FRAME_SEAL_BYTES];
+  char nonce_a[FRAME_NONCE_BYTES] = "nonce of a";
+  char nonce_b[FRAME_NONCE_BYTES] = "nonce of b";
+
+  frame_seal_init (&a, "secret", true);
+  frame_seal_init (&b, "secret", false);
+  frame_seal_make (&a, "hello", 5, seal);
+  CU_ASSERT_TRUE (frame_seal_check (&b, "hello", 5, seal));
+  frame_seal_start_session (&a, "secret", nonce_a, nonce_b);
+  frame_seal_start_session (&b, "secret", nonce_a, nonce_b);
+  frame_seal_make (&a, "one", 3, seal);
+  CU_ASSERT_TRUE (frame_seal_check (&b, "one", 3, seal));
+  CU_ASSERT_FALSE (frame_seal_check (&b, "one", 3, seal)); /* a replay */
+  frame_seal_make (&b, "two", 3, seal);
+  seal[0] ^= 1;
+  CU_ASSERT_FALSE (frame_seal_check (&a, "two", 3, seal));
+  frame_seal_done (&a);
+  frame_seal_done (&b);
+}
+
+void
+suite_net (void)
+{
+  CU_pSuite s = CU_add_suite ("net", NULL, NULL);
+
+  CU_add_test (s, "a message survives its packing", test_round_trip);
+  CU_add_test (s, "malformed messages are refused", test_malformed);
+  CU_add_test (s, "seals refuse replays and changes", test_seal);
+}
