Demo, examples, bench and runner verbs that measure

A single request's record now says that it is one, so that its answer is a result and not a list of one (seen in the demo).

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 FAKE_TARGET_OBJ = $(BUILD)/tests/fakes/fake_target.o
 RUNNER_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/runner/*.c))
 UNIT_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/unit/*.c))
-PROGRAMS = ragwortd ragwortctl fake_target scenario unit
+BENCH_PROGRAMS = load bare_relay
+PROGRAMS = ragwortd ragwortctl fake_target scenario unit $(BENCH_PROGRAMS)
 
 all: $(PROGRAMS:%=$(BUILD)/%)
 
@@ -39,6 +40,10 @@
 $(BUILD)/unit: $(UNIT_OBJ) $(BUILD)/libragwort.a
 	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
 
+$(BENCH_PROGRAMS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%.o \
+		$(BUILD)/libragwort.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
--- /dev/null
+++ b/bench/load.c
@@ -0,0 +1,431 @@
+/* load: sends submissions and measures the answers.
+
+   Closed loop (--outstanding): so many callers, each waiting for its answer
+   before it sends again.  Open loop (--rate): submissions at random times of
+   that mean rate, whatever the answers do; latency counts from the time at
+   which a submission was due, so that a slow system cannot hide its queue.
+   Prints one JSON object.  */
+#include <argp.h>
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <inttypes.h>
+#include <math.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/now.h"
+
+enum
+{
+  SERVER_LIMIT = 32,
+  CONNECTION_LIMIT = 4000,
+  ANSWER_LIMIT = 8000000,
+  TICK_MS = 1
+};
+
+struct load_options
+{
+  const char *servers[SERVER_LIMIT];
+  int server_count;
+  const char *path;
+  const char *token;
+  const char *kind;
+  int tasks;
+  int run_ms;
+  int slow_ms; /* the run time of every SLOW_EVERY-th task */
+  int slow_every;
+  int outstanding;
+  double rate;
+  double seconds;
+  int deadline_ms;
+  bool non_idempotent;
+  uint64_t seed;
+};
+
+struct connection
+{
+  struct bufferevent *bev;
+  int64_t due_us;
+  struct connection *next_idle;
+  int server;
+};
+
+static struct load_options given = { .path = "/v1/jobs",
+                                     .token = "token-shop",
+                                     .kind = "check",
+                                     .tasks = 1,
+                                     .run_ms = 0,
+                                     .outstanding = 8,
+                                     .seconds = 3,
+                                     .deadline_ms = 10000,
+                                     .seed = 1 };
+static struct event_base *base;
+static struct connection *idle;
+static int open_connections;
+static int busy;
+static float *latencies_ms;
+static uint32_t answers;
+static uint64_t complete;
+static uint64_t refused;
+static uint64_t unknown;
+static uint64_t failed;
+static uint64_t broken;
+static int64_t begin_us;
+static int64_t end_us;
+static int64_t last_us;
+static double next_due_us;
+static uint64_t random_state;
+
+/* Submissions that were due while no connection was free.  */
+static double *waiting_us;
+static size_t waiting_first;
+static size_t waiting_count;
+
+static const struct argp_option options[] = {
+  { "server", 's', "IP:PORT", 0, "Where to send to; repeat", 0 },
+  { "path", 'p', "PATH", 0, "/v1/jobs, /v1/requests or /v1/tasks/start", 0 },
+  { "token", 't', "TOKEN", 0, "The team's token", 0 },
+  { "kind", 'k', "KIND", 0, "The tasks' kind", 0 },
+  { "tasks", 'n', "N", 0, "Tasks of a job", 0 },
+  { "run-ms", 'r', "MS", 0, "What a task takes", 0 },
+  { "slow-ms", 'l', "MS", 0, "What every --slow-every-th job's tasks take",
+    0 },
+  { "slow-every", 'e', "N", 0, "See --slow-ms", 0 },
+  { "outstanding", 'o', "N", 0, "Closed loop with N callers", 0 },
+  { "rate", 'a', "R", 0, "Open loop with R submissions a second", 0 },
+  { "seconds", 'd', "S", 0, "For how long", 0 },
+  { "deadline-ms", 'D', "MS", 0, "The submissions' deadline", 0 },
+  { "non-idempotent", 'x', NULL, 0, "Requests are not idempotent", 0 },
+  { "seed", 'S', "N", 0, "Seed of the random times", 0 },
+  { NULL, 0, NULL, 0, NULL, 0 },
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct load_options *o = &given;
+
+  (void)state;
+  switch (key)
+    {
+    case 's':
+      o->servers[o->server_count++ % SERVER_LIMIT] = arg;
+      break;
+    case 'p':
+      o->path = arg;
+      break;
+    case 't':
+      o->token = arg;
+      break;
+    case 'k':
+      o->kind = arg;
+      break;
+    case 'n':
+      o->tasks = atoi (arg);
+      break;
+    case 'r':
+      o->run_ms = atoi (arg);
+      break;
+    case 'l':
+      o->slow_ms = atoi (arg);
+      break;
+    case 'e':
+      o->slow_every = atoi (arg);
+      break;
+    case 'o':
+      o->outstanding = atoi (arg);
+      break;
+    case 'a':
+      o->rate = atof (arg);
+      break;
+    case 'd':
+      o->seconds = atof (arg);
+      break;
+    case 'D':
+      o->deadline_ms = atoi (arg);
+      break;
+    case 'x':
+      o->non_idempotent = true;
+      break;
+    case 'S':
+      o->seed = strtoull (arg, NULL, 10);
+      break;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+  return 0;
+}
+
+static double
+next_random (void)
+{
+  random_state ^= random_state << 13;
+  random_state ^= random_state >> 7;
+  random_state ^= random_state << 17;
+  return (double)(random_state >> 11) / 9007199254740992.0;
+}
+
+static void
+write_tasks (struct evbuffer *b, int run_ms)
+{
+  for (int i = 0; i < given.tasks; i++)
+    evbuffer_add_printf (
+        b, "%s{\"kind\":\"%s\",\"payload\":{\"run_ms\":%d,\"number\":%d}}",
+        i == 0 ? "" : ",", given.kind, run_ms, i);
+}
+
+static struct evbuffer *
+make_body (void)
+{
+  static uint64_t number;
+  struct evbuffer *b = evbuffer_new ();
+  bool slow
+      = given.slow_every != 0 && ++number % (uint64_t)given.slow_every == 0;
+  int run_ms = slow ? given.slow_ms : given.run_ms;
+
+  if (strcmp (given.path, "/v1/jobs") == 0)
+    {
+      evbuffer_add_printf (b, "{\"deadline_ms\":%d,\"tasks\":[",
+                           given.deadline_ms);
+      write_tasks (b, run_ms);
+      evbuffer_add_printf (b, "]}");
+    }
+  else if (strcmp (given.path, "/v1/requests") == 0)
+    evbuffer_add_printf (b,
+                         "{\"deadline_ms\":%d,\"idempotent\":%s,\"kind\":"
+                         "\"%s\",\"payload\":{\"run_ms\":%d,\"number\":0}}",
+                         given.deadline_ms,
+                         given.non_idempotent ? "false" : "true", given.kind,
+                         run_ms);
+  else
+    evbuffer_add_printf (b, "{\"run_ms\":%d,\"number\":0}", run_ms);
+  return b;
+}
+
+static void
+send_on (struct connection *c, int64_t due_us)
+{
+  static uint64_t number;
+  struct evbuffer *out = bufferevent_get_output (c->bev);
+  struct evbuffer *body = make_body ();
+
+  c->due_us = due_us;
+  busy++;
+  evbuffer_add_printf (out,
+                       "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                       "%s\r\nRagwort-Task: t/load-%" PRIu64
+                       "#0\r\nRagwort-Kind: %s\r\nRagwort-Incarnation: "
+                       "1\r\nContent-Length: %zu\r\n\r\n",
+                       given.path, given.token, ++number, given.kind,
+                       evbuffer_get_length (body));
+  evbuffer_add_buffer (out, body);
+  evbuffer_free (body);
+}
+
+static void
+count_answer (int status, const char *body)
+{
+  if (status == 200
+      && (strcmp (given.path, "/v1/tasks/start") == 0
+          || strstr (body, "\"state\":\"complete\"") != NULL))
+    complete++;
+  else if (strstr (body, "\"outcome\":\"not_run\"") != NULL)
+    refused++;
+  else if (strstr (body, "\"outcome\":\"unknown\"") != NULL)
+    unknown++;
+  else
+    failed++;
+}
+
+static void
+take_answer (struct connection *c, int status, const char *body)
+{
+  int64_t now = now_us ();
+
+  busy--;
+  last_us = now;
+  count_answer (status, body);
+  if (answers < ANSWER_LIMIT)
+    latencies_ms[answers++] = (float)(now - c->due_us) / 1000;
+  if (given.rate == 0)
+    {
+      if (now < end_us)
+        send_on (c, now);
+      return;
+    }
+  if (waiting_first < waiting_count)
+    {
+      send_on (c, (int64_t)waiting_us[waiting_first++]);
+      return;
+    }
+  c->next_idle = idle;
+  idle = c;
+}
+
+/* Whether a whole answer is there; takes it.  */
+static bool
+read_answer (struct connection *c)
+{
+  struct evbuffer *in = bufferevent_get_input (c->bev);
+  struct evbuffer_ptr head = evbuffer_search (in, "\r\n\r\n", 4, NULL);
+  size_t length;
+  const char *at;
+  char *text;
+
+  if (head.pos < 0)
+    return false;
+  text = (char *)evbuffer_pullup (in, head.pos + 4);
+  at = memmem (text, (size_t)head.pos, "Content-Length:", 15);
+  length = at == NULL ? 0 : strtoul (at + 15, NULL, 10);
+  if (evbuffer_get_length (in) < (size_t)head.pos + 4 + length)
+    return false;
+  text = malloc ((size_t)head.pos + 5 + length);
+  evbuffer_remove (in, text, (size_t)head.pos + 4 + length);
+  text[(size_t)head.pos + 4 + length] = '\0';
+  take_answer (c, atoi (text + 9), text + head.pos + 4);
+  free (text);
+  return true;
+}
+
+static void
+on_read (struct bufferevent *bev, void *arg)
+{
+  (void)bev;
+  while (read_answer (arg))
+    ;
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *arg)
+{
+  (void)arg;
+  if ((what & (BEV_EVENT_ERROR | BEV_EVENT_EOF)) == 0)
+    return;
+  broken++;
+  busy--;
+  open_connections--;
+  bufferevent_free (bev);
+}
+
+static struct connection *
+connect_new (void)
+{
+  struct connection *c = calloc (1, sizeof *c);
+  const char *server = given.servers[open_connections % given.server_count];
+  struct sockaddr_in to = { .sin_family = AF_INET };
+  const char *colon = strchr (server, ':');
+  char address[32];
+  int on = 1;
+
+  snprintf (address, sizeof address, "%.*s", (int)(colon - server), server);
+  inet_pton (AF_INET, address, &to.sin_addr);
+  to.sin_port = htons ((uint16_t)atoi (colon + 1));
+  c->bev = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (c->bev, on_read, NULL, on_event, c);
+  bufferevent_enable (c->bev, EV_READ | EV_WRITE);
+  if (bufferevent_socket_connect (c->bev, (struct sockaddr *)&to, sizeof to)
+      != 0)
+    exit (3);
+  setsockopt (bufferevent_getfd (c->bev), IPPROTO_TCP, TCP_NODELAY, &on,
+              sizeof on);
+  open_connections++;
+  return c;
+}
+
+static void
+send_due (int64_t due_us)
+{
+  struct connection *c = idle;
+
+  if (c != NULL)
+    idle = c->next_idle;
+  else if (open_connections < CONNECTION_LIMIT)
+    c = connect_new ();
+  if (c != NULL)
+    send_on (c, due_us);
+  else if (waiting_count < ANSWER_LIMIT)
+    waiting_us[waiting_count++] = (double)due_us;
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  int64_t now = now_us ();
+
+  (void)fd;
+  (void)what;
+  (void)arg;
+  while (given.rate != 0 && next_due_us <= (double)now
+         && next_due_us < (double)end_us)
+    {
+      send_due ((int64_t)next_due_us);
+      next_due_us += -log (1 - next_random ()) * 1e6 / given.rate;
+    }
+  if (now > end_us && (busy <= 0 || now > end_us + 30000000))
+    event_base_loopbreak (base);
+}
+
+static int
+compare (const void *a, const void *b)
+{
+  float x = *(const float *)a;
+  float y = *(const float *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+static double
+quantile (double q)
+{
+  return answers == 0 ? 0 : latencies_ms[(size_t)(q * (answers - 1))];
+}
+
+static void
+print_result (void)
+{
+  double seconds = (double)(last_us - begin_us) / 1e6;
+
+  qsort (latencies_ms, answers, sizeof latencies_ms[0], compare);
+  printf ("{\"answers\":%u,\"complete\":%" PRIu64 ",\"refused\":%" PRIu64
+          ",\"unknown\":%" PRIu64 ",\"failed\":%" PRIu64 ",\"broken\":%" PRIu64
+          ",\"seconds\":%.3f,\"tasks_per_s\":%.0f,"
+          "\"p50_ms\":%.3f,\"p99_ms\":%.3f,\"p999_ms\":%.3f}\n",
+          answers, complete, refused, unknown, failed, broken, seconds,
+          (double)complete * given.tasks / seconds, quantile (0.5),
+          quantile (0.99), quantile (0.999));
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp parser
+      = { options, parse_option, NULL, "Sends load and measures answers.",
+          NULL,    NULL,         NULL };
+  struct timeval tick = now_timeval (TICK_MS);
+  struct event *timer;
+
+  signal (SIGPIPE, SIG_IGN);
+  argp_parse (&parser, argc, argv, 0, NULL, NULL);
+  if (given.server_count == 0)
+    return 2;
+  random_state = given.seed * 0x9E3779B97F4A7C15U + 1;
+  latencies_ms = malloc (ANSWER_LIMIT * sizeof *latencies_ms);
+  waiting_us = malloc (ANSWER_LIMIT * sizeof *waiting_us);
+  base = event_base_new ();
+  begin_us = now_us ();
+  end_us = begin_us + (int64_t)(given.seconds * 1e6);
+  next_due_us = (double)begin_us;
+  for (int i = 0; given.rate == 0 && i < given.outstanding; i++)
+    send_on (connect_new (), begin_us);
+  timer = event_new (base, -1, EV_PERSIST, on_tick, NULL);
+  event_add (timer, &tick);
+  event_base_dispatch (base);
+  print_result ();
+  return 0;
+}
--- a/src/coord/submission.c
+++ b/src/coord/submission.c
@@ -97,6 +97,8 @@
   body = strndup (text, length); /* TEXT may be the old body */
   free (s->body);
   s->body = body;
+  s->single = json_object_get (root, "idempotent") != NULL;
+  s->idempotent = json_get_boolean (root, "idempotent", false);
   s->tasks = calloc (count, sizeof *s->tasks);
   s->returned = calloc (count, sizeof *s->returned);
   s->task_count = count;
--- a/src/tool/command_config.c
+++ b/src/tool/command_config.c
@@ -44,9 +44,15 @@
 enum tool_exit
 command_config_check (const struct tool_options *o)
 {
-  json_t *document = read_document (o);
   char sha256[HASH_TEXT_BYTES];
+  json_t *document;
 
+  if (access (o->operands[0], R_OK) != 0)
+    {
+      perror (o->operands[0]);
+      return TOOL_USAGE;
+    }
+  document = read_document (o);
   if (document == NULL)
     return TOOL_FAILED;
   environment_sha256 (document, sha256);
--- /dev/null
+++ b/tests/check_examples.sh
@@ -0,0 +1,52 @@
+#!/bin/sh
+# Checks every example file with the programs themselves, and that wrong ones
+# are refused with the path of each fault.  Usage: check_examples.sh BUILD
+set -u
+build=$1
+passed=0
+failed=0
+expect () { # WHAT STATUS PATTERN COMMAND...
+  what=$1 status=$2 pattern=$3
+  shift 3
+  out=$("$@" 2>&1)
+  got=$?
+  if [ "$got" -eq "$status" ] && echo "$out" | grep -q "$pattern"; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "$what: exit $got, not $status: $out"
+  fi
+}
+dir=$(mktemp -d)
+for f in examples/*/entry.json examples/*/keeper.json; do
+  expect "$f" 0 '' "$build/ragwortd" --check "$f"
+  # Every VM that the file names runs on the same file under its own name.
+  for vm in $(sed -n 's/.*"vm": "\([^"]*\)".*/\1/p' "$f" | sort -u); do
+    sed "0,/\"vm\": \"[^\"]*\"/s//\"vm\": \"$vm\"/" "$f" > "$dir/$vm.json"
+    grep -q data_folder "$dir/$vm.json" ||
+      sed -i 's|"log_level"|"data_folder": "/tmp", "log_level"|' "$dir/$vm.json"
+    expect "$f as $vm" 0 '' "$build/ragwortd" --check "$dir/$vm.json"
+  done
+done
+for f in examples/*/document.json; do
+  expect "$f" 0 valid "$build/ragwortctl" config check "$f" --environment=production
+  expect "$f elsewhere" 1 'does not list moon' \
+    "$build/ragwortctl" config check "$f" --environment=moon
+done
+sed 's/"timeout_ms"/"timeout"/' examples/sofia/document.json > "$dir/wrong.json"
+expect "an unknown field" 1 'kinds\[2\].timeout: unknown field' \
+  "$build/ragwortctl" config check "$dir/wrong.json"
+expect "a missing field" 1 'kinds\[0\].timeout_ms: is missing' \
+  "$build/ragwortctl" config check "$dir/wrong.json"
+expect "no such file" 2 'No such file' "$build/ragwortctl" config check "$dir/none"
+expect "unknown command" 2 'unknown command' "$build/ragwortctl" dance
+expect "no server" 3 'no answer' "$build/ragwortctl" status --server 127.9.9.9:9
+sed "s|/var/lib/ragwort|$dir|" examples/sofia/keeper.json > "$dir/k.json"
+expect "a keeper without its journal" 3 'has no journal' \
+  "$build/ragwortd" "$dir/k.json"
+expect "an entry with a journal" 2 'is not a keeper' \
+  "$build/ragwortd" --init-store examples/sofia/entry.json
+expect "no settings" 2 'No such file' "$build/ragwortd" "$dir/none"
+rm -rf "$dir"
+echo "examples: $passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -266,10 +266,8 @@
 }
 
 static void
-begin_task (struct fake_target *g, struct evhttp_request *request,
-            const json_t *payload)
+begin_task (struct fake_target *g, struct evhttp_request *request, int64_t ms)
 {
-  int64_t ms = json_get_integer (payload, "run_ms", options_given.run_ms);
   struct timeval after = now_timeval (ms);
   struct fake_task *t = calloc (1, sizeof *t);
 
@@ -290,6 +288,7 @@
       = strtoull (header (request, "Ragwort-Incarnation"), NULL, 10);
   const char *why = refusal (g, incarnation);
   json_t *payload;
+  int64_t run_ms;
 
   if (why != NULL)
     {
@@ -299,6 +298,7 @@
     }
   g->incarnation = incarnation;
   payload = read_payload (request);
+  run_ms = json_get_integer (payload, "run_ms", options_given.run_ms);
   record (g, "start", task, header (request, "Ragwort-Kind"));
   if (options_given.mode == MODE_FAIL
       || json_get_boolean (payload, "fail", false))
@@ -306,8 +306,10 @@
   else if (options_given.mode == MODE_DROP
            || json_get_boolean (payload, "drop", false))
     evhttp_connection_free (evhttp_request_get_connection (request));
+  else if (run_ms == 0)
+    reply (request, 200, "done", "{}");
   else
-    begin_task (g, request, payload);
+    begin_task (g, request, run_ms);
   json_decref (payload);
 }
 
--- a/tests/runner/cluster.c
+++ b/tests/runner/cluster.c
@@ -144,11 +144,9 @@
   json_decref (o);
 }
 
-/* Starts PROGRAM with ARGV; its output goes to LOG.  It is killed should this
-   process die.  */
-static pid_t
-spawn (const struct cluster *c, const char *program, char *const *argv,
-       const char *log)
+pid_t
+cluster_spawn (const struct cluster *c, const char *program, char *const *argv,
+               const char *log)
 {
   char path[2 * CLUSTER_PATH_BYTES];
   pid_t pid;
@@ -170,7 +168,7 @@
 init_store (const struct cluster *c, const char *settings, const char *log)
 {
   char *argv[] = { "ragwortd", "--init-store", (char *)settings, NULL };
-  pid_t pid = spawn (c, "ragwortd", argv, log);
+  pid_t pid = cluster_spawn (c, "ragwortd", argv, log);
 
   waitpid (pid, NULL, 0);
 }
@@ -189,7 +187,7 @@
   write_settings (c, vm, settings);
   if (vm->keeper && access (journal, F_OK) != 0)
     init_store (c, settings, log);
-  vm->pid = spawn (c, "ragwortd", argv, log);
+  vm->pid = cluster_spawn (c, "ragwortd", argv, log);
   vm->frozen = false;
 }
 
@@ -276,7 +274,7 @@
     argv[n++] = *arguments++;
   argv[n] = NULL;
   snprintf (text, sizeof text, "%s/%s.log", c->folder, name);
-  t->pid = spawn (c, "fake_target", argv, text);
+  t->pid = cluster_spawn (c, "fake_target", argv, text);
   for (int i = 1; i < own; i++)
     free (argv[i]);
 }
--- a/tests/runner/cluster.h
+++ b/tests/runner/cluster.h
@@ -80,6 +80,11 @@
 /* IP:PORT of the VM's HTTP.  */
 void cluster_server (const struct cluster_vm *vm, char *text, size_t size);
 
+/* Starts PROGRAM with ARGV; its output goes to LOG.  It is killed should this
+   process die.  */
+pid_t cluster_spawn (const struct cluster *c, const char *program,
+                     char *const *argv, const char *log);
+
 void cluster_start (struct cluster *c, struct cluster_vm *vm);
 
 /* Sends SIGNAL; SIGKILL is waited for.  */
--- a/tests/runner/script.c
+++ b/tests/runner/script.c
@@ -127,20 +127,24 @@
 static const struct verb *
 find_verb (const char *name)
 {
-  for (const struct verb *v = cluster_verbs; v->name != NULL; v++)
-    if (strcmp (v->name, name) == 0)
-      return v;
-  for (const struct verb *v = call_verbs; v->name != NULL; v++)
-    if (strcmp (v->name, name) == 0)
-      return v;
+  static const struct verb *const lists[]
+      = { cluster_verbs, call_verbs, measure_verbs };
+
+  for (size_t i = 0; i < sizeof lists / sizeof lists[0]; i++)
+    for (const struct verb *v = lists[i]; v->name != NULL; v++)
+      if (strcmp (v->name, name) == 0)
+        return v;
   return NULL;
 }
 
-static void
-run_line (struct scenario *s, const struct line *l)
+void
+scenario_run_line (struct scenario *s, struct line *l)
 {
-  const struct verb *v = find_verb (l->words[0]);
+  const struct verb *v;
 
+  if (!parse (l))
+    return;
+  v = find_verb (l->words[0]);
   if (v == NULL || l->word_count - 1 < v->operands)
     scenario_fault (s, l, "%s: unknown verb, or operands are missing",
                     l->words[0]);
@@ -166,8 +170,7 @@
       if (s->echo)
         printf ("> %s", l.text);
       fflush (stdout);
-      if (parse (&l))
-        run_line (s, &l);
+      scenario_run_line (s, &l);
     }
   fclose (f);
   return s->faults + checker_run (&s->cluster, &s->calls);
--- a/tests/runner/script.h
+++ b/tests/runner/script.h
@@ -67,6 +67,10 @@
 /* The verbs, by file, each list ended by an entry without a name.  */
 extern const struct verb cluster_verbs[];
 extern const struct verb call_verbs[];
+extern const struct verb measure_verbs[];
+
+/* Parses the text of L and runs it.  */
+void scenario_run_line (struct scenario *s, struct line *l);
 
 /* Asks VM for PATH and waits for the answer, which the calls own; NULL where
    there is none.  */
--- a/tests/runner/verbs_calls.c
+++ b/tests/runner/verbs_calls.c
@@ -77,16 +77,26 @@
   return tasks;
 }
 
-static json_t *
-submission_json (const struct line *l, const char *key, bool single)
+static void
+set_key (json_t *o, const char *key)
 {
-  json_t *o = json_object ();
-  json_t *tasks = tasks_json (l);
-
   json_object_set_new (o, "key", json_string (key));
   if (strchr (key, '.') == NULL)
     json_object_set_new (o, "submitted_at_ms",
                          json_integer ((json_int_t)now_wall_ms ()));
+}
+
+static json_t *
+submission_json (const struct line *l, const char *key, bool single)
+{
+  const char *file = line_option (l, "file", NULL);
+  json_t *o = file == NULL ? json_object () : json_load_file (file, 0, NULL);
+  json_t *tasks;
+
+  set_key (o, key);
+  if (file != NULL)
+    return o;
+  tasks = tasks_json (l);
   json_object_set_new (o, "deadline_ms",
                        json_integer (line_number (l, "deadline_ms", 10000)));
   json_object_set_new (
--- a/tests/runner/verbs_cluster.c
+++ b/tests/runner/verbs_cluster.c
@@ -167,6 +167,27 @@
     printf ("  stopped after %" PRId64 " ms\n", now_ms () - begun);
 }
 
+static bool
+all_entries_ended (struct scenario *s, const void *arg)
+{
+  bool ended = true;
+  int status;
+
+  (void)arg;
+  for (uint32_t i = 0; i < s->cluster.vm_count; i++)
+    if (!s->cluster.vms[i].keeper)
+      ended = cluster_reap (&s->cluster.vms[i].pid, &status) && ended;
+  return ended;
+}
+
+/* ended all: waits until every entry that was told to stop has ended.  */
+static void
+do_ended (struct scenario *s, const struct line *l)
+{
+  if (!scenario_wait (s, STOP_MS, all_entries_ended, NULL))
+    scenario_fault (s, l, "some entry has not stopped");
+}
+
 static void
 do_wipe (struct scenario *s, const struct line *l)
 {
@@ -260,10 +281,15 @@
 static json_t *
 document (const struct line *l)
 {
+  const char *file = line_option (l, "file", NULL);
+
+  if (file != NULL)
+    return json_load_file (file, 0, NULL);
   return json_pack (
       "{s:[s] s:[o o o] s:[o o o o] s:{s:i} s:{s:i s:i s:i}}", "environments",
       line_option (l, "environment", "production"), "teams",
-      team_json ("shop", 100000), team_json ("club", 100000),
+      team_json ("shop", line_number (l, "team_tasks_per_s", 100000)),
+      team_json ("club", line_number (l, "team_tasks_per_s", 100000)),
       team_json ("small", line_number (l, "small_tasks_per_s", 100)), "kinds",
       kind_json ("check", 50), kind_json ("hold", 60),
       kind_json ("confirm", 80), kind_json ("slow", 2000), "limits",
@@ -448,12 +474,21 @@
 }
 
 const struct verb cluster_verbs[] = {
-  { "cluster", 1, do_cluster }, { "targets", 1, do_targets },
-  { "start", 1, do_start },     { "kill", 1, do_kill },
-  { "freeze", 1, do_freeze },   { "thaw", 1, do_thaw },
-  { "stop", 1, do_stop },       { "wipe", 1, do_wipe },
-  { "cut", 2, do_cut },         { "heal", 0, do_heal },
-  { "pause", 1, do_pause },     { "accept", 2, do_accept },
-  { "await", 4, do_await },     { "ready", 0, do_ready },
-  { "say", 1, do_say },         { NULL, 0, NULL },
+  { "cluster", 1, do_cluster },
+  { "targets", 1, do_targets },
+  { "start", 1, do_start },
+  { "kill", 1, do_kill },
+  { "freeze", 1, do_freeze },
+  { "thaw", 1, do_thaw },
+  { "stop", 1, do_stop },
+  { "wipe", 1, do_wipe },
+  { "cut", 2, do_cut },
+  { "heal", 0, do_heal },
+  { "pause", 1, do_pause },
+  { "accept", 2, do_accept },
+  { "await", 4, do_await },
+  { "ready", 0, do_ready },
+  { "say", 1, do_say },
+  { "ended", 1, do_ended },
+  { NULL, 0, NULL },
 };
