--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,12 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) all
 	@$(BUILD)/scenario --echo examples/demo.scn
 
+SEED ?= 1
+MINUTES ?= 1
+
+soak: all
+	@sh tests/soak.sh $(BUILD) $(SEED) $(MINUTES)
+
 lint:
 	@sh tools/lint.sh
 
@@ -89,4 +95,4 @@
 	@echo "capacity  measure the slopes of docs/CAPACITY.md again"
 	@echo "lint      formatter and linter"
 
-.PHONY: all setup check check-programs demo lint format clean help
+.PHONY: all soak setup check check-programs demo lint format clean help
--- a/bench/bare_relay.c
+++ b/bench/bare_relay.c
@@ -98,7 +98,7 @@
   evhttp_add_header (evhttp_request_get_output_headers (out), "Host", "x");
   copy_header (request, out, "Ragwort-Task");
   copy_header (request, out, "Ragwort-Kind");
-  copy_header (request, out, "Ragwort-Incarnation");
+  copy_header (request, out, "Ragwort-Start");
   evbuffer_add_buffer (evhttp_request_get_output_buffer (out),
                        request->buffer_in);
   evhttp_make_request (o->connection, out, EVHTTP_REQ_POST,
--- a/src/base/event_ring.c
+++ b/src/base/event_ring.c
@@ -12,7 +12,9 @@
   RING_EVENTS = 8192,
   KEY_BYTES = 96,
   DETAIL_BYTES = 112,
-  CLOCK_COUNTER_BITS = 16
+  CLOCK_COUNTER_BITS = 16,
+  NUMBER_LIMIT = 1000,
+  NO_TASK = -1
 };
 
 struct ring_event
@@ -20,6 +22,8 @@
   int64_t wall_ms;
   uint64_t clock;
   const struct event_info *info;
+  int32_t task; /* NO_TASK, or DETAIL is a place and WORD says how */
+  const char *word;
   char key[KEY_BYTES];
   char detail[DETAIL_BYTES];
 };
@@ -30,15 +34,24 @@
     = { EVENT_TABLE (EVENT_ROW){ 0, EVENT_DEBUG, NULL, NULL, NULL } };
 #undef EVENT_ROW
 
+static const struct event_info *info_of[NUMBER_LIMIT];
 static struct ring_event *ring;
 static uint64_t ring_next;
 static uint64_t hybrid_clock;
 static enum event_level log_minimum;
 static char ring_vm[40];
 
+static void
+index_catalogue (void)
+{
+  for (const struct event_info *i = event_catalogue; i->number != 0; i++)
+    info_of[i->number] = i;
+}
+
 void
 event_ring_init (const char *vm, enum event_level minimum)
 {
+  index_catalogue ();
   ring = calloc (RING_EVENTS, sizeof *ring);
   ring_next = 0;
   log_minimum = minimum;
@@ -52,16 +65,6 @@
   ring = NULL;
 }
 
-static const struct event_info *
-event_info_find (enum event_number number)
-{
-  const struct event_info *i = event_catalogue;
-
-  while (i->number != 0 && i->number != (int)number)
-    i++;
-  return i;
-}
-
 uint64_t
 event_ring_clock (void)
 {
@@ -78,6 +81,49 @@
     hybrid_clock = remote;
 }
 
+/* Copies TEXT, cut to SIZE bytes.  */
+static void
+copy_cut (char *to, const char *text, size_t size)
+{
+  size_t n = strnlen (text, size - 1);
+
+  memcpy (to, text, n);
+  to[n] = '\0';
+}
+
+static struct ring_event *
+next_event (enum event_number number, const char *key)
+{
+  struct ring_event *e = &ring[ring_next++ % RING_EVENTS];
+
+  e->clock = event_ring_clock ();
+  e->wall_ms = (int64_t)(e->clock >> CLOCK_COUNTER_BITS);
+  e->info = info_of[number];
+  e->task = NO_TASK;
+  copy_cut (e->key, key, sizeof e->key);
+  return e;
+}
+
+/* The detail of E as text, in BUFFER where it has to be made.  */
+static const char *
+detail_text (const struct ring_event *e, char *buffer, size_t size)
+{
+  if (e->task == NO_TASK)
+    return e->detail;
+  snprintf (buffer, size, "task=%d %s at %s", e->task, e->word, e->detail);
+  return buffer;
+}
+
+static void
+log_if_wanted (const struct ring_event *e)
+{
+  char buffer[2 * DETAIL_BYTES];
+
+  if (e->info->level >= log_minimum)
+    log_event (e->info, ring_vm, e->key,
+               detail_text (e, buffer, sizeof buffer));
+}
+
 void
 event_ring_add (enum event_number number, const char *key, const char *format,
                 ...)
@@ -87,26 +133,38 @@
 
   if (ring == NULL)
     return;
-  e = &ring[ring_next++ % RING_EVENTS];
-  e->wall_ms = now_wall_ms ();
-  e->clock = event_ring_clock ();
-  e->info = event_info_find (number);
-  snprintf (e->key, sizeof e->key, "%s", key);
+  e = next_event (number, key);
   va_start (args, format);
   vsnprintf (e->detail, sizeof e->detail, format, args);
   va_end (args);
-  if (e->info->level >= log_minimum)
-    log_event (e->info, ring_vm, e->key, e->detail);
+  log_if_wanted (e);
+}
+
+void
+event_ring_add_task (enum event_number number, const char *key, uint32_t index,
+                     const char *word, const char *place)
+{
+  struct ring_event *e;
+
+  if (ring == NULL)
+    return;
+  e = next_event (number, key);
+  e->task = (int32_t)index;
+  e->word = word;
+  copy_cut (e->detail, place, sizeof e->detail);
+  log_if_wanted (e);
 }
 
 static json_t *
 event_json (const struct ring_event *e)
 {
+  char buffer[2 * DETAIL_BYTES];
+
   return json_pack ("{s:I s:I s:s s:i s:s s:s s:s s:s}", "wall_ms",
                     (json_int_t)e->wall_ms, "clock", (json_int_t)e->clock,
                     "vm", ring_vm, "number", e->info->number, "event",
                     e->info->name, "text", e->info->text, "key", e->key,
-                    "detail", e->detail);
+                    "detail", detail_text (e, buffer, sizeof buffer));
 }
 
 json_t *
--- a/src/base/event_ring.h
+++ b/src/base/event_ring.h
@@ -48,6 +48,12 @@
                      const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
 
+/* Records event NUMBER about task INDEX of the submission KEY: WORD says how
+   and PLACE where.  Nothing is formatted until the event is read or logged,
+   as there are two of these for every task.  */
+void event_ring_add_task (enum event_number number, const char *key,
+                          uint32_t index, const char *word, const char *place);
+
 /* The hybrid clock's present value, advanced; sent with peer messages.  */
 uint64_t event_ring_clock (void);
 
--- a/src/controller/dispatch_controller.c
+++ b/src/controller/dispatch_controller.c
@@ -158,31 +158,33 @@
     }
 }
 
-/* Takes in the end of task INDEX of S.  Results that come after the answer
-   change nothing.  */
+/* Takes in the end of task INDEX of S, and owns RESULT.  Results that come
+   after the answer change nothing.  */
 static void
 end_task (struct entry *n, struct submission *s, uint32_t index,
-          struct outcome outcome, struct slice result)
+          struct outcome outcome, char *result)
 {
   struct submission_task *t = &s->tasks[index];
 
   s->running--;
   count_outcome (outcome);
-  event_ring_add (EVENT_TASK_ENDED, s->id, "task=%u %s at %s", index,
-                  outcome_word (outcome), t->place);
+  event_ring_add_task (EVENT_TASK_ENDED, s->id, index, outcome_word (outcome),
+                       t->place);
   if (s->state != SUBMISSION_OPEN)
-    return;
+    {
+      free (result);
+      return;
+    }
   t->outcome = outcome;
   if (may_try_again (n, s, outcome))
     {
       counters_add (COUNTER_TASK_RETRIES, 1);
-      event_ring_add (EVENT_TASK_RETRIED, s->id, "task=%u %s", index,
-                      not_run_proof_word (outcome.proof));
+      event_ring_add_task (EVENT_TASK_RETRIED, s->id, index,
+                           not_run_proof_word (outcome.proof), t->place);
       team_table_return (&n->teams, s, index);
       return;
     }
-  if (outcome.kind == OUTCOME_DONE)
-    t->result = strndup (result.data, result.length);
+  t->result = result;
   s->finished++;
   if (outcome.kind != OUTCOME_DONE && s->finished < s->task_count)
     job_doom (n, s, "task_failed");
@@ -191,7 +193,7 @@
 }
 
 static void
-on_local_done (void *arg, struct outcome outcome, const char *result,
+on_local_done (void *arg, struct outcome outcome, char *result,
                int64_t elapsed_us)
 {
   struct own_run *r = arg;
@@ -199,8 +201,7 @@
 
   release_target (n, r->target, r->submission->tasks[r->index].kind, outcome,
                   elapsed_us);
-  end_task (n, r->submission, r->index, outcome,
-            slice_of (result == NULL ? "" : result));
+  end_task (n, r->submission, r->index, outcome, result);
   target_check_gone (n, r->target);
   submission_release (r->submission);
   free (r);
@@ -239,7 +240,9 @@
   if (outcome.kind == OUTCOME_NOT_RUN)
     counters_add (COUNTER_TASKS_PASSED_BACK, 1);
   end_task (n, r->submission, r->index, outcome,
-            call == CALL_REPLIED ? reply->body : slice_of (""));
+            outcome.kind == OUTCOME_DONE
+                ? strndup (reply->body.data, reply->body.length)
+                : NULL);
   submission_release (r->submission);
   free (r);
   dispatch_run (n);
@@ -272,8 +275,8 @@
   task_id (id, s, r->index);
   snprintf (t->place, sizeof t->place, "%s", r->target->id);
   counters_add (COUNTER_TASK_STARTS, 1);
-  event_ring_add (EVENT_TASK_STARTED, s->id, "task=%u at %s", r->index,
-                  t->place);
+  event_ring_add_task (EVENT_TASK_STARTED, s->id, r->index, "started",
+                       t->place);
   target_client_start (r->target->client, &start, on_local_done, r);
 }
 
@@ -292,8 +295,7 @@
                                          slice_of (t->payload), timeout_ms };
   r->peer->free_slots--;
   counters_add (COUNTER_TASKS_PASSED, 1);
-  event_ring_add (EVENT_TASK_PASSED, s->id, "task=%u to %s", r->index,
-                  t->place);
+  event_ring_add_task (EVENT_TASK_PASSED, s->id, r->index, "passed", t->place);
   peer_network_call (n->network, r->peer->vm->name, &m,
                      timeout_ms + PASS_MARGIN_MS, on_passed_done, r);
 }
@@ -415,7 +417,7 @@
 }
 
 static void
-on_remote_done (void *arg, struct outcome outcome, const char *result,
+on_remote_done (void *arg, struct outcome outcome, char *result,
                 int64_t elapsed_us)
 {
   struct remote_run *r = arg;
@@ -426,6 +428,7 @@
   target_check_gone (n, r->target);
   dispatch_run (n);
   reply_task (n, r->from, r->call_id, reply_status_of (outcome), result);
+  free (result);
   peer_conn_release (r->from);
   free (r);
 }
--- a/src/controller/entry.h
+++ b/src/controller/entry.h
@@ -51,6 +51,8 @@
   struct remote_run *remote_runs;
   bool dispatching;
   uint64_t next_key;
+  int64_t
+      slots_known_ms; /* when any slot, here or elsewhere, was last known */
 
   /* stop */
   enum leaving_phase leaving;
--- a/src/controller/job_controller.c
+++ b/src/controller/job_controller.c
@@ -258,8 +258,7 @@
 {
   struct entry *n = arg;
   int64_t left_ms = s->deadline_wall_ms - now_wall_ms ();
-  bool known
-      = s->body != NULL && submission_set_body (s, s->body, strlen (s->body));
+  bool known = submission_parse_body (s);
 
   event_ring_add (EVENT_JOB_TAKEN_OVER, s->id, "may_start=%u of %u",
                   s->may_start, s->task_count);
--- a/src/controller/keeper.c
+++ b/src/controller/keeper.c
@@ -213,6 +213,17 @@
   free (text);
 }
 
+static void
+reply_text (struct peer_conn *to, uint64_t id, int status, const char *text)
+{
+  struct peer_message m = { .type = PEER_REPLY };
+
+  m.u.reply.id = id;
+  m.u.reply.status = (uint64_t)status;
+  m.u.reply.body = slice_of (text);
+  peer_conn_send (to, &m);
+}
+
 static void
 answer_proposal (struct keeper *k, uint64_t index,
                  const struct control_result *r)
@@ -276,12 +287,16 @@
   control_state_load (&k->state, data, length);
 }
 
+/* A leader no more: what was proposed may or may not be committed.  The entry
+   asks the next leader under the same request id.  */
 static void
-forget_proposals (struct keeper *k)
+hand_back_proposals (struct keeper *k)
 {
   for (uint32_t i = 0; i < PROPOSAL_LIMIT; i++)
     if (k->proposals[i].index != 0)
       {
+        reply_text (k->proposals[i].from, k->proposals[i].call_id,
+                    STATUS_MISDIRECTED, "{}");
         peer_conn_release (k->proposals[i].from);
         k->proposals[i].index = 0;
       }
@@ -303,7 +318,7 @@
     }
   event_ring_add (EVENT_LEADER_STEPPED_DOWN, k->settings->vm, "term=%" PRIu64,
                   k->log.term);
-  forget_proposals (k);
+  hand_back_proposals (k);
 }
 
 static const struct replicated_log_output log_output
@@ -354,17 +369,6 @@
   free (text);
 }
 
-static void
-reply_text (struct peer_conn *to, uint64_t id, int status, const char *text)
-{
-  struct peer_message m = { .type = PEER_REPLY };
-
-  m.u.reply.id = id;
-  m.u.reply.status = (uint64_t)status;
-  m.u.reply.body = slice_of (text);
-  peer_conn_send (to, &m);
-}
-
 /* Who has the configuration in force, who has not yet, and who is not heard
    and so runs by its cut-off rules.  */
 static json_t *
@@ -703,7 +707,7 @@
 {
   if (k->tick != NULL)
     event_free (k->tick);
-  forget_proposals (k);
+  hand_back_proposals (k);
   for (uint32_t i = 0; i < k->groups.count; i++)
     if (k->entries[i] != NULL)
       peer_conn_release (k->entries[i]);
--- a/src/controller/target_controller.c
+++ b/src/controller/target_controller.c
@@ -196,6 +196,8 @@
     }
   counters_add (COUNTER_TARGET_ANNOUNCES, 1);
   g = target_table_announce (&n->targets, now_ms (), &a, &joined);
+  if (g->handing_over)
+    g->leaving = g->handing_over = false; /* it is this entry's again */
   if (g->client == NULL)
     g->client = target_client_new (n->base, a.address, a.port, a.connections);
   if (joined)
@@ -244,21 +246,35 @@
 void
 target_check_gone (struct entry *n, struct target *g)
 {
-  if (g->in_use != 0)
+  if (g->in_use != 0 || (g->handing_over && g->lease_until_ms > now_ms ()))
     return;
   if (g->leaving || g->lease_until_ms + g->said.lease_ms < now_ms ())
     drop (n, g);
 }
 
+struct hand_over
+{
+  struct entry *entry;
+  char id[TARGET_ID_BYTES];
+};
+
 static void
 on_handed_over (void *arg, int status, const char *json)
 {
-  (void)arg;
-  (void)status;
+  struct hand_over *h = arg;
+  struct target *g = target_table_find (&h->entry->targets, h->id);
+
   (void)json;
+  if (g != NULL && status == 200)
+    {
+      g->handing_over = false;
+      target_check_gone (h->entry, g);
+    }
+  free (h);
 }
 
-/* Tells the new owner of G at once, rather than at G's next renewal.  */
+/* Tells the new owner of G at once, and again at each tick until it has taken
+   it, rather than at G's next renewal.  */
 static void
 hand_over (struct entry *n, struct target *g, const char *vm)
 {
@@ -270,9 +286,13 @@
                          (int)(g->in_use + g->reserved), "lease_ms",
                          (json_int_t)g->said.lease_ms);
   char *body = json_dumps (o, JSON_COMPACT);
+  struct hand_over *h = malloc (sizeof *h);
 
+  h->entry = n;
+  memcpy (h->id, g->id, sizeof h->id);
   g->leaving = true;
-  forward (n, vm, METHOD_ANNOUNCE, body, strlen (body), on_handed_over, NULL);
+  g->handing_over = true;
+  forward (n, vm, METHOD_ANNOUNCE, body, strlen (body), on_handed_over, h);
   free (body);
   json_decref (o);
 }
@@ -287,7 +307,8 @@
   {
     const struct group_member *owner = owner_of (n, g->said.domain, g->id);
 
-    if (!g->leaving && owner != NULL && !is_self (n, owner))
+    if ((!g->leaving || g->handing_over) && owner != NULL
+        && !is_self (n, owner))
       hand_over (n, g, owner->vm);
     if (!g->leaving && g->lease_until_ms <= now
         && g->lease_until_ms > now - 1000 && g->in_use == 0)
--- a/src/coord/replicated_log.c
+++ b/src/coord/replicated_log.c
@@ -540,7 +540,7 @@
   msgpack_unpacked term;
   msgpack_unpacked data;
   size_t offset = 0;
-  bool good = true;
+  bool good = peer_message_is_flat (entries.data, entries.length, 0);
 
   msgpack_unpacked_init (&term);
   msgpack_unpacked_init (&data);
--- a/src/coord/submission.c
+++ b/src/coord/submission.c
@@ -57,14 +57,17 @@
   free (s);
 }
 
+char *
+submission_canonical_text (const json_t *value)
+{
+  return json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+}
+
 struct submission_digest
-submission_digest_of (const json_t *value)
+submission_digest_of (const char *canonical_text)
 {
-  char *text
-      = json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
-  XXH128_hash_t h = XXH3_128bits (text, strlen (text));
+  XXH128_hash_t h = XXH3_128bits (canonical_text, strlen (canonical_text));
 
-  free (text);
   return (struct submission_digest){ h.high64, h.low64 };
 }
 
@@ -80,32 +83,41 @@
   t->outcome = outcome_not_run (PROOF_STILL_QUEUED);
 }
 
-bool
-submission_set_body (struct submission *s, const char *text, size_t length)
+static void
+read_tasks (struct submission *s, const json_t *value)
 {
-  json_t *root = json_loadb (text, length, 0, NULL);
-  json_t *tasks = json_object_get (root, "tasks");
+  const json_t *tasks = json_object_get (value, "tasks");
   uint32_t count = (uint32_t)json_array_size (tasks);
-  char *body;
 
-  if (count == 0 || count > TASKS_PER_JOB_LIMIT)
-    {
-      json_decref (root);
-      return false;
-    }
   free_tasks (s);
-  body = strndup (text, length); /* TEXT may be the old body */
-  free (s->body);
-  s->body = body;
-  s->single = json_object_get (root, "idempotent") != NULL;
-  s->idempotent = json_get_boolean (root, "idempotent", false);
+  s->single = json_object_get (value, "idempotent") != NULL;
+  s->idempotent = json_get_boolean (value, "idempotent", false);
   s->tasks = calloc (count, sizeof *s->tasks);
   s->returned = calloc (count, sizeof *s->returned);
   s->task_count = count;
   for (uint32_t i = 0; i < count; i++)
     read_task (&s->tasks[i], json_array_get (tasks, i));
-  json_decref (root);
-  return true;
+}
+
+void
+submission_set_tasks (struct submission *s, const json_t *value, char *text)
+{
+  read_tasks (s, value);
+  free (s->body);
+  s->body = text;
+}
+
+bool
+submission_parse_body (struct submission *s)
+{
+  json_t *value = s->body == NULL ? NULL : json_loads (s->body, 0, NULL);
+  size_t count = json_array_size (json_object_get (value, "tasks"));
+  bool good = count != 0 && count <= TASKS_PER_JOB_LIMIT;
+
+  if (good)
+    read_tasks (s, value);
+  json_decref (value);
+  return good;
 }
 
 const char *
--- a/src/coord/submission.h
+++ b/src/coord/submission.h
@@ -66,7 +66,7 @@
   /* state that the group's members share */
   enum submission_state state;
   uint32_t may_start; /* tasks below this index may have started */
-  char *body;         /* canonical JSON of the tasks, while open */
+  char *body;         /* canonical text of the tasks, while open */
   char *answer;       /* once ended */
 
   int64_t deadline_wall_ms;
@@ -104,13 +104,19 @@
 struct submission *submission_hold (struct submission *s);
 void submission_release (struct submission *s);
 
-/* The digest of a JSON value, equal for any order of members and blanks.  */
-struct submission_digest submission_digest_of (const json_t *value);
+/* The canonical text of VALUE, the same for any order of members and blanks;
+   the caller frees it.  */
+char *submission_canonical_text (const json_t *value);
+struct submission_digest submission_digest_of (const char *canonical_text);
 
-/* Sets the body, and the tasks from it.  Returns false if TEXT is not a
-   checked submission.  */
-bool submission_set_body (struct submission *s, const char *text,
-                          size_t length);
+/* Sets the tasks from VALUE, a checked submission, and the body to its
+   canonical TEXT, which S owns from now on.  */
+void submission_set_tasks (struct submission *s, const json_t *value,
+                           char *text);
+
+/* Sets the tasks anew from the body, as another member sent it.  Returns
+   false if it is not a submission.  */
+bool submission_parse_body (struct submission *s);
 
 /* The key part of the id.  */
 const char *submission_key_text (const struct submission *s);
--- a/src/coord/target_table.h
+++ b/src/coord/target_table.h
@@ -37,7 +37,8 @@
 
   /* state */
   int64_t lease_until_ms;
-  bool leaving;
+  bool leaving;      /* gets no new work */
+  bool handing_over; /* on its way to another owner, which has not taken it */
   uint32_t in_use;   /* slots taken by this entry's tasks */
   uint32_t reserved; /* slots taken by tasks of an earlier owner */
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -3,6 +3,7 @@
 #include <argp.h>
 #include <event2/event.h>
 #include <openssl/rand.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,7 +20,9 @@
 enum
 {
   OPTION_CHECK = 'c',
-  OPTION_INIT_STORE = 1000
+  OPTION_INIT_STORE = 1000,
+  MEMORY_KEPT_BYTES = 16 << 20,
+  MEMORY_STEP_BYTES = 1 << 20
 };
 
 enum exit_code
@@ -183,10 +186,34 @@
   return EXIT_GOOD;
 }
 
+/* evhttp turns reading and writing on and off several times a request; with
+   the change list those that cancel out cost no system call.  */
+static struct event_base *
+make_base (void)
+{
+  struct event_config *config = event_config_new ();
+  struct event_base *base;
+
+  event_config_set_flag (config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+  base = event_base_new_with_config (config);
+  event_config_free (config);
+  return base;
+}
+
+/* Keeps freed memory rather than giving it back to the system after every
+   large job.  */
+static void
+tune_memory (void)
+{
+  mallopt (M_TRIM_THRESHOLD, MEMORY_KEPT_BYTES);
+  mallopt (M_MMAP_THRESHOLD, MEMORY_KEPT_BYTES);
+  mallopt (M_TOP_PAD, MEMORY_STEP_BYTES);
+}
+
 static int
 run (const struct settings *s)
 {
-  struct event_base *base = event_base_new ();
+  struct event_base *base = make_base ();
   uint64_t boot_id;
   int status;
 
@@ -194,6 +221,7 @@
   boot_id >>= 1;
   srand ((unsigned int)boot_id);
   signal (SIGPIPE, SIG_IGN);
+  tune_memory ();
   log_init ();
   event_ring_init (s->vm, level_of (s->log_level));
   status = s->role == ROLE_ENTRY ? run_entry (base, s, boot_id)
--- a/src/filter/filter_idempotency.c
+++ b/src/filter/filter_idempotency.c
@@ -83,24 +83,28 @@
   return FILTER_PARKED;
 }
 
-static struct submission_digest
-digest_of (const struct request *r)
+/* The tasks alone, without key and deadline: two submissions with equal tasks
+   are the same one.  */
+static json_t *
+tasks_of (const struct request *r)
 {
-  json_t *o = json_object ();
-  struct submission_digest d;
+  json_t *payload = json_object_get (r->root, "payload");
 
-  if (r->single)
-    {
-      json_object_set (o, "kind", json_object_get (r->root, "kind"));
-      json_object_set (o, "payload", json_object_get (r->root, "payload"));
-      json_object_set (o, "idempotent",
-                       json_object_get (r->root, "idempotent"));
-    }
-  else
-    json_object_set (o, "tasks", json_object_get (r->root, "tasks"));
-  d = submission_digest_of (o);
-  json_decref (o);
-  return d;
+  if (!r->single)
+    return json_pack ("{s:O}", "tasks", json_object_get (r->root, "tasks"));
+  return json_pack ("{s:O s:[{s:O s:O}]}", "idempotent",
+                    json_object_get (r->root, "idempotent"), "tasks", "kind",
+                    json_object_get (r->root, "kind"), "payload",
+                    payload == NULL ? json_null () : payload);
+}
+
+static void
+set_tasks (struct request *r)
+{
+  json_decref (r->tasks);
+  free (r->canonical_text);
+  r->tasks = tasks_of (r);
+  r->canonical_text = submission_canonical_text (r->tasks);
 }
 
 static enum filter_result
@@ -148,14 +152,16 @@
   struct submission *s;
   enum submit_verdict v;
 
+  set_tasks (r);
   if (r->single && r->keyless)
     {
       r->submission = submission_new (r->team, r->key.text);
       r->submission->unregistered = true;
       return FILTER_PASS;
     }
-  v = submission_register_submit (&r->entry->submissions, now_wall_ms (),
-                                  &r->key, r->team, digest_of (r), &s);
+  v = submission_register_submit (
+      &r->entry->submissions, now_wall_ms (), &r->key, r->team,
+      submission_digest_of (r->canonical_text), &s);
   switch (v)
     {
     case SUBMIT_NEW:
--- a/src/filter/filter_limits.c
+++ b/src/filter/filter_limits.c
@@ -127,6 +127,12 @@
                              "%" PRIu64 " tasks are queued here already",
                              ahead);
     }
+  if (slots != 0)
+    n->slots_known_ms = now;
+  /* Right after a start or a change of owners no slot is known for a moment;
+     the submission waits in the queue for it.  */
+  if (slots == 0 && now - n->slots_known_ms <= n->settings->lease_ms)
+    return FILTER_PASS;
   if (slots == 0)
     {
       forget (r);
--- a/src/filter/request.c
+++ b/src/filter/request.c
@@ -49,6 +49,8 @@
   if (--r->references != 0)
     return;
   json_decref (r->root);
+  json_decref (r->tasks);
+  free (r->canonical_text);
   if (r->submission != NULL)
     submission_release (r->submission);
   if (r->call != NULL)
--- a/src/filter/request.h
+++ b/src/filter/request.h
@@ -27,6 +27,8 @@
   /* from the filters */
   char team[NAME_BYTES];
   json_t *root;
+  json_t *tasks;        /* what the record keeps of it */
+  char *canonical_text; /* of the tasks */
   bool keyless;
   struct submission_key key;
   int64_t begun_ms;
--- a/src/net/peer_message.c
+++ b/src/net/peer_message.c
@@ -216,6 +216,90 @@
   return true;
 }
 
+enum
+{
+  HEAD_FIXARRAY = 0x90,
+  HEAD_BIN8 = 0xc4,
+  HEAD_BIN32 = 0xc6,
+  HEAD_UINT8 = 0xcc,
+  HEAD_INT64 = 0xd3,
+  HEAD_ARRAY16 = 0xdc,
+  HEAD_NEGATIVE_FIXINT = 0xe0
+};
+
+static uint32_t
+read_big_endian (const uint8_t *at, size_t bytes)
+{
+  uint32_t n = 0;
+
+  for (size_t i = 0; i < bytes; i++)
+    n = n << 8 | at[i];
+  return n;
+}
+
+/* The whole size of the element at AT, or 0 if it is not an integer or byte
+   string within ROOM.  */
+static size_t
+element_size (const uint8_t *at, size_t room)
+{
+  uint8_t head = at[0];
+  size_t size;
+
+  if (head < 0x80 || head >= HEAD_NEGATIVE_FIXINT)
+    size = 1;
+  else if (head >= HEAD_UINT8 && head <= HEAD_INT64)
+    size = 1 + ((size_t)1 << (head & 3));
+  else if (head >= HEAD_BIN8 && head <= HEAD_BIN32)
+    {
+      size_t bytes = (size_t)1 << (head - HEAD_BIN8);
+
+      if (room < 1 + bytes)
+        return 0;
+      size = 1 + bytes + read_big_endian (at + 1, bytes);
+    }
+  else
+    return 0;
+  return size <= room ? size : 0;
+}
+
+bool
+peer_message_is_flat (const char *data, size_t length, uint32_t array_limit)
+{
+  const uint8_t *at = (const uint8_t *)data;
+  size_t i = 0;
+
+  if (array_limit != 0)
+    {
+      uint32_t count;
+
+      if (length == 0)
+        return false;
+      if ((at[0] & 0xf0) == HEAD_FIXARRAY)
+        {
+          count = at[0] & 0x0f;
+          i = 1;
+        }
+      else if (at[0] == HEAD_ARRAY16 && length >= 3)
+        {
+          count = read_big_endian (at + 1, 2);
+          i = 3;
+        }
+      else
+        return false;
+      if (count > array_limit)
+        return false;
+    }
+  while (i < length)
+    {
+      size_t size = element_size (at + i, length - i);
+
+      if (size == 0)
+        return false;
+      i += size;
+    }
+  return true;
+}
+
 bool
 peer_message_unpack (struct peer_message *m, const char *data, size_t length)
 {
@@ -223,6 +307,8 @@
   size_t offset = 0;
   bool good;
 
+  if (!peer_message_is_flat (data, length, FIELD_LIMIT + 2))
+    return false;
   msgpack_unpacked_init (&result);
   good = msgpack_unpack_next (&result, data, length, &offset)
              == MSGPACK_UNPACK_SUCCESS
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -239,6 +239,13 @@
 bool peer_message_unpack (struct peer_message *m, const char *data,
                           size_t length);
 
+/* Whether DATA is a run of msgpack integers and byte strings that lie whole
+   within LENGTH, after an array head of at most ARRAY_LIMIT elements where
+   ARRAY_LIMIT is not 0.  Checked before unpacking, since msgpack allocates
+   what a head promises before it reads the elements.  */
+bool peer_message_is_flat (const char *data, size_t length,
+                           uint32_t array_limit);
+
 /* Whether messages of TYPE belong to control rather than to tasks.  */
 bool peer_message_is_control (enum peer_message_type type);
 
--- a/src/net/target_client.c
+++ b/src/net/target_client.c
@@ -29,6 +29,7 @@
   struct event_base *base;
   char address[ADDRESS_BYTES];
   uint16_t port;
+  char host[ADDRESS_BYTES + 8];
   uint32_t connections_maximum;
   struct client_connection *idle;
   uint32_t open;
@@ -55,6 +56,7 @@
   c->base = base;
   snprintf (c->address, sizeof c->address, "%s", address);
   c->port = port;
+  snprintf (c->host, sizeof c->host, "%s:%u", address, port);
   c->connections_maximum = connections;
   return c;
 }
@@ -139,8 +141,7 @@
 
 /* Ends Q, whose holder may free the client meanwhile.  */
 static void
-finish_request (struct client_request *q, struct outcome outcome,
-                const char *result)
+finish_request (struct client_request *q, struct outcome outcome, char *result)
 {
   struct target_client *c = q->connection->client;
 
@@ -148,6 +149,8 @@
   c->in_callback++;
   if (q->done != NULL)
     q->done (q->arg, outcome, result, now_us () - q->begun_us);
+  else
+    free (result);
   c->in_callback--;
   free (q);
   check_freed (c);
@@ -202,7 +205,6 @@
   struct outcome outcome = read_outcome (request, &result);
 
   finish_request (q, outcome, result);
-  free (result);
 }
 
 /* evhttp refuses at once, and calls nothing, where the connection cannot even
@@ -224,11 +226,8 @@
   struct timeval t
       = { .tv_sec = timeout_ms / 1000, .tv_usec = timeout_ms % 1000 * 1000 };
   struct timeval at_once = now_timeval (0);
-  char host[ADDRESS_BYTES + 8];
 
-  snprintf (host, sizeof host, "%s:%u", c->address, c->port);
-  evhttp_add_header (headers, "Host", host);
-  evhttp_add_header (headers, "Content-Type", "application/json");
+  evhttp_add_header (headers, "Host", c->host);
   evbuffer_add (evhttp_request_get_output_buffer (request), body,
                 strlen (body));
   evhttp_connection_set_timeout_tv (q->connection->evcon, &t);
@@ -257,15 +256,14 @@
   struct client_request *q = request_new (c, done, arg);
   struct evhttp_request *request = evhttp_request_new (on_response, q);
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
-  char number[24];
+  char start_text[NAME_BYTES + 64];
 
   evhttp_add_header (headers, "Ragwort-Task", s->task);
   evhttp_add_header (headers, "Ragwort-Kind", s->kind);
-  evhttp_add_header (headers, "Ragwort-Owner", s->owner);
-  snprintf (number, sizeof number, "%" PRIu64, s->incarnation);
-  evhttp_add_header (headers, "Ragwort-Incarnation", number);
-  snprintf (number, sizeof number, "%" PRId64, s->timeout_ms);
-  evhttp_add_header (headers, "Ragwort-Timeout-Ms", number);
+  snprintf (start_text, sizeof start_text,
+            "incarnation=%" PRIu64 "; timeout_ms=%" PRId64 "; owner=%s",
+            s->incarnation, s->timeout_ms, s->owner);
+  evhttp_add_header (headers, "Ragwort-Start", start_text);
   send_request (c, "/v1/tasks/start", s->timeout_ms, q, request, s->payload);
 }
 
--- a/src/net/target_client.h
+++ b/src/net/target_client.h
@@ -22,11 +22,11 @@
   int64_t timeout_ms;
 };
 
-/* How a start ended.  RESULT is a checked JSON text for OUTCOME_DONE and
-   NULL otherwise; it is valid during the callback.  ELAPSED_US is the time
+/* How a start ended.  RESULT is a checked JSON text for OUTCOME_DONE, which
+   the callback's function owns, and NULL otherwise.  ELAPSED_US is the time
    from the start until its end.  */
-typedef void (*target_done) (void *arg, struct outcome outcome,
-                             const char *result, int64_t elapsed_us);
+typedef void (*target_done) (void *arg, struct outcome outcome, char *result,
+                             int64_t elapsed_us);
 
 /* A client of the target at ADDRESS and PORT with at most CONNECTIONS.  */
 struct target_client *target_client_new (struct event_base *base,
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -284,8 +284,9 @@
 {
   struct fake_target *g = arg;
   const char *task = header (request, "Ragwort-Task");
-  uint64_t incarnation
-      = strtoull (header (request, "Ragwort-Incarnation"), NULL, 10);
+  const char *start = header (request, "Ragwort-Start");
+  const char *number = strstr (start, "incarnation=");
+  uint64_t incarnation = number == NULL ? 0 : strtoull (number + 12, NULL, 10);
   const char *why = refusal (g, incarnation);
   json_t *payload;
   int64_t run_ms;
--- a/tests/runner/verbs_calls.c
+++ b/tests/runner/verbs_calls.c
@@ -244,6 +244,37 @@
   calls_begin (&s->calls, vm, "DELETE", path, "token-shop", NULL);
 }
 
+/* Whether NAME is WORD, or WORD and a number.  */
+static bool
+is_named (const char *name, const char *word)
+{
+  size_t n = strlen (word);
+
+  return strncmp (name, word, n) == 0
+         && strspn (name + n, "0123456789") == strlen (name + n);
+}
+
+/* cancel_all NAME at VM: all submissions NAME0, NAME1...  */
+static void
+do_cancel_all (struct scenario *s, const struct line *l)
+{
+  struct cluster_vm *vm = cluster_vm (&s->cluster, l->words[3]);
+  int every = line_number (l, "every", 1);
+  int i = 0;
+
+  for (const struct call *c = s->calls.first; vm != NULL && c != NULL;
+       c = c->next)
+    {
+      char path[256];
+
+      if (!c->submission || !is_named (c->name, l->words[1])
+          || i++ % every != 0)
+        continue;
+      snprintf (path, sizeof path, "/v1/jobs/%s", c->key);
+      calls_begin (&s->calls, vm, "DELETE", path, "token-shop", NULL);
+    }
+}
+
 /* post NAME at VM PATH BODY...: a call with any body, to try bad input.  */
 static void
 do_post (struct scenario *s, const struct line *l)
@@ -351,16 +382,6 @@
                     l->words[2]);
 }
 
-/* Whether NAME is WORD, or WORD and a number.  */
-static bool
-is_named (const char *name, const char *word)
-{
-  size_t n = strlen (word);
-
-  return strncmp (name, word, n) == 0
-         && strspn (name + n, "0123456789") == strlen (name + n);
-}
-
 /* count NAME STATE RANGE: of all calls whose name begins with NAME.  */
 static void
 do_count (struct scenario *s, const struct line *l)
@@ -393,10 +414,17 @@
 }
 
 const struct verb call_verbs[] = {
-  { "submit", 3, do_submit },   { "request", 3, do_request },
-  { "flood", 3, do_flood },     { "resubmit", 3, do_resubmit },
-  { "cancel", 3, do_cancel },   { "post", 4, do_post },
-  { "answers", 0, do_answers }, { "expect", 2, do_expect },
-  { "starts", 2, do_starts },   { "count", 3, do_count },
-  { "show", 1, do_show },       { NULL, 0, NULL },
+  { "submit", 3, do_submit },
+  { "request", 3, do_request },
+  { "flood", 3, do_flood },
+  { "resubmit", 3, do_resubmit },
+  { "cancel", 3, do_cancel },
+  { "post", 4, do_post },
+  { "answers", 0, do_answers },
+  { "expect", 2, do_expect },
+  { "starts", 2, do_starts },
+  { "count", 3, do_count },
+  { "show", 1, do_show },
+  { "cancel_all", 3, do_cancel_all },
+  { NULL, 0, NULL },
 };
--- a/tests/runner/verbs_cluster.c
+++ b/tests/runner/verbs_cluster.c
@@ -167,6 +167,16 @@
     printf ("  stopped after %" PRId64 " ms\n", now_ms () - begun);
 }
 
+/* refused VM: waits until VM, which was started, has ended by itself.  */
+static void
+do_refused (struct scenario *s, const struct line *l)
+{
+  struct cluster_vm *vm = need_vm (s, l, 1);
+
+  if (vm != NULL && !scenario_wait (s, STOP_MS, has_ended, &vm->pid))
+    scenario_fault (s, l, "%s runs", l->words[1]);
+}
+
 static bool
 all_entries_ended (struct scenario *s, const void *arg)
 {
@@ -300,17 +310,20 @@
 }
 
 /* accept at VM [expect=N] [request=ID] [as=NAME]: begins an operator's call,
-   named NAME, without waiting.  */
+   named NAME, once the VM answers at all, without waiting for its end.  */
 static void
 do_accept (struct scenario *s, const struct line *l)
 {
   struct cluster_vm *vm = need_vm (s, l, 2);
+  int64_t until = now_ms () + READY_MS;
   struct call *c;
   json_t *o;
   char *text;
 
   if (vm == NULL)
     return;
+  while (scenario_ask (s, vm, "/v1/counters") == NULL && now_ms () < until)
+    scenario_wait (s, 20, NULL, NULL);
   o = json_pack ("{s:s s:s s:i s:o}", "request_id",
                  line_option (l, "request", "first"), "operator",
                  line_option (l, "operator", "anna"), "expect",
@@ -474,21 +487,13 @@
 }
 
 const struct verb cluster_verbs[] = {
-  { "cluster", 1, do_cluster },
-  { "targets", 1, do_targets },
-  { "start", 1, do_start },
-  { "kill", 1, do_kill },
-  { "freeze", 1, do_freeze },
-  { "thaw", 1, do_thaw },
-  { "stop", 1, do_stop },
-  { "wipe", 1, do_wipe },
-  { "cut", 2, do_cut },
-  { "heal", 0, do_heal },
-  { "pause", 1, do_pause },
-  { "accept", 2, do_accept },
-  { "await", 4, do_await },
-  { "ready", 0, do_ready },
-  { "say", 1, do_say },
-  { "ended", 1, do_ended },
-  { NULL, 0, NULL },
+  { "cluster", 1, do_cluster }, { "targets", 1, do_targets },
+  { "start", 1, do_start },     { "kill", 1, do_kill },
+  { "freeze", 1, do_freeze },   { "thaw", 1, do_thaw },
+  { "stop", 1, do_stop },       { "wipe", 1, do_wipe },
+  { "cut", 2, do_cut },         { "heal", 0, do_heal },
+  { "pause", 1, do_pause },     { "accept", 2, do_accept },
+  { "await", 4, do_await },     { "ready", 0, do_ready },
+  { "say", 1, do_say },         { "ended", 1, do_ended },
+  { "refused", 1, do_refused }, { NULL, 0, NULL },
 };
--- a/tests/unit/test_coord.c
+++ b/tests/unit/test_coord.c
@@ -1,5 +1,6 @@
 /* Targets, teams, retries, keys and answers.  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include "coord/retry_budget.h"
 #include "coord/run_time.h"
@@ -121,7 +122,8 @@
   for (int i = 0; i < tasks; i++)
     strcat (text, i == 0 ? "{\"kind\":\"a\"}" : ",{\"kind\":\"a\"}");
   strcat (text, "]}");
-  CU_ASSERT_TRUE (submission_set_body (s, text, strlen (text)));
+  s->body = strdup (text);
+  CU_ASSERT_TRUE (submission_parse_body (s));
   return s;
 }
 
@@ -256,19 +258,25 @@
   submission_release (s);
 }
 
+static struct submission_digest
+digest_of (const char *text)
+{
+  json_t *o = json_loads (text, 0, NULL);
+  char *canonical = submission_canonical_text (o);
+  struct submission_digest d = submission_digest_of (canonical);
+
+  free (canonical);
+  json_decref (o);
+  return d;
+}
+
 static void
 test_digest (void)
 {
-  json_t *a = json_loads ("{\"b\": 1, \"a\": [1, 2]}", 0, NULL);
-  json_t *b = json_loads ("{\"a\":[1,2],\"b\":1}", 0, NULL);
-  json_t *c = json_loads ("{\"a\":[2,1],\"b\":1}", 0, NULL);
-
-  CU_ASSERT_EQUAL (submission_digest_of (a).low, submission_digest_of (b).low);
-  CU_ASSERT_NOT_EQUAL (submission_digest_of (a).low,
-                       submission_digest_of (c).low);
-  json_decref (a);
-  json_decref (b);
-  json_decref (c);
+  CU_ASSERT_EQUAL (digest_of ("{\"b\": 1, \"a\": [1, 2]}").low,
+                   digest_of ("{\"a\":[1,2],\"b\":1}").low);
+  CU_ASSERT_NOT_EQUAL (digest_of ("{\"b\": 1, \"a\": [1, 2]}").low,
+                       digest_of ("{\"a\":[2,1],\"b\":1}").low);
 }
 
 void
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -37,6 +37,22 @@
   msgpack_sbuffer_destroy (&b);
 }
 
+/* A head that promises more than there is must not have memory taken for it:
+   msgpack alone tries to, before it reads the elements.  */
+static void
+test_promises (void)
+{
+  static const char huge_array[] = "\xdd\x7f\xff\xff\xff\x01\x02";
+  static const char nested[] = "\x92\x01\xdd\x7f\xff\xff\xff";
+  static const char huge_bin[] = "\x92\x01\xc6\x7f\xff\xff\xff";
+  struct peer_message m;
+
+  CU_ASSERT_FALSE (
+      peer_message_unpack (&m, huge_array, sizeof huge_array - 1));
+  CU_ASSERT_FALSE (peer_message_unpack (&m, nested, sizeof nested - 1));
+  CU_ASSERT_FALSE (peer_message_unpack (&m, huge_bin, sizeof huge_bin - 1));
+}
+
 /* Cut short or with flipped bits, a message is refused or whole, and reading
    it touches nothing outside of it (run under AddressSanitizer).  */
 static void
@@ -105,6 +121,7 @@
   CU_pSuite s = CU_add_suite ("net", NULL, NULL);
 
   CU_add_test (s, "a message survives its packing", test_round_trip);
+  CU_add_test (s, "a head's promise takes no memory", test_promises);
   CU_add_test (s, "malformed messages are refused", test_malformed);
   CU_add_test (s, "seals refuse replays and changes", test_seal);
 }
