--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -52,6 +52,7 @@
   const char *token;
   const char *record;
   enum fault_mode mode;
+  bool stubborn; /* takes work even while leaving */
   char entries[ENTRY_LIMIT][64];
   int entry_count;
 };
@@ -106,6 +107,7 @@
   { "token", 'k', "TOKEN", 0, "The targets' token", 0 },
   { "record", 'f', "FILE", 0, "Append every start to FILE", 0 },
   { "mode", 'm', "MODE", 0, "ok, fail, drop or busy", 0 },
+  { "stubborn", 'S', "0|1", 0, "Take work even while leaving", 0 },
   { "entry", 'e', "IP:PORT", 0, "An entry to announce to; repeat", 0 },
   { NULL, 0, NULL, 0, NULL, 0 },
 };
@@ -163,6 +165,9 @@
     case 'f':
       o->record = arg;
       break;
+    case 'S':
+      o->stubborn = atoi (arg) != 0;
+      break;
     case 'm':
       o->mode = mode_of (arg);
       break;
@@ -255,7 +260,7 @@
 static const char *
 refusal (struct fake_target *g, uint64_t incarnation)
 {
-  if (g->leaving)
+  if (g->leaving && !options_given.stubborn)
     return "leaving";
   if (incarnation < g->incarnation)
     return "an entry of a later incarnation owns this target";
--- a/tests/runner/verbs_calls.c
+++ b/tests/runner/verbs_calls.c
@@ -206,7 +206,8 @@
     }
 }
 
-/* resubmit NAME at VM: the same submission again, at another entry maybe.  */
+/* resubmit NAME at VM [change=yes]: the same submission again, at another
+   entry maybe, or other content under the same key.  */
 static void
 do_resubmit (struct scenario *s, const struct line *l)
 {
@@ -223,6 +224,8 @@
     }
   body_path (s, l->words[1], path, sizeof path);
   text = json_read_file (path, 1 << 22, &length);
+  if (strcmp (line_option (l, "change", "no"), "yes") == 0)
+    memcpy (strstr (text, "\"number\""), "\"summer\"", 8);
   send_submission (s, l, vm, l->words[1], before->key, text,
                    strstr (text, "\"idempotent\"") != NULL);
   free (text);
