--- a/tests/prove.sh
+++ b/tests/prove.sh
@@ -10,7 +10,7 @@
 passed=0
 failed=0
 reset_copy () {
-  rm -rf "$copy"
+  [ -n "${KEEP:-}" ] && echo "$copy" || rm -rf "$copy"
   mkdir -p "$copy"
   cp -a Makefile src tests bench docs examples "$build" "$copy"
 }
@@ -101,6 +101,6 @@
   's/beat_of (m, o) != NULL/true/; s/heard_at (m, o) > heard_at (m, member) + m->lease_ms/m->leader_since_ms + 9 * m->lease_ms < m->leader_since_ms + 10 * m->lease_ms/' unit
 row "an answer is given once the backup has it" src/controller/job_controller.c \
   's/^  if (s->unregistered)\n    on_ended/XX/; s/    replica_end (n, s, until > s->deadline_ms ? until : s->deadline_ms,/    on_ended (n, s, REPLICA_ACKED); if (0) replica_end (n, s, until > s->deadline_ms ? until : s->deadline_ms,/' $s/second_loss.scn
-rm -rf "$copy"
+[ -n "${KEEP:-}" ] && echo "$copy" || rm -rf "$copy"
 echo "proofs: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
