--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,15 @@
 soak: all
 	@sh tests/soak.sh $(BUILD) $(SEED) $(MINUTES)
 
+prove: all
+	@sh tests/prove.sh $(BUILD)
+
+bench: all
+	@QUICK=$(QUICK) sh bench/run.sh $(BUILD)
+
+capacity: all
+	@sh bench/capacity.sh $(BUILD)
+
 lint:
 	@sh tools/lint.sh
 
@@ -95,4 +104,4 @@
 	@echo "capacity  measure the slopes of docs/CAPACITY.md again"
 	@echo "lint      formatter and linter"
 
-.PHONY: all soak setup check check-programs demo lint format clean help
+.PHONY: all soak prove bench capacity setup check check-programs demo lint format clean help
--- a/tests/runner/verbs_measure.c
+++ b/tests/runner/verbs_measure.c
@@ -79,6 +79,9 @@
       else if (strcmp (w, "relay") == 0)
         snprintf (server, sizeof server, "%s:%d", s->cluster.vms[0].address,
                   RELAY_HTTP_PORT);
+      else if (strcmp (w, "target") == 0)
+        snprintf (server, sizeof server, "127.%d.1.100:9000",
+                  10 + 2 * s->cluster.net);
       else
         snprintf (server, sizeof server, "%s", w);
       argv[n++] = option_text ("server", server);
