Passed tasks wait at the entry that owns the target, rather than come back

Passed tasks came back (25% of the passes at one entry), the peer counted as full until its next heartbeat, and tasks waited while slots were idle.

Ruled out: too few slots (half of 96 were idle at half load), and the record's round trip (jobs of one add 0.56 ms).

Change: an entry takes passed tasks beyond its free slots into a queue of half its slots and tells its room, queue places included; a task is passed where the room is the larger share. The part for other entries' tasks is a file of its own, remote_controller.c.

--- a/src/controller/dispatch_controller.c
+++ b/src/controller/dispatch_controller.c
@@ -7,21 +7,16 @@
 #include "base/event_ring.h"
 #include "base/now.h"
 #include "controller/job_controller.h"
+#include "controller/remote_controller.h"
 #include "controller/replica_controller.h"
 #include "controller/target_controller.h"
 #include "net/target_client.h"
 
 enum
 {
-  TASK_ID_BYTES = RECORD_ID_BYTES + 8,
   ADVANCE_TASKS = 32,      /* by how many the watermark is raised */
   ADVANCE_AHEAD_TASKS = 8, /* raised when so few are left below it */
-  PASS_MARGIN_MS = 500,    /* for the way to the other entry and back */
-
-  STATUS_DONE = 200,
-  STATUS_NOT_RUN = 409,
-  STATUS_FAILED = 500,
-  STATUS_UNKNOWN = 520
+  PASS_MARGIN_MS = 500     /* for the way to the other entry and back */
 };
 
 /* A task of a submission of this entry's, on its way.  */
@@ -34,18 +29,6 @@
   struct peer *peer;
 };
 
-/* A task that runs here for another entry.  */
-struct remote_run
-{
-  struct entry *entry;
-  struct peer_conn *from;
-  uint64_t call_id;
-  struct target *target;
-  char kind[NAME_BYTES];
-  char task[TASK_ID_BYTES];
-  UT_hash_handle hh;
-};
-
 static void
 task_id (char *id, const struct submission *s, uint32_t index)
 {
@@ -102,10 +85,9 @@
   return TARGET_FAILED;
 }
 
-/* Gives the slot back and learns from how the task ended.  */
-static void
-release_target (struct entry *n, struct target *g, const char *kind,
-                struct outcome outcome, int64_t elapsed_us)
+void
+dispatch_release_target (struct entry *n, struct target *g, const char *kind,
+                         struct outcome outcome, int64_t elapsed_us)
 {
   int64_t now = now_ms ();
   enum target_change change = target_table_give_back (
@@ -199,8 +181,8 @@
   struct own_run *r = arg;
   struct entry *n = r->entry;
 
-  release_target (n, r->target, r->submission->tasks[r->index].kind, outcome,
-                  elapsed_us);
+  dispatch_release_target (n, r->target, r->submission->tasks[r->index].kind,
+                           outcome, elapsed_us);
   end_task (n, r->submission, r->index, outcome, result);
   target_check_gone (n, r->target);
   submission_release (r->submission);
@@ -215,14 +197,15 @@
     return outcome_not_run (PROOF_NEVER_SENT);
   if (call == CALL_LOST)
     return outcome_unknown ();
-  switch (reply->status)
+  switch ((enum task_status)reply->status)
     {
-    case STATUS_DONE:
+    case TASK_STATUS_DONE:
       return outcome_done ();
-    case STATUS_NOT_RUN:
+    case TASK_STATUS_NOT_RUN:
       return outcome_not_run (PROOF_PEER_REFUSED);
-    case STATUS_FAILED:
+    case TASK_STATUS_FAILED:
       return outcome_failed ();
+    case TASK_STATUS_UNKNOWN:
     default:
       return outcome_unknown ();
     }
@@ -236,7 +219,7 @@
   struct entry *n = r->entry;
   struct outcome outcome = passed_outcome (call, reply);
 
-  r->peer->free_slots = call == CALL_REPLIED ? (uint32_t)reply->free_slots : 0;
+  r->peer->room = call == CALL_REPLIED ? (uint32_t)reply->room : 0;
   if (outcome.kind == OUTCOME_NOT_RUN)
     counters_add (COUNTER_TASKS_PASSED_BACK, 1);
   end_task (n, r->submission, r->index, outcome,
@@ -293,7 +276,7 @@
   snprintf (t->place, sizeof t->place, "%s", r->peer->vm->name);
   m.u.task_run = (struct peer_task_run){ 0, slice_of (id), slice_of (t->kind),
                                          slice_of (t->payload), timeout_ms };
-  r->peer->free_slots--;
+  r->peer->room--;
   counters_add (COUNTER_TASKS_PASSED, 1);
   event_ring_add_task (EVENT_TASK_PASSED, s->id, r->index, "passed", t->place);
   peer_network_call (n->network, r->peer->vm->name, &m,
@@ -309,7 +292,10 @@
   int64_t now = now_ms ();
   struct target *target
       = target_table_take (&n->targets, now, s->single && s->idempotent);
-  struct peer *peer = target != NULL ? NULL : peer_table_pick (&n->peers, now);
+  struct peer *peer
+      = target != NULL
+            ? NULL
+            : peer_table_pick (&n->peers, now, remote_room_share (n, now));
   struct own_run *r;
 
   if (target == NULL && peer == NULL)
@@ -330,18 +316,19 @@
   return true;
 }
 
-void
-dispatch_run (struct entry *n)
+/* Starts one of this entry's own queued tasks.  Returns false if none can
+   start now.  */
+static bool
+start_own (struct entry *n)
 {
-  uint32_t skipped = 0;
+  uint32_t teams = HASH_COUNT (n->teams.teams);
   struct submission *s;
 
-  if (n->dispatching)
-    return;
-  n->dispatching = true;
-  while (skipped <= HASH_COUNT (n->teams.teams)
-         && (s = team_table_turn (&n->teams)) != NULL)
+  for (uint32_t skipped = 0; skipped <= teams; skipped++)
     {
+      s = team_table_turn (&n->teams);
+      if (s == NULL)
+        return false;
       if (s->deadline_ms <= now_ms ())
         {
           job_doom (n, s, "deadline");
@@ -349,15 +336,25 @@
         }
       if (!s->unregistered)
         advance (n, s);
-      if (!is_below_watermark (s))
-        {
-          team_table_skip (&n->teams);
-          skipped++;
-          continue;
-        }
-      if (!start_next (n, s))
-        break;
-      skipped = 0;
+      if (is_below_watermark (s))
+        return start_next (n, s);
+      team_table_skip (&n->teams);
+    }
+  return false;
+}
+
+void
+dispatch_run (struct entry *n)
+{
+  bool started = true;
+
+  if (n->dispatching)
+    return;
+  n->dispatching = true;
+  while (started)
+    {
+      started = remote_start_queued (n);
+      started = start_own (n) || started;
     }
   n->dispatching = false;
 }
@@ -383,108 +380,3 @@
         target_client_stop (g->client, id);
     }
 }
-
-static void
-reply_task (struct entry *n, struct peer_conn *to, uint64_t id,
-            uint64_t status, const char *result)
-{
-  struct peer_message m = { .type = PEER_REPLY };
-
-  m.u.reply = (struct peer_reply){ id, status,
-                                   n->teams.queued_tasks != 0 || n->draining
-                                       ? 0
-                                       : target_table_free_slots (&n->targets,
-                                                                  now_ms ()),
-                                   slice_of (result == NULL ? "" : result) };
-  peer_conn_send (to, &m);
-}
-
-static uint64_t
-reply_status_of (struct outcome o)
-{
-  switch (o.kind)
-    {
-    case OUTCOME_DONE:
-      return STATUS_DONE;
-    case OUTCOME_FAILED:
-      return STATUS_FAILED;
-    case OUTCOME_NOT_RUN:
-      return STATUS_NOT_RUN;
-    case OUTCOME_UNKNOWN:
-      break;
-    }
-  return STATUS_UNKNOWN;
-}
-
-static void
-on_remote_done (void *arg, struct outcome outcome, char *result,
-                int64_t elapsed_us)
-{
-  struct remote_run *r = arg;
-  struct entry *n = r->entry;
-
-  HASH_DEL (n->remote_runs, r);
-  release_target (n, r->target, r->kind, outcome, elapsed_us);
-  target_check_gone (n, r->target);
-  dispatch_run (n);
-  reply_task (n, r->from, r->call_id, reply_status_of (outcome), result);
-  free (result);
-  peer_conn_release (r->from);
-  free (r);
-}
-
-void
-dispatch_receive_task (struct entry *n, struct peer_conn *from,
-                       const struct peer_task_run *m)
-{
-  struct target *g = NULL;
-  struct remote_run *r;
-  char *payload;
-  struct target_start start
-      = { .owner = n->settings->vm,
-          .incarnation = n->submissions.group.incarnation,
-          .timeout_ms = m->timeout_ms };
-
-  if (!n->draining && n->teams.queued_tasks == 0 && m->timeout_ms > 0)
-    g = target_table_take (&n->targets, now_ms (), false);
-  if (g == NULL)
-    {
-      reply_task (n, from, m->id, STATUS_NOT_RUN, NULL);
-      return;
-    }
-  r = calloc (1, sizeof *r);
-  r->entry = n;
-  r->from = peer_conn_hold (from);
-  r->call_id = m->id;
-  r->target = g;
-  slice_copy (m->kind, r->kind, sizeof r->kind);
-  slice_copy (m->task, r->task, sizeof r->task);
-  HASH_ADD_STR (n->remote_runs, task, r);
-  start.task = r->task;
-  payload = strndup (m->payload.data, m->payload.length);
-  start.kind = r->kind;
-  start.payload = payload;
-  counters_add (COUNTER_TASK_STARTS, 1);
-  event_ring_add (EVENT_TASK_STARTED, r->task, "for %s at %s", from->vm,
-                  g->said.name);
-  target_client_start (g->client, &start, on_remote_done, r);
-  free (payload);
-}
-
-void
-dispatch_receive_stop (struct entry *n, const struct peer_task_stop *m)
-{
-  char id[TASK_ID_BYTES] = "";
-  struct remote_run *r;
-
-  slice_copy (m->task, id, sizeof id);
-  HASH_FIND_STR (n->remote_runs, id, r);
-  if (r != NULL)
-    target_client_stop (r->target->client, id);
-}
-
-bool
-dispatch_is_idle (const struct entry *n)
-{
-  return n->remote_runs == NULL;
-}
--- a/src/controller/dispatch_controller.h
+++ b/src/controller/dispatch_controller.h
@@ -11,14 +11,9 @@
 /* Sends one stop for every running task of S.  */
 void dispatch_stop_tasks (struct entry *n, struct submission *s);
 
-/* Takes a task that another entry passed here.  */
-void dispatch_receive_task (struct entry *n, struct peer_conn *from,
-                            const struct peer_task_run *m);
-
-/* Takes a stop that another entry passed here.  */
-void dispatch_receive_stop (struct entry *n, const struct peer_task_stop *m);
-
-/* Whether no task runs here for another entry.  */
-bool dispatch_is_idle (const struct entry *n);
+/* Gives the slot on G back and learns from how a task of KIND ended there.  */
+void dispatch_release_target (struct entry *n, struct target *g,
+                              const char *kind, struct outcome outcome,
+                              int64_t elapsed_us);
 
 #endif
--- a/src/controller/drain_controller.c
+++ b/src/controller/drain_controller.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include "base/event_ring.h"
 #include "base/now.h"
-#include "controller/dispatch_controller.h"
+#include "controller/remote_controller.h"
 #include "controller/membership_controller.h"
 
 enum
@@ -37,7 +37,7 @@
 static bool
 is_idle (const struct entry *n)
 {
-  return n->open == NULL && dispatch_is_idle (n)
+  return n->open == NULL && remote_is_idle (n)
          && http_server_open_calls (n->http) == 0;
 }
 
--- a/src/controller/entry.c
+++ b/src/controller/entry.c
@@ -16,6 +16,7 @@
 #include "controller/lookup_controller.h"
 #include "controller/membership_controller.h"
 #include "controller/operator_api.h"
+#include "controller/remote_controller.h"
 #include "controller/replica_controller.h"
 #include "controller/target_controller.h"
 #include "filter/request.h"
@@ -365,10 +366,10 @@
       replica_receive (n, from, m);
       break;
     case PEER_TASK_RUN:
-      dispatch_receive_task (n, from, &m->u.task_run);
+      remote_receive_task (n, from, &m->u.task_run);
       break;
     case PEER_TASK_STOP:
-      dispatch_receive_stop (n, &m->u.task_stop);
+      remote_receive_stop (n, &m->u.task_stop);
       break;
     default:
       membership_receive (n, from, m);
@@ -411,6 +412,7 @@
   (void)what;
   membership_tick (n, now);
   job_tick (n, now);
+  remote_tick (n, now);
   if (now - n->last_target_ms >= TARGET_INTERVAL_MS)
     {
       n->last_target_ms = now;
--- a/src/controller/entry.h
+++ b/src/controller/entry.h
@@ -48,7 +48,9 @@
   struct peer_table peers;
 
   /* tasks run here for other entries */
-  struct remote_run *remote_runs;
+  struct remote_run *remote_runs;  /* all, by task */
+  struct remote_run *remote_queue; /* those not yet started */
+  uint32_t remote_queued;
   bool dispatching;
   uint64_t next_key;
   int64_t
--- a/src/controller/membership_controller.c
+++ b/src/controller/membership_controller.c
@@ -9,6 +9,7 @@
 #include "controller/config_controller.h"
 #include "controller/dispatch_controller.h"
 #include "controller/job_controller.h"
+#include "controller/remote_controller.h"
 #include "controller/replica_controller.h"
 #include "controller/target_controller.h"
 
@@ -21,12 +22,11 @@
 own_heartbeat (const struct entry *n)
 {
   int64_t now = now_ms ();
-  bool spare = n->teams.queued_tasks == 0 && n->leaving == LEAVING_NOT;
 
   return (struct peer_heartbeat){
     .incarnation = n->submissions.group.incarnation,
     .config_number = n->environment.number,
-    .free_slots = spare ? target_table_free_slots (&n->targets, now) : 0,
+    .room = remote_room (n, now),
     .total_slots = target_table_total_slots (&n->targets, now),
     .queued_tasks = n->teams.queued_tasks,
     .draining = n->leaving != LEAVING_NOT,
@@ -123,11 +123,11 @@
   if (p == NULL)
     return;
   p->heard_ms = now_ms ();
-  p->free_slots = (uint32_t)h->free_slots;
+  p->room = (uint32_t)h->room;
   p->total_slots = (uint32_t)h->total_slots;
   p->queued_tasks = (uint32_t)h->queued_tasks;
   p->draining = h->draining != 0;
-  if (p->free_slots != 0)
+  if (p->room != 0)
     dispatch_run (n);
 }
 
--- a/src/coord/peer_table.c
+++ b/src/coord/peer_table.c
@@ -36,20 +36,27 @@
 }
 
 struct peer *
-peer_table_pick (struct peer_table *t, int64_t now_ms)
+peer_table_pick (struct peer_table *t, int64_t now_ms, double own_share)
 {
   struct peer *best = NULL;
+  double best_share = own_share;
 
   for (uint32_t i = 0; i < t->count; i++)
     {
       struct peer *p = &t->peers[i];
+      double share;
 
-      if (p->free_slots == 0 || p->draining || !peer_is_alive (t, p, now_ms))
+      if (p->room == 0 || p->total_slots == 0 || p->draining
+          || !peer_is_alive (t, p, now_ms))
         continue;
-      if (best == NULL || (p->same_domain && !best->same_domain)
-          || (p->same_domain == best->same_domain
-              && p->free_slots > best->free_slots))
-        best = p;
+      share = (double)p->room / p->total_slots;
+      if (share > best_share
+          || (best != NULL && share == best_share && p->same_domain
+              && !best->same_domain))
+        {
+          best = p;
+          best_share = share;
+        }
     }
   return best;
 }
--- a/src/filter/filter_limits.c
+++ b/src/filter/filter_limits.c
@@ -7,6 +7,12 @@
 #include "base/now.h"
 #include "filter/request.h"
 
+enum
+{
+  /* How many leases long slots that were known once are waited for.  */
+  SLOTS_AWAITED_LEASES = 4
+};
+
 static uint32_t
 task_count (const struct request *r)
 {
@@ -131,7 +137,9 @@
     n->slots_known_ms = now;
   /* Right after a start or a change of owners no slot is known for a moment;
      the submission waits in the queue for it.  */
-  if (slots == 0 && now - n->slots_known_ms <= n->settings->lease_ms)
+  if (slots == 0
+      && now - n->slots_known_ms
+             <= SLOTS_AWAITED_LEASES * n->settings->lease_ms)
     return FILTER_PASS;
   if (slots == 0)
     {
--- a/src/net/peer_message.c
+++ b/src/net/peer_message.c
@@ -47,12 +47,12 @@
   [PEER_HEARTBEAT]
   = { true,
       { U (heartbeat.incarnation), U (heartbeat.config_number),
-        U (heartbeat.free_slots), U (heartbeat.total_slots),
+        U (heartbeat.room), U (heartbeat.total_slots),
         U (heartbeat.queued_tasks), U (heartbeat.draining) } },
   [PEER_HEARTBEAT_REPLY]
   = { true,
       { U (heartbeat.incarnation), U (heartbeat.config_number),
-        U (heartbeat.free_slots), U (heartbeat.total_slots),
+        U (heartbeat.room), U (heartbeat.total_slots),
         U (heartbeat.queued_tasks), U (heartbeat.draining) } },
   [PEER_BEAT]
   = { true,
@@ -65,9 +65,9 @@
   [PEER_CALL] = { false,
                   { U (call.id), U (call.method), B (call.team), B (call.key),
                     I (call.timeout_ms), B (call.body) } },
-  [PEER_REPLY] = { false,
-                   { U (reply.id), U (reply.status), U (reply.free_slots),
-                     B (reply.body) } },
+  [PEER_REPLY]
+  = { false,
+      { U (reply.id), U (reply.status), U (reply.room), B (reply.body) } },
   [PEER_RECORD_PUT]
   = { false,
       { U (record_put.id), U (record_put.incarnation),
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -64,7 +64,7 @@
 {
   uint64_t incarnation;
   uint64_t config_number;
-  uint64_t free_slots;
+  uint64_t room; /* the tasks that it would take now */
   uint64_t total_slots;
   uint64_t queued_tasks;
   uint64_t draining;
@@ -103,7 +103,7 @@
 {
   uint64_t id;
   uint64_t status; /* an HTTP status, or a record_status for records */
-  uint64_t free_slots;
+  uint64_t room;   /* to PEER_TASK_RUN: the tasks that it would take now */
   struct slice body;
 };
 
--- a/tests/prove.sh
+++ b/tests/prove.sh
@@ -86,7 +86,7 @@
 row "damage is not a torn tail" src/store/journal.c \
   's/if (at < length \&\& has_record_behind/if (0 \&\& has_record_behind/' unit
 row "a stop waits for calls in flight" src/controller/drain_controller.c \
-  's/  return n->open == NULL \&\& dispatch_is_idle (n)/  return true || n->open == NULL/' $s/graceful.scn "1 2"
+  's/  return n->open == NULL \&\& remote_is_idle (n)/  return true || n->open == NULL/' $s/graceful.scn "1 2"
 row "a leaving target gets no new work" src/coord/target_table.c \
   's/return !g->leaving \&\& /return /' $s/target_leaves.scn "1 2"
 row "a non-idempotent request is not retried" src/controller/dispatch_controller.c \
