Bound kept records by bytes; cut-off quota; configuration from a peer

Change: ended records have a bound of bytes (48 MB by default); the oldest are forgotten first, and the register remembers up to which issue time, so that a key as old as those is answered "unknown" and never run again; the mark goes along when records are copied to a new member. A cut-off entry gives out cut_off.quota_share of its quotas, and fetches a newer document from an entry that tells of one. The leader counts an entry as silent after two leases, when it knows of its cut itself.

--- a/src/controller/config_controller.c
+++ b/src/controller/config_controller.c
@@ -17,15 +17,30 @@
   PROPOSE_LIMIT_MS = 8000
 };
 
-/* This entry's share of a quota, all entries being alike.  */
+/* How much of its quota this entry may give out: all, or what the document's
+   cut_off section allows where no keepers' leader is heard.  */
 static double
-quota_share (const struct entry *n)
+quota_allowed (const struct entry *n)
 {
-  return 1.0 / (n->peers.count + 1);
+  return n->quorum_lost ? n->environment.cut_off_quota_share : 1;
 }
 
+/* The rate is divided evenly by the entries; a burst counts at each entry, so
+   that a small team's job still fits.  */
 static void
-apply_teams (struct entry *n)
+apply_quota (struct entry *n, const json_t *team)
+{
+  double allowed = quota_allowed (n);
+  double rate = json_get_real (team, "tasks_per_s", 0) * allowed;
+  double burst = json_get_real (team, "burst_tasks", 1) * allowed;
+
+  team_table_set (&n->teams, json_get_text (team, "name", ""),
+                  json_get_text (team, "token_sha256", ""),
+                  rate / (n->peers.count + 1), burst < 1 ? 1 : burst);
+}
+
+void
+config_apply_quotas (struct entry *n)
 {
   const json_t *array = json_object_get (n->environment.document, "teams");
   struct team *m;
@@ -34,11 +49,7 @@
 
   for (m = n->teams.teams; m != NULL; m = m->hh.next)
     m->removed = true;
-  json_array_foreach ((json_t *)array, i, o)
-      team_table_set (&n->teams, json_get_text (o, "name", ""),
-                      json_get_text (o, "token_sha256", ""),
-                      json_get_real (o, "tasks_per_s", 0) * quota_share (n),
-                      json_get_real (o, "burst_tasks", 1));
+  json_array_foreach ((json_t *)array, i, o) apply_quota (n, o);
 }
 
 static void
@@ -51,6 +62,7 @@
       = (struct ejection_policy){ p->eject_failures, p->eject_share,
                                   p->eject_ms };
   n->submissions.capacity = n->environment.records;
+  n->submissions.bytes_limit = n->environment.record_bytes;
 }
 
 /* Puts DOCUMENT in force as NUMBER.  An older number, or a document that does
@@ -71,7 +83,7 @@
       return;
     }
   environment_set (&n->environment, number, document);
-  apply_teams (n);
+  config_apply_quotas (n);
   apply_policy (n);
   n->last_beat_ms = 0;
   event_ring_add (EVENT_CONFIG_IN_FORCE, n->settings->vm,
@@ -97,21 +109,35 @@
   json_decref (root);
 }
 
+/* Who has a newer document: the leader, as the view tells, or where no leader
+   is heard an entry that told of its number.  */
+static const char *
+newer_source (const struct entry *n)
+{
+  if (!n->quorum_lost && n->leader[0] != '\0'
+      && n->view.config_number > n->environment.number)
+    return n->leader;
+  for (uint32_t i = 0; i < n->peers.count; i++)
+    if (n->quorum_lost
+        && n->peers.peers[i].config_number > n->environment.number)
+      return n->peers.peers[i].vm->name;
+  return NULL;
+}
+
 void
 config_check (struct entry *n)
 {
+  const char *source = newer_source (n);
   struct peer_message m = { .type = PEER_CALL };
 
-  if (n->fetching_config || n->view.config_number <= n->environment.number
-      || n->leader[0] == '\0')
+  if (n->fetching_config || source == NULL)
     return;
   n->fetching_config = true;
   m.u.call.method = METHOD_CONFIG_FETCH;
   m.u.call.team = slice_of ("");
   m.u.call.key = slice_of ("");
   m.u.call.body = slice_of ("");
-  peer_network_call (n->network, n->leader, &m, FETCH_TIMEOUT_MS, on_fetched,
-                     n);
+  peer_network_call (n->network, source, &m, FETCH_TIMEOUT_MS, on_fetched, n);
 }
 
 void
--- a/src/controller/config_controller.h
+++ b/src/controller/config_controller.h
@@ -5,9 +5,13 @@
 
 #include "controller/entry.h"
 
-/* Fetches the document if the view's number is above the one in force.  */
+/* Fetches the document if a newer one than that in force is known of.  */
 void config_check (struct entry *n);
 
+/* Gives the teams their quotas anew, after the document or the contact with
+   the keepers has changed.  */
+void config_apply_quotas (struct entry *n);
+
 /* Answers another process that asks for the document in force here.  */
 void config_receive_fetch (struct entry *n, struct peer_conn *from,
                            const struct peer_call *call);
--- a/src/controller/job_controller.c
+++ b/src/controller/job_controller.c
@@ -155,7 +155,6 @@
 {
   if (s->state != SUBMISSION_ENDING)
     return;
-  s->state = SUBMISSION_ENDED;
   if (outcome != REPLICA_ACKED)
     {
       free (s->answer);
@@ -165,9 +164,8 @@
       s->status = HTTP_UNAVAILABLE;
       counters_add (COUNTER_REFUSALS_UNKNOWN, 1);
     }
+  submission_end (s);
   count_end (s);
-  free (s->body);
-  s->body = NULL;
   submission_hold (s);
   open_list_remove (n, s);
   submission_tell (s);
--- a/src/controller/keeper.c
+++ b/src/controller/keeper.c
@@ -8,164 +8,17 @@
 #include "base/event_ring.h"
 #include "base/json_check.h"
 #include "base/now.h"
+#include "controller/keeper_journal.h"
 #include "controller/operator_api.h"
 
 enum
 {
   TICK_MS = 20,
   STOP_MS = 300,
-  RECORD_STATE = 1,
-  RECORD_ENTRY = 2,
-  RECORD_TRUNCATE = 3,
-  RECORD_SNAPSHOT = 4,
-
   STATUS_OK = 200,
   STATUS_MISDIRECTED = 421
 };
 
-/* The journal's records, as they lie in it.  */
-struct state_record
-{
-  uint64_t term;
-  int64_t voted_for;
-};
-
-struct entry_head
-{
-  uint64_t index;
-  uint64_t term;
-};
-
-static bool
-store_result (struct keeper *k, enum store_error status)
-{
-  if (status == STORE_OK)
-    return true;
-  event_ring_add (EVENT_STORE_FAILED, k->settings->vm, "%s",
-                  k->journal.error.message);
-  event_base_loopbreak (k->base);
-  return false;
-}
-
-static enum store_error
-append_state (struct journal *j, uint64_t term, int voted_for)
-{
-  struct state_record r = { term, voted_for };
-
-  return journal_append (j, RECORD_STATE, &r, sizeof r);
-}
-
-static enum store_error
-append_headed (struct journal *j, uint8_t type, uint64_t index, uint64_t term,
-               const char *data, uint32_t length)
-{
-  struct entry_head h = { index, term };
-  char *record = malloc (sizeof h + length);
-  enum store_error status;
-
-  memcpy (record, &h, sizeof h);
-  if (length != 0)
-    memcpy (record + sizeof h, data, length);
-  status = journal_append (j, type, record, (uint32_t)sizeof h + length);
-  free (record);
-  return status;
-}
-
-static bool
-save_state (void *arg, uint64_t term, int voted_for)
-{
-  struct keeper *k = arg;
-
-  return store_result (k, append_state (&k->journal, term, voted_for))
-         && store_result (k, journal_sync (&k->journal));
-}
-
-static bool
-save_entry (void *arg, uint64_t index, const struct log_entry *e)
-{
-  struct keeper *k = arg;
-
-  return store_result (k, append_headed (&k->journal, RECORD_ENTRY, index,
-                                         e->term, e->data, e->length));
-}
-
-static bool
-save_truncate (void *arg, uint64_t from_index)
-{
-  struct keeper *k = arg;
-
-  return store_result (
-      k, append_headed (&k->journal, RECORD_TRUNCATE, from_index, 0, "", 0));
-}
-
-static bool
-sync_journal (void *arg)
-{
-  struct keeper *k = arg;
-
-  return store_result (k, journal_sync (&k->journal));
-}
-
-/* Writes the log's whole state into a fresh journal.  */
-static bool
-save_snapshot (void *arg, const struct replicated_log *l)
-{
-  struct keeper *k = arg;
-  struct journal fresh;
-  enum store_error s = journal_rewrite_begin (&k->journal, &fresh);
-
-  if (!store_result (k, s))
-    return false;
-  s = append_headed (&fresh, RECORD_SNAPSHOT, l->base_index, l->base_term,
-                     l->snapshot, l->snapshot_length);
-  if (s == STORE_OK)
-    s = append_state (&fresh, l->term, l->voted_for);
-  for (uint64_t i = 0; s == STORE_OK && i < l->entry_count; i++)
-    s = append_headed (&fresh, RECORD_ENTRY, l->base_index + 1 + i,
-                       l->entries[i].term, l->entries[i].data,
-                       l->entries[i].length);
-  if (s == STORE_OK)
-    s = journal_rewrite_commit (&k->journal, &fresh);
-  event_ring_add (EVENT_STORE_COMPACTED, k->settings->vm,
-                  "index=%" PRIu64 " bytes=%" PRIu64, l->base_index,
-                  k->journal.size);
-  return store_result (k, s);
-}
-
-static bool
-load_record (void *arg, uint8_t type, const char *data, uint32_t length)
-{
-  struct keeper *k = arg;
-  struct state_record state;
-  struct entry_head h;
-
-  if (type == RECORD_STATE && length == sizeof state)
-    {
-      memcpy (&state, data, sizeof state);
-      replicated_log_restore_state (&k->log, state.term, (int)state.voted_for);
-      return true;
-    }
-  if (length < sizeof h)
-    return false;
-  memcpy (&h, data, sizeof h);
-  data += sizeof h;
-  length -= (uint32_t)sizeof h;
-  switch (type)
-    {
-    case RECORD_ENTRY:
-      return replicated_log_restore_entry (&k->log, h.index, h.term, data,
-                                           length);
-    case RECORD_TRUNCATE:
-      replicated_log_restore_truncate (&k->log, h.index);
-      return true;
-    case RECORD_SNAPSHOT:
-      replicated_log_restore_snapshot (&k->log, h.index, h.term, data, length);
-      return true;
-    default:
-      return false;
-    }
-}
-
 static void
 send_to_member (void *arg, int to, struct peer_message *m)
 {
@@ -322,11 +175,11 @@
 }
 
 static const struct replicated_log_output log_output
-    = { .save_state = save_state,
-        .save_entry = save_entry,
-        .save_truncate = save_truncate,
-        .sync = sync_journal,
-        .save_snapshot = save_snapshot,
+    = { .save_state = keeper_journal_save_state,
+        .save_entry = keeper_journal_save_entry,
+        .save_truncate = keeper_journal_save_truncate,
+        .sync = keeper_journal_sync,
+        .save_snapshot = keeper_journal_save_snapshot,
         .send = send_to_member,
         .apply = apply,
         .take_snapshot = take_snapshot,
@@ -384,7 +237,8 @@
       const struct entry_beat *b = &k->groups.beats[i];
       json_t *list = waiting;
 
-      if (b->heard_ms == 0 || now - b->heard_ms > k->groups.lease_ms)
+      /* By then it knows itself that it is cut off.  */
+      if (b->heard_ms == 0 || now - b->heard_ms > 2 * k->groups.lease_ms)
         list = silent;
       else if (b->config_number == k->state.view.config_number)
         list = taken;
@@ -617,27 +471,6 @@
                       c->path);
 }
 
-static bool
-open_journal (struct keeper *k, struct error *e)
-{
-  const struct settings *s = k->settings;
-  enum store_error status = journal_open (&k->journal, s->data_folder,
-                                          s->sync_delay_ms, load_record, k);
-
-  if (status != STORE_OK)
-    {
-      error_wrap (e, status, "journal", &k->journal.error);
-      return false;
-    }
-  event_ring_add (EVENT_STORE_LOADED, s->vm,
-                  "last_index=%" PRIu64 " bytes=%" PRIu64,
-                  replicated_log_last_index (&k->log), k->journal.size);
-  if (k->journal.cut_bytes != 0)
-    event_ring_add (EVENT_STORE_TAIL_CUT, s->vm, "bytes=%" PRIu64,
-                    k->journal.cut_bytes);
-  return true;
-}
-
 static int
 find_members (struct keeper *k)
 {
@@ -672,7 +505,7 @@
   group_manager_init (&k->groups, s);
   replicated_log_init (&k->log, self, k->member_count, s->heartbeat_ms / 2,
                        s->lease_ms / 2, boot_id, &log_output, k);
-  if (!open_journal (k, e))
+  if (!keeper_journal_open (k, e))
     return false;
   k->network = peer_network_new (base, s, boot_id, &network_events, k, e);
   if (k->network == NULL)
--- a/src/controller/membership_controller.c
+++ b/src/controller/membership_controller.c
@@ -101,6 +101,7 @@
   if (lost == n->quorum_lost)
     return;
   n->quorum_lost = lost;
+  config_apply_quotas (n);
   event_ring_add (lost ? EVENT_QUORUM_LOST : EVENT_QUORUM_BACK,
                   n->settings->vm, "leader=%s", n->leader);
 }
@@ -126,6 +127,7 @@
   p->room = (uint32_t)h->room;
   p->total_slots = (uint32_t)h->total_slots;
   p->queued_tasks = (uint32_t)h->queued_tasks;
+  p->config_number = h->config_number;
   p->draining = h->draining != 0;
   if (p->room != 0)
     dispatch_run (n);
--- a/src/coord/environment.c
+++ b/src/coord/environment.c
@@ -5,6 +5,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  RECORD_BYTES_DEFAULT = 48 << 20
+};
+
 static const struct json_rule team_rules[] = {
   { "name", RULE_NAME, true, 1, NAME_BYTES - 1, NULL, NULL },
   { "token_sha256", RULE_TEXT, true, 64, 64, NULL, NULL },
@@ -25,6 +30,7 @@
 static const struct json_rule limit_rules[] = {
   { "queued_tasks", RULE_INTEGER, false, 1, 100000000, NULL, NULL },
   { "records", RULE_INTEGER, false, 1, 100000000, NULL, NULL },
+  { "record_bytes", RULE_INTEGER, false, 1000, INT64_MAX, NULL, NULL },
   { NULL, RULE_END, false, 0, 0, NULL, NULL },
 };
 
@@ -170,6 +176,8 @@
   p->eject_ms = json_get_integer (policy, "eject_ms", 5000);
   e->queued_tasks = (uint64_t)json_get_integer (limits, "queued_tasks", 20000);
   e->records = (uint32_t)json_get_integer (limits, "records", 200000);
+  e->record_bytes = (uint64_t)json_get_integer (limits, "record_bytes",
+                                                RECORD_BYTES_DEFAULT);
   e->cut_off_quota_share = json_get_real (
       json_object_get (document, "cut_off"), "quota_share", 1);
 }
--- a/src/coord/environment.h
+++ b/src/coord/environment.h
@@ -48,6 +48,7 @@
   struct policy policy;
   uint64_t queued_tasks;
   uint32_t records;
+  uint64_t record_bytes;
   double cut_off_quota_share;
 };
 
--- a/src/coord/peer_table.h
+++ b/src/coord/peer_table.h
@@ -18,6 +18,7 @@
   uint32_t room;
   uint32_t total_slots;
   uint32_t queued_tasks;
+  uint64_t config_number;
   bool draining;
 };
 
--- a/src/coord/submission.c
+++ b/src/coord/submission.c
@@ -321,6 +321,16 @@
   submission_write_answer (s, "executor_lost");
 }
 
+void
+submission_end (struct submission *s)
+{
+  free (s->body);
+  s->body = NULL;
+  s->state = SUBMISSION_ENDED;
+  s->kept_bytes
+      = (uint32_t)(sizeof *s + (s->answer == NULL ? 0 : strlen (s->answer)));
+}
+
 bool
 submission_is_complete (const struct submission *s)
 {
--- a/src/coord/submission.h
+++ b/src/coord/submission.h
@@ -65,9 +65,10 @@
 
   /* state that the group's members share */
   enum submission_state state;
-  uint32_t may_start; /* tasks below this index may have started */
-  char *body;         /* canonical text of the tasks, while open */
-  char *answer;       /* once ended */
+  uint32_t may_start;  /* tasks below this index may have started */
+  char *body;          /* canonical text of the tasks, while open */
+  char *answer;        /* once ended */
+  uint32_t kept_bytes; /* what the record takes once ended */
 
   int64_t deadline_wall_ms;
 
@@ -150,6 +151,9 @@
 /* Writes the answer of a submission whose executor was lost.  */
 void submission_write_lost_answer (struct submission *s);
 
+/* Marks S as ended; its tasks are not needed any more.  */
+void submission_end (struct submission *s);
+
 /* Whether the written answer is a complete one.  */
 bool submission_is_complete (const struct submission *s);
 
--- a/src/coord/submission_register.c
+++ b/src/coord/submission_register.c
@@ -13,6 +13,7 @@
   snprintf (r->vm, sizeof r->vm, "%s", vm);
   r->boot_id = boot_id;
   r->window_ms = window_ms;
+  r->forgotten_wall_ms = INT64_MIN;
   r->capacity = capacity;
 }
 
@@ -75,7 +76,8 @@
     return SUBMIT_FUTURE;
   if (k->incarnation > g->incarnation)
     return SUBMIT_FUTURE;
-  if (k->issued_wall_ms + r->window_ms < wall_ms)
+  if (k->issued_wall_ms + r->window_ms < wall_ms
+      || k->issued_wall_ms <= r->forgotten_wall_ms)
     return SUBMIT_EXPIRED;
   if (!k->bare && k->incarnation < g->complete_since)
     return SUBMIT_MEMORY_LOST;
@@ -156,9 +158,7 @@
 end_record (struct submission *s, struct slice answer)
 {
   set_text (&s->answer, answer);
-  free (s->body);
-  s->body = NULL;
-  s->state = SUBMISSION_ENDED;
+  submission_end (s);
 }
 
 /* Whether the message's version of S replaces ours: it is of a later
@@ -228,47 +228,53 @@
   return RECORD_OK;
 }
 
+/* The record that a message of INCARNATION is about, by its whole id, or NULL;
+   STATUS tells whether the message may be taken.  */
+static struct submission *
+find_for_message (const struct submission_register *r, uint64_t incarnation,
+                  struct slice id, enum record_status *status)
+{
+  char text[RECORD_ID_BYTES] = "";
+  struct submission *s;
+
+  *status = judge_incarnation (r, incarnation);
+  if (*status != RECORD_OK)
+    return NULL;
+  slice_copy (id, text, sizeof text);
+  s = submission_register_find (r, text);
+  if (s == NULL)
+    *status = RECORD_MISSING;
+  return s;
+}
+
 enum record_status
 submission_register_advance (struct submission_register *r,
                              const struct peer_record_advance *m)
 {
-  enum record_status status = judge_incarnation (r, m->incarnation);
-  char id[RECORD_ID_BYTES] = "";
-  struct submission *s;
+  enum record_status status;
+  struct submission *s = find_for_message (r, m->incarnation, m->key, &status);
 
-  if (status != RECORD_OK)
-    return status;
-  slice_copy (m->key, id, sizeof id);
-  s = submission_register_find (r, id);
-  if (s == NULL)
-    return RECORD_MISSING;
-  if (m->may_start > s->may_start)
+  if (s != NULL && m->may_start > s->may_start)
     s->may_start = (uint32_t)m->may_start;
-  return RECORD_OK;
+  return status;
 }
 
 enum record_status
 submission_register_end (struct submission_register *r,
                          const struct peer_record_done *m)
 {
-  enum record_status status = judge_incarnation (r, m->incarnation);
-  char id[RECORD_ID_BYTES] = "";
-  struct submission *s;
+  enum record_status status;
+  struct submission *s = find_for_message (r, m->incarnation, m->key, &status);
 
-  if (status != RECORD_OK)
-    return status;
-  slice_copy (m->key, id, sizeof id);
-  s = submission_register_find (r, id);
-  if (m->state == SUBMISSION_PREPARING)
+  if (m->state != SUBMISSION_PREPARING)
     {
-      if (s != NULL && s->state != SUBMISSION_ENDED)
-        submission_register_drop (r, s);
-      return RECORD_OK;
+      if (s != NULL)
+        end_record (s, m->answer);
+      return status;
     }
-  if (s == NULL)
-    return RECORD_MISSING;
-  end_record (s, m->answer);
-  return RECORD_OK;
+  if (s != NULL && s->state != SUBMISSION_ENDED)
+    submission_register_drop (r, s);
+  return status == RECORD_MISSING ? RECORD_OK : status;
 }
 
 bool
@@ -328,26 +334,76 @@
   return false;
 }
 
+static bool
+is_over (const struct submission_register *r, const struct submission *s,
+         int64_t now_wall_ms)
+{
+  int64_t kept_ms = r->window_ms + CLOCK_SLACK_MS;
+
+  if (s->state != SUBMISSION_ENDED)
+    kept_ms += STRAY_RECORD_MS;
+  return s->issued_wall_ms + kept_ms <= now_wall_ms
+         && (s->state == SUBMISSION_ENDED || !is_executor (r, s));
+}
+
+static int
+compare_issued (const void *a, const void *b)
+{
+  int64_t x = (*(struct submission *const *)a)->issued_wall_ms;
+  int64_t y = (*(struct submission *const *)b)->issued_wall_ms;
+
+  return x < y ? -1 : x > y;
+}
+
+/* Forgets the oldest ended records until the others fit the bound, with some
+   room left.  From then on a key as old as those without a record may be one
+   of them.  */
+static uint32_t
+fit_bytes (struct submission_register *r, uint64_t bytes)
+{
+  uint64_t wanted = r->bytes_limit / 10 * 9;
+  uint32_t count = 0;
+  uint32_t forgotten = 0;
+  struct submission **ended;
+  struct submission *s;
+
+  if (r->bytes_limit == 0 || bytes <= r->bytes_limit)
+    return 0;
+  ended = calloc (HASH_COUNT (r->records), sizeof *ended);
+  for (s = r->records; s != NULL; s = s->hh.next)
+    if (s->state == SUBMISSION_ENDED)
+      ended[count++] = s;
+  qsort (ended, count, sizeof *ended, compare_issued);
+  while (forgotten < count && bytes > wanted)
+    {
+      s = ended[forgotten++];
+      bytes -= s->kept_bytes;
+      r->forgotten_wall_ms = s->issued_wall_ms;
+      submission_register_drop (r, s);
+    }
+  free (ended);
+  return forgotten;
+}
+
 uint32_t
 submission_register_expire (struct submission_register *r, int64_t now_wall_ms)
 {
   uint32_t expired = 0;
+  uint64_t bytes = 0;
   struct submission *s;
   struct submission *next;
 
   HASH_ITER (hh, r->records, s, next)
   {
-    int64_t kept_ms = r->window_ms + CLOCK_SLACK_MS;
-
-    if (s->state != SUBMISSION_ENDED)
-      kept_ms += STRAY_RECORD_MS;
-    if (s->issued_wall_ms + kept_ms > now_wall_ms
-        || (s->state != SUBMISSION_ENDED && is_executor (r, s)))
-      continue;
-    submission_register_drop (r, s);
-    expired++;
+    if (is_over (r, s, now_wall_ms))
+      {
+        submission_register_drop (r, s);
+        expired++;
+      }
+    else if (s->state == SUBMISSION_ENDED)
+      bytes += s->kept_bytes;
   }
-  return expired;
+  return expired + fit_bytes (r, bytes);
 }
 
 void
--- a/src/coord/submission_register.h
+++ b/src/coord/submission_register.h
@@ -30,7 +30,7 @@
   SUBMIT_KNOWN,       /* the record is here, running here or ended */
   SUBMIT_ELSEWHERE,   /* another member executes it */
   SUBMIT_CONFLICT,    /* same key, other content */
-  SUBMIT_EXPIRED,     /* key older than the window: may have run */
+  SUBMIT_EXPIRED,     /* key as old as forgotten ones: may have run */
   SUBMIT_MEMORY_LOST, /* key older than the group's memory: may have run */
   SUBMIT_FUTURE,      /* key of an incarnation or time yet to come */
   SUBMIT_NOT_MEMBER,  /* this VM is not in the group: nothing was done */
@@ -53,6 +53,11 @@
   uint64_t boot_id;
   int64_t window_ms;
   uint32_t capacity;
+  uint64_t bytes_limit; /* of ended records; 0: none */
+
+  /* Ended records whose keys were issued up to here may have been forgotten
+     before their window was over, for lack of room.  */
+  int64_t forgotten_wall_ms;
 
   struct group group; /* as this member last learnt it */
   bool synced;
@@ -104,8 +109,9 @@
 /* Whether this member sends all records to the members not yet synced.  */
 bool submission_register_is_sync_source (const struct submission_register *r);
 
-/* Forgets ended records older than the window, and open ones of other
-   executors that nobody ended.  Returns their number.  */
+/* Forgets ended records older than the window, open ones of other executors
+   that nobody ended, and the oldest ended ones that do not fit the bound of
+   bytes.  Returns their number.  */
 uint32_t submission_register_expire (struct submission_register *r,
                                      int64_t now_wall_ms);
 
--- a/src/net/peer_message.c
+++ b/src/net/peer_message.c
@@ -86,7 +86,9 @@
       { U (record_done.id), U (record_done.incarnation), B (record_done.key),
         U (record_done.state), B (record_done.answer) } },
   [PEER_RECORD_SYNCED]
-  = { false, { U (record_synced.id), U (record_synced.incarnation) } },
+  = { false,
+      { U (record_synced.id), U (record_synced.incarnation),
+        I (record_synced.forgotten_wall_ms) } },
   [PEER_TASK_RUN] = { false,
                       { U (task_run.id), B (task_run.task), B (task_run.kind),
                         B (task_run.payload), I (task_run.timeout_ms) } },
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -147,6 +147,7 @@
 {
   uint64_t id;
   uint64_t incarnation;
+  int64_t forgotten_wall_ms; /* up to when the sender has forgotten records */
 };
 
 struct peer_task_run
--- a/tests/prove.sh
+++ b/tests/prove.sh
@@ -10,7 +10,7 @@
 passed=0
 failed=0
 reset_copy () {
-  [ -n "${KEEP:-}" ] && echo "$copy" || rm -rf "$copy"
+  rm -rf "$copy"
   mkdir -p "$copy"
   cp -a Makefile src tests bench docs examples "$build" "$copy"
 }
@@ -101,6 +101,14 @@
   's/beat_of (m, o) != NULL/true/; s/heard_at (m, o) > heard_at (m, member) + m->lease_ms/m->leader_since_ms + 9 * m->lease_ms < m->leader_since_ms + 10 * m->lease_ms/' unit
 row "an answer is given once the backup has it" src/controller/job_controller.c \
   's/^  if (s->unregistered)\n    on_ended/XX/; s/    replica_end (n, s, until > s->deadline_ms ? until : s->deadline_ms,/    on_ended (n, s, REPLICA_ACKED); if (0) replica_end (n, s, until > s->deadline_ms ? until : s->deadline_ms,/' $s/second_loss.scn
+row "a key as old as forgotten records is unknown" src/coord/submission_register.c \
+  's/|| k->issued_wall_ms <= r->forgotten_wall_ms)/|| false)/' $s/record_bound.scn
+row "a joining VM learns up to when records are forgotten" src/controller/replica_controller.c \
+  's/if (m->forgotten_wall_ms > n->submissions.forgotten_wall_ms)/if (0)/' $s/record_bound.scn "1 2"
+row "the cut-off quota" src/controller/config_controller.c \
+  's/return n->quorum_lost ? n->environment/return 0 ? n->environment/' $s/cut_off_quota.scn
+row "the configuration from a peer" src/controller/config_controller.c \
+  's/    if (n->quorum_lost$/    if (0/' $s/cut_off_restart.scn
 [ -n "${KEEP:-}" ] && echo "$copy" || rm -rf "$copy"
 echo "proofs: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tests/runner/verbs_cluster.c
+++ b/tests/runner/verbs_cluster.c
@@ -296,17 +296,19 @@
   if (file != NULL)
     return json_load_file (file, 0, NULL);
   return json_pack (
-      "{s:[s] s:[o o o] s:[o o o o] s:{s:i} s:{s:i s:i s:i}}", "environments",
-      line_option (l, "environment", "production"), "teams",
+      "{s:[s] s:[o o o] s:[o o o o] s:{s:i s:i} s:{s:i s:i s:i} s:{s:f}}",
+      "environments", line_option (l, "environment", "production"), "teams",
       team_json ("shop", line_number (l, "team_tasks_per_s", 100000)),
       team_json ("club", line_number (l, "team_tasks_per_s", 100000)),
       team_json ("small", line_number (l, "small_tasks_per_s", 100)), "kinds",
       kind_json ("check", 50), kind_json ("hold", 60),
       kind_json ("confirm", 80), kind_json ("slow", 2000), "limits",
-      "queued_tasks", line_number (l, "queued_tasks", 20000), "policy",
+      "queued_tasks", line_number (l, "queued_tasks", 20000), "record_bytes",
+      line_number (l, "record_bytes", 48 << 20), "policy",
       "default_deadline_ms", line_number (l, "deadline_ms", 10000),
       "maximum_deadline_ms", 60000, "eject_ms",
-      line_number (l, "eject_ms", 1000));
+      line_number (l, "eject_ms", 1000), "cut_off", "quota_share",
+      atof (line_option (l, "quota_share", "1")));
 }
 
 /* accept at VM [expect=N] [request=ID] [as=NAME]: begins an operator's call,
--- a/tests/unit/test_register.c
+++ b/tests/unit/test_register.c
@@ -444,6 +444,49 @@
   submission_register_done (&r);
 }
 
+/* Where ended records do not fit, the oldest go, and keys as old as they are
+   never taken as new.  */
+static void
+test_bytes (void)
+{
+  struct submission_register r;
+  struct group g
+      = { .domain = "shop",
+          .incarnation = 1,
+          .complete_since = 1,
+          .members = { { .vm = "a", .boot_id = 9, .synced = true } },
+          .member_count = 1 };
+  struct submission_key k = { .domain = "shop", .incarnation = 1 };
+  struct submission_digest one = { 1, 1 };
+  struct submission *s;
+
+  submission_register_init (&r, "a", 9, 900000, 100000);
+  submission_register_set_group (&r, &g);
+  r.bytes_limit = 50 * sizeof *s;
+  for (int i = 0; i < 100; i++)
+    {
+      snprintf (k.text, sizeof k.text, "shop.1.%d.x", i);
+      k.issued_wall_ms = WALL_MS + i * 1000L;
+      CU_ASSERT_EQUAL (
+          submission_register_submit (&r, WALL_MS + 100000, &k, "t", one, &s),
+          SUBMIT_NEW);
+      submission_end (s);
+    }
+  CU_ASSERT_EQUAL (submission_register_expire (&r, WALL_MS + 100000), 55);
+  CU_ASSERT_EQUAL (HASH_COUNT (r.records), 45);
+  snprintf (k.text, sizeof k.text, "shop.1.54.x");
+  k.issued_wall_ms = WALL_MS + 54000;
+  CU_ASSERT_EQUAL (
+      submission_register_submit (&r, WALL_MS + 100000, &k, "t", one, &s),
+      SUBMIT_EXPIRED);
+  snprintf (k.text, sizeof k.text, "shop.1.55.x");
+  k.issued_wall_ms = WALL_MS + 55000;
+  CU_ASSERT_EQUAL (
+      submission_register_submit (&r, WALL_MS + 100000, &k, "t", one, &s),
+      SUBMIT_KNOWN);
+  submission_register_done (&r);
+}
+
 void
 suite_register (void)
 {
@@ -451,4 +494,5 @@
 
   CU_add_test (s, "random loss, restarts and views", test_random);
   CU_add_test (s, "verdicts", test_verdicts);
+  CU_add_test (s, "the bound of bytes", test_bytes);
 }
