A stop in a cut-off domain ends once nothing runs

Ruled out: calls in flight (all had been answered 2 s before).

Change: without the quorum there is nobody to hand keys to; the entry ends what runs and stops.

--- a/src/controller/drain_controller.c
+++ b/src/controller/drain_controller.c
@@ -24,14 +24,15 @@
 }
 
 /* Whether another member has this entry's keys and targets now, or there is
-   nobody to take them.  */
+   nobody to give them: without the quorum no group changes.  */
 static bool
 is_handed_over (const struct entry *n)
 {
   const struct group *g = &n->submissions.group;
   const struct group_member *own = group_member_find (g, n->settings->vm);
 
-  return own == NULL || own->boot_id != n->boot_id || own->draining;
+  return n->quorum_lost || own == NULL || own->boot_id != n->boot_id
+         || own->draining;
 }
 
 static bool
@@ -69,7 +70,7 @@
     return;
   if (passed > GRACE_MS)
     n->draining = true;
-  if (n->leaving == LEAVING_GONE && (!is_member (n) || late))
+  if (n->leaving == LEAVING_GONE && (!is_member (n) || n->quorum_lost || late))
     {
       event_base_loopbreak (n->base);
       return;
