A body over the limit is told so

Cause: a trial with malformed HTTP (pipelined, huge bodies and headers, garbage, chunked with an absurd size) found no crash, but a body over the limit was answered by a closed connection only.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -11,7 +11,11 @@
 enum
 {
   BACKLOG = 1024,
-  ERROR_TEXT_BYTES = 4200
+  ERROR_TEXT_BYTES = 4200,
+
+  /* So many times the limit is read to be told so; beyond it evhtp closes the
+     connection without an answer.  */
+  BODY_READ_FACTOR = 8
 };
 
 struct http_server
@@ -22,6 +26,7 @@
   struct timeval idle;
   uint32_t connections;
   uint32_t connections_maximum;
+  uint32_t body_bytes_maximum;
   uint32_t open_calls;
 };
 
@@ -110,7 +115,12 @@
                           (evhtp_hook)on_request_fini, c);
   /* A held request must not run into the read timeout.  */
   bufferevent_set_timeouts (request->conn->bev, NULL, NULL);
-  s->handler (s->arg, c);
+  if (length > s->body_bytes_maximum)
+    http_call_refuse (c, 413, "body_too_large", "not_run",
+                      "the body has %zu bytes, of at most %u", length,
+                      s->body_bytes_maximum);
+  else
+    s->handler (s->arg, c);
 }
 
 static evhtp_res
@@ -153,7 +163,9 @@
   s->htp = evhtp_new (base, NULL);
   evhtp_set_gencb (s->htp, on_request, s);
   evhtp_set_post_accept_cb (s->htp, on_accept, s);
-  evhtp_set_max_body_size (s->htp, settings->body_bytes);
+  s->body_bytes_maximum = settings->body_bytes;
+  evhtp_set_max_body_size (s->htp,
+                           (uint64_t)settings->body_bytes * BODY_READ_FACTOR);
   evhtp_set_timeouts (s->htp, &s->idle, &s->idle);
   snprintf (address, sizeof address, "%s%s",
             strchr (settings->address, ':') != NULL ? "ipv6:" : "",
--- a/tests/runner/verbs_calls.c
+++ b/tests/runner/verbs_calls.c
@@ -278,11 +278,14 @@
     }
 }
 
-/* post NAME at VM PATH BODY...: a call with any body, to try bad input.  */
+/* post NAME at VM PATH BODY [token=] [bytes=N]: a call with any body, or one
+   of N blanks, to try bad input.  */
 static void
 do_post (struct scenario *s, const struct line *l)
 {
   struct cluster_vm *vm = cluster_vm (&s->cluster, l->words[3]);
+  int bytes = line_number (l, "bytes", 0);
+  char *body;
   struct call *c;
 
   if (vm == NULL)
@@ -290,9 +293,17 @@
       scenario_fault (s, l, "no such VM");
       return;
     }
+  if (bytes != 0)
+    {
+      body = malloc ((size_t)bytes + 1);
+      memset (body, ' ', (size_t)bytes);
+      body[bytes] = '\0';
+    }
+  else
+    body = strdup (l->word_count > 5 ? l->words[5] : "");
   c = calls_begin (&s->calls, vm, "POST", l->words[4],
-                   line_option (l, "token", "token-shop"),
-                   l->word_count > 5 ? l->words[5] : "");
+                   line_option (l, "token", "token-shop"), body);
+  free (body);
   snprintf (c->name, sizeof c->name, "%s", l->words[1]);
 }
 
