--- a/src/controller/keeper.c
+++ b/src/controller/keeper.c
@@ -302,7 +302,7 @@
                        json_integer ((json_int_t)now_wall_ms ()));
   text = json_dumps (o, JSON_COMPACT);
   /* The place is taken before: a quorum of one applies at once.  */
-  p->index = replicated_log_last_index (&k->log) + 1;
+  p->index = log_entries_last_index (&k->log.stored) + 1;
   p->from = peer_conn_hold (from);
   p->call_id = call->id;
   replicated_log_propose (&k->log, now_ms (), text, (uint32_t)strlen (text));
--- a/src/controller/keeper_journal.c
+++ b/src/controller/keeper_journal.c
@@ -107,18 +107,19 @@
 
   if (!store_result (k, s))
     return false;
-  s = append_headed (&fresh, RECORD_SNAPSHOT, l->base_index, l->base_term,
-                     l->snapshot, l->snapshot_length);
+  s = append_headed (&fresh, RECORD_SNAPSHOT, l->stored.base_index,
+                     l->stored.base_term, l->stored.snapshot,
+                     l->stored.snapshot_length);
   if (s == STORE_OK)
     s = append_state (&fresh, l->term, l->voted_for);
-  for (uint64_t i = 0; s == STORE_OK && i < l->entry_count; i++)
-    s = append_headed (&fresh, RECORD_ENTRY, l->base_index + 1 + i,
-                       l->entries[i].term, l->entries[i].data,
-                       l->entries[i].length);
+  for (uint64_t i = 0; s == STORE_OK && i < l->stored.count; i++)
+    s = append_headed (&fresh, RECORD_ENTRY, l->stored.base_index + 1 + i,
+                       l->stored.entries[i].term, l->stored.entries[i].data,
+                       l->stored.entries[i].length);
   if (s == STORE_OK)
     s = journal_rewrite_commit (&k->journal, &fresh);
   event_ring_add (EVENT_STORE_COMPACTED, k->settings->vm,
-                  "index=%" PRIu64 " bytes=%" PRIu64, l->base_index,
+                  "index=%" PRIu64 " bytes=%" PRIu64, l->stored.base_index,
                   k->journal.size);
   return store_result (k, s);
 }
@@ -171,7 +172,7 @@
     }
   event_ring_add (EVENT_STORE_LOADED, s->vm,
                   "last_index=%" PRIu64 " bytes=%" PRIu64,
-                  replicated_log_last_index (&k->log), k->journal.size);
+                  log_entries_last_index (&k->log.stored), k->journal.size);
   if (k->journal.cut_bytes != 0)
     event_ring_add (EVENT_STORE_TAIL_CUT, s->vm, "bytes=%" PRIu64,
                     k->journal.cut_bytes);
--- a/src/coord/replicated_log.c
+++ b/src/coord/replicated_log.c
@@ -34,6 +34,7 @@
                      const struct replicated_log_output *output, void *arg)
 {
   memset (l, 0, sizeof *l);
+  log_entries_init (&l->stored);
   l->self = self;
   l->member_count = member_count;
   l->heartbeat_ms = heartbeat_ms;
@@ -46,57 +47,10 @@
   l->compact_entries = COMPACT_ENTRIES_DEFAULT;
 }
 
-static void
-drop_entries_from (struct replicated_log *l, uint64_t position)
-{
-  for (uint64_t i = position; i < l->entry_count; i++)
-    free (l->entries[i].data);
-  if (position < l->entry_count)
-    l->entry_count = position;
-}
-
 void
 replicated_log_done (struct replicated_log *l)
 {
-  drop_entries_from (l, 0);
-  free (l->entries);
-  free (l->snapshot);
-}
-
-uint64_t
-replicated_log_last_index (const struct replicated_log *l)
-{
-  return l->base_index + l->entry_count;
-}
-
-uint64_t
-replicated_log_term_at (const struct replicated_log *l, uint64_t index)
-{
-  if (index == l->base_index)
-    return l->base_term;
-  if (index < l->base_index || index > replicated_log_last_index (l))
-    return 0;
-  return l->entries[index - l->base_index - 1].term;
-}
-
-static void
-add_entry (struct replicated_log *l, uint64_t term, const char *data,
-           uint32_t length)
-{
-  struct log_entry *e;
-
-  if (l->entry_count == l->entry_room)
-    {
-      l->entry_room = l->entry_room == 0 ? 64 : l->entry_room * 2;
-      l->entries = realloc (l->entries, l->entry_room * sizeof *l->entries);
-    }
-  e = &l->entries[l->entry_count++];
-  e->term = term;
-  e->length = length;
-  e->data = malloc (length + 1);
-  if (length != 0)
-    memcpy (e->data, data, length);
-  e->data[length] = '\0';
+  log_entries_done (&l->stored);
 }
 
 void
@@ -107,66 +61,32 @@
   l->voted_for = voted_for;
 }
 
-static void
-set_snapshot (struct replicated_log *l, uint64_t index, uint64_t term,
-              char *data, uint32_t length)
-{
-  uint64_t covered = index - l->base_index;
-
-  if (covered >= l->entry_count)
-    drop_entries_from (l, 0);
-  else
-    {
-      for (uint64_t i = 0; i < covered; i++)
-        free (l->entries[i].data);
-      l->entry_count -= covered;
-      memmove (l->entries, l->entries + covered,
-               l->entry_count * sizeof *l->entries);
-    }
-  free (l->snapshot);
-  l->snapshot = data;
-  l->snapshot_length = length;
-  l->base_index = index;
-  l->base_term = term;
-}
-
-static char *
-copy_bytes (const char *data, uint32_t length)
-{
-  char *copy = malloc (length + 1);
-
-  if (length != 0)
-    memcpy (copy, data, length);
-  copy[length] = '\0';
-  return copy;
-}
-
 void
 replicated_log_restore_snapshot (struct replicated_log *l, uint64_t index,
                                  uint64_t term, const char *data,
                                  uint32_t length)
 {
-  set_snapshot (l, index, term, copy_bytes (data, length), length);
+  log_entries_set_snapshot (&l->stored, index, term, data, length);
   l->commit_index = index;
   l->applied_index = index;
-  l->output->load_snapshot (l->arg, index, l->snapshot, length);
+  l->output->load_snapshot (l->arg, index, l->stored.snapshot, length);
 }
 
 bool
 replicated_log_restore_entry (struct replicated_log *l, uint64_t index,
                               uint64_t term, const char *data, uint32_t length)
 {
-  if (index != replicated_log_last_index (l) + 1)
+  if (index != log_entries_last_index (&l->stored) + 1)
     return false;
-  add_entry (l, term, data, length);
+  log_entries_add (&l->stored, term, data, length);
   return true;
 }
 
 void
 replicated_log_restore_truncate (struct replicated_log *l, uint64_t from_index)
 {
-  if (from_index > l->base_index)
-    drop_entries_from (l, from_index - l->base_index - 1);
+  if (from_index > l->stored.base_index)
+    log_entries_drop_from (&l->stored, from_index);
 }
 
 void
@@ -222,7 +142,7 @@
 static void
 ask_for_votes (struct replicated_log *l, bool pre_vote)
 {
-  uint64_t last = replicated_log_last_index (l);
+  uint64_t last = log_entries_last_index (&l->stored);
   struct peer_message m = { .type = PEER_VOTE };
 
   for (int i = 0; i < l->member_count; i++)
@@ -230,9 +150,9 @@
       l->members[i].granted = i == l->self;
       if (i == l->self)
         continue;
-      m.u.vote
-          = (struct peer_vote){ l->term + (pre_vote ? 1 : 0), last,
-                                replicated_log_term_at (l, last), pre_vote };
+      m.u.vote = (struct peer_vote){ l->term + (pre_vote ? 1 : 0), last,
+                                     log_entries_term_at (&l->stored, last),
+                                     pre_vote };
       l->output->send (l->arg, i, &m);
     }
 }
@@ -240,10 +160,11 @@
 static bool
 append_own (struct replicated_log *l, const char *data, uint32_t length)
 {
-  uint64_t index = replicated_log_last_index (l) + 1;
+  uint64_t index = log_entries_last_index (&l->stored) + 1;
 
-  add_entry (l, l->term, data, length);
-  if (!l->output->save_entry (l->arg, index, &l->entries[l->entry_count - 1])
+  log_entries_add (&l->stored, l->term, data, length);
+  if (!l->output->save_entry (l->arg, index,
+                              log_entries_at (&l->stored, index))
       || !l->output->sync (l->arg))
     {
       l->failed = true;
@@ -260,7 +181,7 @@
   l->leader = l->self;
   for (int i = 0; i < l->member_count; i++)
     {
-      l->members[i].next_index = replicated_log_last_index (l) + 1;
+      l->members[i].next_index = log_entries_last_index (&l->stored) + 1;
       l->members[i].match_index = 0;
       l->members[i].heard_ms = now;
     }
@@ -303,8 +224,8 @@
 static bool
 is_up_to_date (const struct replicated_log *l, const struct peer_vote *v)
 {
-  uint64_t last = replicated_log_last_index (l);
-  uint64_t last_term = replicated_log_term_at (l, last);
+  uint64_t last = log_entries_last_index (&l->stored);
+  uint64_t last_term = log_entries_term_at (&l->stored, last);
 
   return v->last_term > last_term
          || (v->last_term == last_term && v->last_index >= last);
@@ -381,31 +302,14 @@
   struct peer_message m = { .type = PEER_SNAPSHOT };
 
   m.u.snapshot = (struct peer_snapshot){ l->term,
-                                         l->base_index,
-                                         l->base_term,
+                                         l->stored.base_index,
+                                         l->stored.base_term,
                                          l->round,
-                                         { l->snapshot, l->snapshot_length } };
+                                         { l->stored.snapshot,
+                                           l->stored.snapshot_length } };
   l->output->send (l->arg, to, &m);
 }
 
-static void
-pack_entries (const struct replicated_log *l, uint64_t from,
-              msgpack_sbuffer *buffer)
-{
-  msgpack_packer p;
-
-  msgpack_packer_init (&p, buffer, msgpack_sbuffer_write);
-  for (uint64_t i = from - l->base_index - 1;
-       i < l->entry_count && buffer->size < APPEND_BYTES_MAXIMUM; i++)
-    {
-      const struct log_entry *e = &l->entries[i];
-
-      msgpack_pack_uint64 (&p, e->term);
-      msgpack_pack_bin (&p, e->length);
-      msgpack_pack_bin_body (&p, e->data, e->length);
-    }
-}
-
 static void
 send_append (struct replicated_log *l, int to, int64_t now)
 {
@@ -414,17 +318,18 @@
   msgpack_sbuffer packed;
 
   member->sent_ms = now;
-  if (member->next_index <= l->base_index)
+  if (member->next_index <= l->stored.base_index)
     {
       send_snapshot (l, to);
       return;
     }
   msgpack_sbuffer_init (&packed);
-  pack_entries (l, member->next_index, &packed);
+  log_entries_pack (&l->stored, member->next_index, APPEND_BYTES_MAXIMUM,
+                    &packed);
   m.u.append = (struct peer_append){
     l->term,
     member->next_index - 1,
-    replicated_log_term_at (l, member->next_index - 1),
+    log_entries_term_at (&l->stored, member->next_index - 1),
     l->commit_index,
     l->round,
     { packed.data == NULL ? "" : packed.data, (uint32_t)packed.size }
@@ -448,11 +353,13 @@
   uint32_t length;
   char *data;
 
-  if (l->applied_index - l->base_index < l->compact_entries)
+  if (l->applied_index - l->stored.base_index < l->compact_entries)
     return;
   data = l->output->take_snapshot (l->arg, &length);
-  set_snapshot (l, l->applied_index,
-                replicated_log_term_at (l, l->applied_index), data, length);
+  log_entries_set_snapshot (&l->stored, l->applied_index,
+                            log_entries_term_at (&l->stored, l->applied_index),
+                            data, length);
+  free (data);
   if (!l->output->save_snapshot (l->arg, l))
     l->failed = true;
 }
@@ -464,7 +371,7 @@
     {
       uint64_t index = ++l->applied_index;
 
-      l->output->apply (l->arg, index, &l->entries[index - l->base_index - 1]);
+      l->output->apply (l->arg, index, log_entries_at (&l->stored, index));
     }
   compact (l);
 }
@@ -489,7 +396,8 @@
     match[i] = l->members[i].match_index;
   qsort (match, (size_t)l->member_count, sizeof match[0], compare_indexes);
   index = match[majority (l) - 1];
-  if (index <= l->commit_index || replicated_log_term_at (l, index) != l->term)
+  if (index <= l->commit_index
+      || log_entries_term_at (&l->stored, index) != l->term)
     return;
   l->commit_index = index;
   apply_committed (l);
@@ -514,19 +422,19 @@
 take_entry (struct replicated_log *l, uint64_t index, uint64_t term,
             const char *data, uint32_t length)
 {
-  uint64_t known = replicated_log_term_at (l, index);
+  uint64_t known = log_entries_term_at (&l->stored, index);
 
-  if (index <= l->base_index || known == term)
+  if (index <= l->stored.base_index || known == term)
     return true;
   if (known != 0)
     {
       if (!l->output->save_truncate (l->arg, index))
         return false;
-      drop_entries_from (l, index - l->base_index - 1);
+      log_entries_drop_from (&l->stored, index);
     }
-  add_entry (l, term, data, length);
+  log_entries_add (&l->stored, term, data, length);
   return l->output->save_entry (l->arg, index,
-                                &l->entries[l->entry_count - 1]);
+                                log_entries_at (&l->stored, index));
 }
 
 /* Takes the packed ENTRIES after PREVIOUS.  Returns the last index taken, or
@@ -535,7 +443,7 @@
 take_entries (struct replicated_log *l, uint64_t previous,
               struct slice entries)
 {
-  uint64_t before = replicated_log_last_index (l);
+  uint64_t before = log_entries_last_index (&l->stored);
   uint64_t index = previous;
   msgpack_unpacked term;
   msgpack_unpacked data;
@@ -563,7 +471,7 @@
     }
   msgpack_unpacked_destroy (&term);
   msgpack_unpacked_destroy (&data);
-  if (good && replicated_log_last_index (l) != before
+  if (good && log_entries_last_index (&l->stored) != before
       && !l->output->sync (l->arg))
     l->failed = true;
   return good && !l->failed ? index : 0;
@@ -581,7 +489,7 @@
 receive_append (struct replicated_log *l, int64_t now, int from,
                 const struct peer_append *a)
 {
-  uint64_t last = replicated_log_last_index (l);
+  uint64_t last = log_entries_last_index (&l->stored);
   uint64_t match;
 
   if (a->term < l->term)
@@ -591,8 +499,8 @@
     }
   follow (l, now, from, a->term);
   if (a->previous_index > last
-      || (a->previous_index >= l->base_index
-          && replicated_log_term_at (l, a->previous_index)
+      || (a->previous_index >= l->stored.base_index
+          && log_entries_term_at (&l->stored, a->previous_index)
                  != a->previous_term))
     {
       uint64_t hint = a->previous_index > last ? last : a->previous_index - 1;
@@ -640,7 +548,7 @@
     member->match_index = a->match_index;
   member->next_index = member->match_index + 1;
   advance_commit (l);
-  if (member->next_index <= replicated_log_last_index (l))
+  if (member->next_index <= log_entries_last_index (&l->stored))
     send_append (l, from, now);
 }
 
@@ -650,22 +558,24 @@
 {
   if (s->term < l->term)
     {
-      reply_append (l, from, false, replicated_log_last_index (l), s->round);
+      reply_append (l, from, false, log_entries_last_index (&l->stored),
+                    s->round);
       return;
     }
   follow (l, now, from, s->term);
   if (s->last_index > l->commit_index)
     {
-      bool holds = replicated_log_term_at (l, s->last_index) == s->last_term;
+      bool holds
+          = log_entries_term_at (&l->stored, s->last_index) == s->last_term;
 
       if (!holds)
-        drop_entries_from (l, 0);
-      set_snapshot (l, s->last_index, s->last_term,
-                    copy_bytes (s->data.data, s->data.length), s->data.length);
+        log_entries_drop_from (&l->stored, l->stored.base_index + 1);
+      log_entries_set_snapshot (&l->stored, s->last_index, s->last_term,
+                                s->data.data, s->data.length);
       l->commit_index = s->last_index;
       l->applied_index = s->last_index;
-      l->output->load_snapshot (l->arg, s->last_index, l->snapshot,
-                                l->snapshot_length);
+      l->output->load_snapshot (l->arg, s->last_index, l->stored.snapshot,
+                                l->stored.snapshot_length);
       if (!l->output->save_snapshot (l->arg, l))
         l->failed = true;
     }
@@ -710,7 +620,7 @@
     return 0;
   if (!append_own (l, data, length))
     return 0;
-  index = replicated_log_last_index (l);
+  index = log_entries_last_index (&l->stored);
   broadcast_append (l, now);
   advance_commit (l);
   return index;
--- a/src/coord/replicated_log.h
+++ b/src/coord/replicated_log.h
@@ -10,6 +10,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include "coord/log_entries.h"
 #include "net/peer_message.h"
 
 enum
@@ -26,13 +27,6 @@
   LOG_LEADER
 };
 
-struct log_entry
-{
-  uint64_t term;
-  char *data;
-  uint32_t length;
-};
-
 struct replicated_log;
 
 struct replicated_log_output
@@ -77,13 +71,7 @@
   /* stored */
   uint64_t term;
   int voted_for;
-  uint64_t base_index; /* the snapshot's last entry */
-  uint64_t base_term;
-  char *snapshot;
-  uint32_t snapshot_length;
-  struct log_entry *entries; /* from base_index + 1 */
-  uint64_t entry_count;
-  uint64_t entry_room;
+  struct log_entries stored;
 
   /* not stored */
   enum log_role role;
@@ -137,10 +125,4 @@
 /* Gives up leadership and stands again only after the others had time to.  */
 void replicated_log_step_down (struct replicated_log *l, int64_t now_ms);
 
-uint64_t replicated_log_last_index (const struct replicated_log *l);
-
-/* The term of the entry at INDEX, or 0 where it is not known.  */
-uint64_t replicated_log_term_at (const struct replicated_log *l,
-                                 uint64_t index);
-
 #endif
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -114,13 +114,14 @@
 {
   struct member *m = arg;
 
-  m->disk_base = l->base_index;
-  m->disk_base_term = l->base_term;
-  memcpy (&m->snapshot_applied, l->snapshot, sizeof m->snapshot_applied);
-  if (m->disk_last < l->base_index)
-    m->disk_last = l->base_index;
-  if (replicated_log_last_index (l) < m->disk_last)
-    m->disk_last = replicated_log_last_index (l);
+  m->disk_base = l->stored.base_index;
+  m->disk_base_term = l->stored.base_term;
+  memcpy (&m->snapshot_applied, l->stored.snapshot,
+          sizeof m->snapshot_applied);
+  if (m->disk_last < l->stored.base_index)
+    m->disk_last = l->stored.base_index;
+  if (log_entries_last_index (&l->stored) < m->disk_last)
+    m->disk_last = log_entries_last_index (&l->stored);
   return true;
 }
 
@@ -331,7 +332,7 @@
         same = same
                && c->members[j].applied_count == c->members[0].applied_count
                && c->members[j].log.applied_index
-                      == replicated_log_last_index (&c->members[j].log);
+                      == log_entries_last_index (&c->members[j].log.stored);
       if (same && i > 500)
         return c->members[0].applied_count == c->sequence_count;
     }
