--- a/src/controller/job_controller.c
+++ b/src/controller/job_controller.c
@@ -303,8 +303,6 @@
 {
   struct submission *s;
   struct submission *next;
-  uint64_t window = (uint64_t)n->submissions.window_ms;
-  uint32_t capacity = n->submissions.capacity;
 
   for (s = n->open; s != NULL; s = next)
     {
@@ -312,7 +310,5 @@
       if (!s->unregistered)
         abandon (n, s);
     }
-  submission_register_done (&n->submissions);
-  submission_register_init (&n->submissions, n->settings->vm, n->boot_id,
-                            (int64_t)window, capacity);
+  submission_register_reset (&n->submissions, n->boot_id);
 }
--- a/src/controller/membership_controller.c
+++ b/src/controller/membership_controller.c
@@ -141,7 +141,6 @@
   RAND_bytes ((unsigned char *)&n->boot_id, sizeof n->boot_id);
   n->boot_id >>= 1;
   job_abandon_all (n);
-  n->submissions.boot_id = n->boot_id;
 }
 
 static void
--- a/src/coord/submission_register.c
+++ b/src/coord/submission_register.c
@@ -30,6 +30,17 @@
   }
 }
 
+void
+submission_register_reset (struct submission_register *r, uint64_t boot_id)
+{
+  struct submission_register fresh;
+
+  submission_register_init (&fresh, r->vm, boot_id, r->window_ms, r->capacity);
+  fresh.bytes_limit = r->bytes_limit;
+  submission_register_done (r);
+  *r = fresh;
+}
+
 struct submission *
 submission_register_find (const struct submission_register *r, const char *id)
 {
--- a/src/coord/submission_register.h
+++ b/src/coord/submission_register.h
@@ -70,6 +70,11 @@
                                uint32_t capacity);
 void submission_register_done (struct submission_register *r);
 
+/* Forgets all records and the group, and goes on as BOOT_ID under the same
+   bounds.  */
+void submission_register_reset (struct submission_register *r,
+                                uint64_t boot_id);
+
 struct submission *
 submission_register_find (const struct submission_register *r, const char *id);
 
--- a/tests/unit/test_register.c
+++ b/tests/unit/test_register.c
@@ -484,6 +484,11 @@
   CU_ASSERT_EQUAL (
       submission_register_submit (&r, WALL_MS + 100000, &k, "t", one, &s),
       SUBMIT_KNOWN);
+  submission_register_reset (&r, 10);
+  CU_ASSERT_EQUAL (HASH_COUNT (r.records), 0);
+  CU_ASSERT_EQUAL (r.boot_id, 10);
+  CU_ASSERT_EQUAL (r.bytes_limit, 50 * sizeof *s);
+  CU_ASSERT_EQUAL (r.capacity, 100000);
   submission_register_done (&r);
 }
 
