The runner tells at once of a process that ended by itself

Cause: the silent entry of KNOWN-RED may have been dead or stopped; the checker saw only the processes at the script's end, after the script had killed and started it.

Change: before each verb, a process that ended though nobody told it to is a fault with its status.

--- a/tests/runner/cluster.c
+++ b/tests/runner/cluster.c
@@ -189,6 +189,7 @@
     init_store (c, settings, log);
   vm->pid = cluster_spawn (c, "ragwortd", argv, log);
   vm->frozen = false;
+  vm->stopping = false;
 }
 
 void
--- a/tests/runner/cluster.h
+++ b/tests/runner/cluster.h
@@ -28,6 +28,7 @@
   char address[32];
   bool keeper;
   bool frozen;
+  bool stopping;         /* told to stop, or expected to refuse its start */
   pid_t pid;             /* 0: not running */
   int64_t config_number; /* the highest seen */
 };
--- a/tests/runner/script.c
+++ b/tests/runner/script.c
@@ -1,6 +1,7 @@
 #include "tests/runner/script.h"
 
 #include <stdarg.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -137,6 +138,24 @@
   return NULL;
 }
 
+/* Notes processes that ended though nobody told them to.  One that refuses its
+   start does so within the next verb, which says that it is expected.  */
+static void
+check_deaths (struct scenario *s, const struct line *l)
+{
+  bool expected = strcmp (l->words[0], "refused") == 0;
+
+  for (uint32_t i = 0; i < s->cluster.vm_count && !expected; i++)
+    {
+      struct cluster_vm *vm = &s->cluster.vms[i];
+      int status = 0;
+
+      if (vm->pid != 0 && !vm->stopping && cluster_reap (&vm->pid, &status))
+        scenario_fault (s, l, "%s has ended by itself, status %d", vm->name,
+                        status);
+    }
+}
+
 void
 scenario_run_line (struct scenario *s, struct line *l)
 {
@@ -144,6 +163,7 @@
 
   if (!parse (l))
     return;
+  check_deaths (s, l);
   v = find_verb (l->words[0]);
   if (v == NULL || l->word_count - 1 < v->operands)
     scenario_fault (s, l, "%s: unknown verb, or operands are missing",
--- a/tests/runner/verbs_cluster.c
+++ b/tests/runner/verbs_cluster.c
@@ -155,7 +155,10 @@
   if (t != NULL)
     pid = &t->pid;
   else if ((vm = need_vm (s, l, 1)) != NULL)
-    pid = &vm->pid;
+    {
+      pid = &vm->pid;
+      vm->stopping = true;
+    }
   else
     return;
   kill (*pid, SIGTERM);
