--- a/src/coord/submission_register.c
+++ b/src/coord/submission_register.c
@@ -380,7 +380,7 @@
 
   if (r->bytes_limit == 0 || bytes <= r->bytes_limit)
     return 0;
-  ended = calloc (HASH_COUNT (r->records), sizeof *ended);
+  ended = calloc (HASH_COUNT (r->records) + 1, sizeof *ended);
   for (s = r->records; s != NULL; s = s->hh.next)
     if (s->state == SUBMISSION_ENDED)
       ended[count++] = s;
