Records that do not fit are forgotten by a cutoff of issue times

Change: the cutoff is found first; then the table is walked as for expiry. Records of one issue time go together, which the mark says anyway.

--- a/src/coord/submission_register.c
+++ b/src/coord/submission_register.c
@@ -357,42 +357,68 @@
          && (s->state == SUBMISSION_ENDED || !is_executor (r, s));
 }
 
+/* What fit_bytes weighs of an ended record.  */
+struct ended_record
+{
+  int64_t issued_wall_ms;
+  uint32_t bytes;
+};
+
 static int
 compare_issued (const void *a, const void *b)
 {
-  int64_t x = (*(struct submission *const *)a)->issued_wall_ms;
-  int64_t y = (*(struct submission *const *)b)->issued_wall_ms;
+  int64_t x = ((const struct ended_record *)a)->issued_wall_ms;
+  int64_t y = ((const struct ended_record *)b)->issued_wall_ms;
 
   return x < y ? -1 : x > y;
 }
 
+/* The issue time up to which ended records have to go, so that those behind it
+   take at most WANTED of the BYTES of all.  */
+static int64_t
+find_cutoff (const struct submission_register *r, uint64_t bytes,
+             uint64_t wanted)
+{
+  struct ended_record *ended
+      = calloc (HASH_COUNT (r->records) + 1, sizeof *ended);
+  int64_t cutoff = r->forgotten_wall_ms;
+  uint32_t count = 0;
+
+  for (const struct submission *s = r->records; s != NULL; s = s->hh.next)
+    if (s->state == SUBMISSION_ENDED)
+      ended[count++]
+          = (struct ended_record){ s->issued_wall_ms, s->kept_bytes };
+  qsort (ended, count, sizeof *ended, compare_issued);
+  for (uint32_t i = 0; i < count && bytes > wanted; i++)
+    {
+      bytes -= ended[i].bytes;
+      cutoff = ended[i].issued_wall_ms;
+    }
+  free (ended);
+  return cutoff;
+}
+
 /* Forgets the oldest ended records until the others fit the bound, with some
    room left.  From then on a key as old as those without a record may be one
    of them.  */
 static uint32_t
 fit_bytes (struct submission_register *r, uint64_t bytes)
 {
-  uint64_t wanted = r->bytes_limit / 10 * 9;
-  uint32_t count = 0;
   uint32_t forgotten = 0;
-  struct submission **ended;
   struct submission *s;
+  struct submission *next;
 
   if (r->bytes_limit == 0 || bytes <= r->bytes_limit)
     return 0;
-  ended = calloc (HASH_COUNT (r->records) + 1, sizeof *ended);
-  for (s = r->records; s != NULL; s = s->hh.next)
-    if (s->state == SUBMISSION_ENDED)
-      ended[count++] = s;
-  qsort (ended, count, sizeof *ended, compare_issued);
-  while (forgotten < count && bytes > wanted)
-    {
-      s = ended[forgotten++];
-      bytes -= s->kept_bytes;
-      r->forgotten_wall_ms = s->issued_wall_ms;
-      submission_register_drop (r, s);
-    }
-  free (ended);
+  r->forgotten_wall_ms = find_cutoff (r, bytes, r->bytes_limit / 10 * 9);
+  HASH_ITER (hh, r->records, s, next)
+  {
+    if (s->state != SUBMISSION_ENDED
+        || s->issued_wall_ms > r->forgotten_wall_ms)
+      continue;
+    submission_register_drop (r, s);
+    forgotten++;
+  }
   return forgotten;
 }
 
