--- a/tests/check_examples.sh
+++ b/tests/check_examples.sh
@@ -46,6 +46,27 @@
   "$build/ragwortd" "$dir/k.json"
 expect "an entry with a journal" 2 'is not a keeper' \
   "$build/ragwortd" --init-store examples/sofia/entry.json
+sed 's|"data_folder": "[^"]*"|"data_folder": "/dev/null/data"|; s|192\.0\.2\.|127.44.0.|' \
+  examples/sofia/keeper.json > "$dir/unwritable.json"
+expect "a data folder that cannot be" 3 'cannot open the data folder' \
+  "$build/ragwortd" "$dir/unwritable.json"
+expect "a journal in it" 3 'cannot make' \
+  "$build/ragwortd" --init-store "$dir/unwritable.json"
+sed 's|192\.0\.2\.|127.44.0.|' examples/sofia/entry.json > "$dir/first.json"
+"$build/ragwortd" "$dir/first.json" > "$dir/first.log" 2>&1 &
+first=$!
+for i in 1 2 3 4 5 6 7 8 9 10; do
+  grep -q PROCESS_STARTED "$dir/first.log" && break
+  sleep 0.2
+done
+expect "a port in use" 3 'cannot listen on 127.44.0.111 port 7100' \
+  "$build/ragwortd" "$dir/first.json"
+expect "a wrong token" 1 "operators' token" \
+  "$build/ragwortctl" status --server 127.44.0.111:8100 --token wrong
+expect "a right token" 0 'no_configuration\|config_number' \
+  "$build/ragwortctl" status --server 127.44.0.111:8100 --token operator-token
+kill -9 "$first"
+wait "$first" 2> /dev/null
 expect "no settings" 2 'No such file' "$build/ragwortd" "$dir/none"
 rm -rf "$dir"
 echo "examples: $passed passed, $failed failed"
