--- a/bench/load.c
+++ b/bench/load.c
@@ -221,7 +221,7 @@
                        "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
                        "%s\r\nRagwort-Task: t/load-%" PRIu64
                        "#0\r\nRagwort-Kind: %s\r\nRagwort-Start: "
-                       "incarnation=1\r\nContent-Length: %zu\r\n\r\n",
+                       "direct\r\nContent-Length: %zu\r\n\r\n",
                        given.path, given.token, ++number, given.kind,
                        evbuffer_get_length (body));
   evbuffer_add_buffer (out, body);
