--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,9 @@
 RUNNER_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/runner/*.c))
 UNIT_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/unit/*.c))
 BENCH_PROGRAMS = load bare_relay
-PROGRAMS = ragwortd ragwort-node node_soak ragwortctl fake_target scenario unit $(BENCH_PROGRAMS)
+REPLAY_OBJ = $(BUILD)/bench/replay_model.o
+PROGRAMS = ragwortd ragwort-node node_soak ragwortctl fake_target scenario unit replay \
+	$(BENCH_PROGRAMS)
 
 all: $(PROGRAMS:%=$(BUILD)/%)
 
@@ -42,7 +44,10 @@
 $(BUILD)/scenario: $(RUNNER_OBJ) $(BUILD)/libragwort.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/unit: $(UNIT_OBJ) $(PLATFORM_OBJ) $(BUILD)/libragwort.a
+$(BUILD)/replay: $(BUILD)/bench/replay.o $(REPLAY_OBJ) $(BUILD)/libragwort.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/unit: $(UNIT_OBJ) $(PLATFORM_OBJ) $(REPLAY_OBJ) $(BUILD)/libragwort.a
 	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
 
 NODE_SOAK_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c))
--- /dev/null
+++ b/bench/replay.c
@@ -0,0 +1,115 @@
+/* Replays load patterns against the scheduler, the admission and the routing
+   in a model of a deployment, and prints what callers got.  */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include "bench/replay_model.h"
+
+enum
+{
+  SEEDS = 5
+};
+
+struct replay_options
+{
+  struct replay_setup setup;
+  uint32_t seeds;
+};
+
+static const struct argp_option option_table[] = {
+  { "seeds", 's', "N", 0, "seeds to average over (5)", 0 },
+  { "load", 'l', "X", 0, "times the load of the sheet (1.0)", 0 },
+  { "burst", 'b', "X", 0, "times that from second 10 to 14 (1.0)", 0 },
+  { "lost", 'g', "PERCENT", 0, "of the targets leave at second 10 (0)", 0 },
+  { "owners", 'o', "N", 0, "dispatchers a domain, 0: one for all (1)", 0 },
+  { "room", 'r', "MS", 0, "between two tellings of a room (150)", 0 },
+  { 0 }
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct replay_options *o = state->input;
+
+  switch (key)
+    {
+    case 's':
+      o->seeds = (uint32_t)atoi (arg);
+      break;
+    case 'l':
+      o->setup.load = atof (arg);
+      break;
+    case 'b':
+      o->setup.burst = atof (arg);
+      break;
+    case 'g':
+      o->setup.lost_percent = (uint32_t)atoi (arg);
+      break;
+    case 'o':
+      o->setup.owners = (uint32_t)atoi (arg);
+      break;
+    case 'r':
+      o->setup.room_ms = atoi (arg);
+      break;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+  return 0;
+}
+
+static const struct argp argp
+    = { option_table, parse_option, NULL, "Replays a load pattern.",
+        NULL,         NULL,         NULL };
+
+static void
+print_row (const char *name, const struct replay_class_result *c)
+{
+  double n = c->jobs == 0 ? 1 : c->jobs;
+
+  printf ("%-8s %7u %8.3f %6.3f %8.3f %9.3f %7.3f\n", name, c->jobs,
+          c->on_time / n, c->late / n, c->refused / n, c->hopeless / n,
+          c->earned / (c->owed > 0 ? c->owed : 1));
+}
+
+static void
+add_up (struct replay_class_result *sum, const struct replay_class_result *c)
+{
+  sum->jobs += c->jobs;
+  sum->on_time += c->on_time;
+  sum->late += c->late;
+  sum->refused += c->refused;
+  sum->hopeless += c->hopeless;
+  sum->owed += c->owed;
+  sum->earned += c->earned;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct replay_options o = { .seeds = SEEDS };
+  struct replay_result sum = { 0 };
+  double worst = 0;
+
+  replay_setup_sofnets (&o.setup);
+  o.setup.burst_from_ms = 10000;
+  o.setup.burst_to_ms = 14000;
+  argp_parse (&argp, argc, argv, 0, NULL, &o);
+  for (uint32_t seed = 1; seed <= o.seeds; seed++)
+    {
+      struct replay_result r;
+
+      o.setup.seed = seed;
+      replay_run (&o.setup, &r);
+      for (uint32_t c = 0; c < o.setup.class_count; c++)
+        add_up (&sum.classes[c], &r.classes[c]);
+      add_up (&sum.all, &r.all);
+      worst += r.worst_window / o.seeds;
+      sum.busy += r.busy / o.seeds;
+    }
+  printf ("class       jobs  on time   late  refused  too late  earned\n");
+  for (uint32_t c = 0; c < o.setup.class_count; c++)
+    print_row (o.setup.classes[c].name, &sum.classes[c]);
+  print_row ("all", &sum.all);
+  printf ("worst window %.3f, cores busy %.3f\n", worst, sum.busy);
+  return 0;
+}
