--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -7,11 +7,13 @@
 #include <utlist.h>
 #include "coord/job_router.h"
 #include "coord/run_scheduler.h"
+#include "coord/task_lending.h"
 
 enum
 {
   /* One way between an entry, a dispatcher and a target.  */
   HOP_MS = 1,
+  ROUND_TRIP_MS = 2 * HOP_MS,
 
   SLOTS = 8,
   TARGET_MEMORY_MB = 131072,
@@ -50,9 +52,27 @@
   uint32_t tried_count;
 };
 
+/* Tasks that one dispatcher has lent to another.  */
+struct model_part
+{
+  struct job_spec spec;
+  double *task_ms;
+  uint32_t lender;
+  uint32_t taker;
+  struct run_job *job; /* NULL once the lender does not want them */
+  struct run_job *run; /* at the taker */
+  uint32_t first;
+  uint32_t count;
+  enum job_result result;
+  struct model_part *next;
+};
+
 enum model_event_type
 {
   MODEL_SUBMIT,
+  MODEL_LEND,
+  MODEL_RETURN,
+  MODEL_RECALL,
   MODEL_BEGAN,
   MODEL_ENDED
 };
@@ -63,6 +83,7 @@
   enum model_event_type type;
   uint32_t owner; /* dispatcher */
   struct model_job *job;
+  struct model_part *part;
   struct run_target *target;
   char task[RUN_NAME_BYTES];
   uint64_t run;
@@ -81,8 +102,10 @@
 
   struct run_scheduler *owners;
   uint32_t owner_count;
-  struct route_dispatcher *views; /* entry by entry, of each owner */
+  struct route_dispatcher *views; /* of each owner: the entries', then the
+                                     owners' own */
   uint32_t entry_count;
+  struct model_part *parts; /* lent and not returned */
   uint64_t next_key;
   double busy_cpu_ms;
   double *window_owed;
@@ -165,21 +188,30 @@
   return NULL;
 }
 
+/* How long the tasks of J take.  */
+static const double *
+task_times (const struct run_job *j)
+{
+  if (j->spec.part.is_part)
+    return ((const struct model_part *)j->holder)->task_ms;
+  return ((const struct model_job *)j->holder)->task_ms;
+}
+
 static void
 on_start (void *arg, struct run_target *t, struct run_job *j, uint32_t task)
 {
   struct model_owner *o = arg;
   struct model *m = o->model;
-  const struct model_job *job = j->holder;
+  const double *task_ms = task_times (j);
   struct model_event e
       = { .owner = o->number, .target = t, .run = j->tasks[task].run };
-  double ms = job->task_ms[task];
+  double ms = task_ms[task];
 
-  run_scheduler_task_name (j, task, e.task);
+  run_job_task_name (j, task, e.task);
   e.type = MODEL_BEGAN;
-  happen (m, m->now + 2 * HOP_MS, &e);
+  happen (m, m->now + ROUND_TRIP_MS, &e);
   e.type = MODEL_ENDED;
-  happen (m, m->now + 2 * HOP_MS + (int64_t)ceil (ms), &e);
+  happen (m, m->now + ROUND_TRIP_MS + (int64_t)ceil (ms), &e);
   if (m->now < m->setup->length_ms)
     m->busy_cpu_ms += ms * (double)j->spec.steps[0].cpu_milli;
 }
@@ -195,7 +227,7 @@
   struct model_event *e;
 
   (void)t;
-  run_scheduler_task_name (j, task, name);
+  run_job_task_name (j, task, name);
   e = find_end (m, name, j->tasks[task].run, &at);
   if (e == NULL)
     return;
@@ -203,7 +235,7 @@
   stopped.stopped = true;
   LL_DELETE (m->moments[at], e);
   free (e);
-  happen (m, m->now + 2 * HOP_MS, &stopped);
+  happen (m, m->now + ROUND_TRIP_MS, &stopped);
 }
 
 static void
@@ -248,6 +280,73 @@
     route (m, j);
 }
 
+static void
+part_ended (struct model *m, struct model_part *p, enum job_result result)
+{
+  struct model_event e = { .type = MODEL_RETURN, .part = p };
+
+  p->run = NULL;
+  p->result = result;
+  happen (m, m->now + HOP_MS, &e);
+}
+
+static void
+part_free (struct model_part *p)
+{
+  free (p->task_ms);
+  free (p);
+}
+
+static void
+take_part (struct model *m, struct model_part *p)
+{
+  enum refusal_reason reason;
+  int64_t retry_ms;
+
+  p->run = run_scheduler_submit (&m->owners[p->taker], m->now, &p->spec, p,
+                                 &reason, &retry_ms);
+  if (p->run == NULL)
+    part_ended (m, p, JOB_REFUSED);
+}
+
+static void
+take_return (struct model *m, struct model_part *p)
+{
+  if (p->job != NULL)
+    {
+      LL_DELETE (m->parts, p);
+      run_scheduler_returned (&m->owners[p->lender], m->now, p->job, p->first,
+                              p->count, p->result, REFUSAL_NONE);
+      part_free (p);
+    }
+}
+
+static void
+take_recall (struct model *m, struct model_part *p)
+{
+  if (p->run != NULL)
+    run_scheduler_cancel (&m->owners[p->taker], m->now, p->run);
+  part_free (p);
+}
+
+static void
+on_recall (void *arg, struct run_job *j)
+{
+  struct model_owner *o = arg;
+  struct model_part *p;
+  struct model_part *next;
+
+  LL_FOREACH_SAFE (o->model->parts, p, next)
+  if (p->job == j)
+    {
+      struct model_event e = { .type = MODEL_RECALL, .part = p };
+
+      LL_DELETE (o->model->parts, p);
+      p->job = NULL;
+      happen (o->model, o->model->now + ROUND_TRIP_MS, &e);
+    }
+}
+
 static void
 on_finished (void *arg, struct run_job *run, enum job_result result,
              enum refusal_reason reason, int64_t retry_ms)
@@ -255,14 +354,16 @@
   struct model_owner *o = arg;
 
   (void)retry_ms;
-  if (result == JOB_REFUSED)
+  if (run->spec.part.is_part)
+    part_ended (o->model, run->holder, result);
+  else if (result == JOB_REFUSED)
     take_refusal (o->model, run->holder, reason);
   else
     count_end (o->model, run->holder, result);
 }
 
 static const struct run_scheduler_output output
-    = { on_start, on_stop, on_finished };
+    = { on_start, on_stop, on_finished, on_recall };
 
 static struct route_dispatcher *
 views_of (const struct model *m, uint32_t entry)
@@ -340,6 +441,15 @@
     case MODEL_SUBMIT:
       take_job (m, e->owner, e->job);
       break;
+    case MODEL_LEND:
+      take_part (m, e->part);
+      break;
+    case MODEL_RETURN:
+      take_return (m, e->part);
+      break;
+    case MODEL_RECALL:
+      take_recall (m, e->part);
+      break;
     case MODEL_BEGAN:
       run_scheduler_started (s, m->now, e->target, e->task, e->run,
                              START_ACCEPTED);
@@ -426,6 +536,47 @@
       m->owners[o].targets[i]->spec.draining = true;
 }
 
+/* Lends what waits at OWNER, by rooms that were asked for a moment ago.  */
+static void
+lend (struct model *m, uint32_t owner)
+{
+  struct lending_offer offers[LENDING_OFFER_LIMIT];
+  struct route_dispatcher *views = views_of (m, m->entry_count + owner);
+  struct run_scheduler *s = &m->owners[owner];
+  uint32_t n = task_lending_choose (s, views, m->owner_count, views[owner].vm,
+                                    views[owner].domain, m->now, offers);
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      struct model_part *p = calloc (1, sizeof *p);
+      struct model_event e = { .type = MODEL_LEND, .part = p };
+
+      task_lending_spec (&offers[i], m->now, &p->spec);
+      p->lender = owner;
+      p->taker = (uint32_t)(offers[i].to - views);
+      e.owner = p->taker;
+      p->job = offers[i].job;
+      p->first = offers[i].first;
+      p->count = offers[i].count;
+      p->task_ms = malloc (p->count * sizeof *p->task_ms);
+      memcpy (p->task_ms, task_times (p->job) + p->first,
+              p->count * sizeof *p->task_ms);
+      LL_PREPEND (m->parts, p);
+      run_scheduler_lend (s, m->now, p->job, p->first, p->count);
+      happen (m, m->now + HOP_MS, &e);
+    }
+}
+
+/* Has each dispatcher with waiting tasks know the rooms of the others.  */
+static void
+ask_rooms (struct model *m, uint32_t owner)
+{
+  if (m->now % LENDING_ASK_MS == 0
+      && task_lending_is_wanted (&m->owners[owner]))
+    for (uint32_t o = 0; o < m->owner_count; o++)
+      tell_room (m, m->entry_count + owner, o);
+}
+
 static void
 step (struct model *m)
 {
@@ -445,7 +596,14 @@
   if (m->now < m->setup->length_ms)
     draw_arrivals (m);
   for (uint32_t o = 0; o < m->owner_count; o++)
-    run_scheduler_pass (&m->owners[o], m->now);
+    {
+      run_scheduler_pass (&m->owners[o], m->now);
+      if (m->setup->lends)
+        {
+          ask_rooms (m, o);
+          lend (m, o);
+        }
+    }
 }
 
 static void
@@ -472,6 +630,7 @@
             struct replay_result *r, struct model_owner *args)
 {
   size_t windows = (size_t)(s->length_ms / WINDOW_MS + 1);
+  uint32_t views;
 
   memset (m, 0, sizeof *m);
   memset (r, 0, sizeof *r);
@@ -483,8 +642,8 @@
   m->owner_count = s->owners == 0 ? 1 : s->domains * s->owners;
   m->entry_count = s->domains * s->entries;
   m->owners = calloc (m->owner_count, sizeof *m->owners);
-  m->views
-      = calloc ((size_t)m->owner_count * m->entry_count, sizeof *m->views);
+  views = m->owner_count * (m->entry_count + m->owner_count);
+  m->views = calloc (views, sizeof *m->views);
   m->window_owed = calloc (windows, sizeof (double));
   m->window_earned = calloc (windows, sizeof (double));
   for (uint32_t o = 0; o < m->owner_count; o++)
@@ -492,7 +651,7 @@
       args[o] = (struct model_owner){ m, o };
       run_scheduler_init (&m->owners[o], &output, &args[o]);
     }
-  for (uint32_t i = 0; i < m->entry_count * m->owner_count; i++)
+  for (uint32_t i = 0; i < views; i++)
     {
       uint32_t owner = i % m->owner_count;
 
--- a/bench/replay_model.h
+++ b/bench/replay_model.h
@@ -6,6 +6,7 @@
 #ifndef BENCH_REPLAY_MODEL_H
 #define BENCH_REPLAY_MODEL_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 enum
@@ -39,6 +40,7 @@
   uint64_t cpu_milli; /* of a target; every third has half as much again */
 
   int64_t room_ms; /* how often entries hear of a dispatcher's room */
+  bool lends;      /* dispatchers run tasks for each other */
   double load;     /* times the classes' rates */
   double burst;    /* times that between the two moments */
   int64_t burst_from_ms;
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -49,6 +49,9 @@
   ROW (DISPATCH_FAILED, "dispatch_failed")                                    \
   ROW (DISPATCH_REFUSED, "dispatch_refused")                                  \
   ROW (DISPATCH_CANCELLED, "dispatch_cancelled")                              \
+  ROW (TASKS_LENT, "tasks_lent")                                              \
+  ROW (TASKS_RETURNED, "tasks_returned")                                      \
+  ROW (TASKS_SENT_BACK, "tasks_sent_back")                                    \
   ROW (CALLERS_ANSWERED, "callers_answered")                                  \
   ROW (CALLERS_REFUSED, "callers_refused")                                    \
   ROW (CALLERS_GONE, "callers_gone")                                          \
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -62,6 +62,10 @@
        "read the reason; overload wants more targets")                        \
   ROW (337, DISPATCH_ROUTED, INFO, "job sent to another dispatcher",          \
        "nothing")                                                             \
+  ROW (338, TASKS_LENT, INFO, "tasks given to another dispatcher to run",     \
+       "nothing")                                                             \
+  ROW (339, TASKS_RETURNED, INFO, "lent tasks came back without being done",  \
+       "read the result; refused ones wait here again")                       \
   ROW (333, CALLER_ANSWERED, INFO, "caller answered", "nothing")              \
   ROW (334, CALLER_GONE, INFO, "caller left before its answer", "nothing")    \
   ROW (335, CALLER_REFUSED, INFO, "caller's request refused", "read why")     \
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -56,17 +56,21 @@
   struct dispatch_job *next;
 };
 
-static void
-want_pass (void *arg)
+void
+dispatcher_want_pass (struct dispatcher *d)
 {
-  struct dispatcher *d = arg;
-
   if (d->pass_wanted)
     return;
   d->pass_wanted = true;
   event_active (d->pass, EV_TIMEOUT, 0);
 }
 
+static void
+want_pass (void *arg)
+{
+  dispatcher_want_pass (arg);
+}
+
 static void
 send_end (const struct dispatch_job *j, enum job_result result,
           enum refusal_reason reason, int64_t retry_ms, int64_t waited_ms)
@@ -94,23 +98,6 @@
     }
 }
 
-static const char *
-result_name (enum job_result r)
-{
-  switch (r)
-    {
-    case JOB_DONE:
-      return "done";
-    case JOB_FAILED:
-      return "failed";
-    case JOB_REFUSED:
-      return "refused";
-    case JOB_UNKNOWN:
-      break;
-    }
-  return "unknown";
-}
-
 static void
 count_result (enum job_result r)
 {
@@ -139,7 +126,7 @@
   event_ring_add (EVENT_DISPATCH_ENDED, run->spec.key,
                   "result=%s reason=%s queue=%s tasks=%u waited_ms=%" PRId64
                   " total_ms=%" PRId64 " slack_ms=%" PRId64,
-                  result_name (result), refusal_reason_name (reason),
+                  job_result_name (result), refusal_reason_name (reason),
                   run->spec.queue, run->task_count, waited,
                   now - run->times.arrived_ms,
                   run->times.start_by_ms - run->times.arrived_ms);
@@ -160,7 +147,7 @@
   char name[RUN_NAME_BYTES];
 
   (void)arg;
-  run_scheduler_task_name (j, task, name);
+  run_job_task_name (j, task, name);
   if (!j->closed && j->tasks[task].settled_ms != 0)
     event_ring_add (EVENT_RUN_STALLED, name,
                     "run=%" PRIu64 " target=%s percent=%u expected_ms=%" PRId64
@@ -171,8 +158,16 @@
   target_runner_stop (t->holder, name, j->tasks[task].run);
 }
 
+static void
+on_recall (void *arg, struct run_job *j)
+{
+  struct dispatcher *d = arg;
+
+  d->lending.recall (d->lending.arg, j);
+}
+
 static const struct run_scheduler_output scheduler_output
-    = { on_start, on_stop, on_finished };
+    = { on_start, on_stop, on_finished, on_recall };
 
 /* Ends what ran on a target that is no longer this VM's.  The next owner
    stops the runs, so nobody here can say how they end.  */
@@ -224,6 +219,15 @@
       i++;
 }
 
+/* Starts what can be started, here or elsewhere.  */
+static void
+pass (struct dispatcher *d, int64_t now)
+{
+  run_scheduler_pass (&d->scheduler, now);
+  if (d->lending.pass != NULL)
+    d->lending.pass (d->lending.arg, now);
+}
+
 static void
 on_pass (evutil_socket_t fd, short what, void *arg)
 {
@@ -234,7 +238,7 @@
   (void)what;
   d->pass_wanted = false;
   drop_lost_runners (d, now);
-  run_scheduler_pass (&d->scheduler, now);
+  pass (d, now);
 }
 
 static void
@@ -291,7 +295,7 @@
   drop_silent_coordinators (d, now);
   drop_lost_runners (d, now);
   if (d->scheduler.jobs != NULL)
-    run_scheduler_pass (&d->scheduler, now);
+    pass (d, now);
 }
 
 void
@@ -513,6 +517,8 @@
   spec.age_ms = m->age_ms;
   spec.deadline_ms = m->deadline_ms;
   spec.payload = m->payload;
+  spec.part = (struct job_part){ m->is_part != 0, (uint32_t)m->part_step,
+                                 (uint32_t)m->part_first, m->part_run };
   if (timely && slice_copy (m->key, spec.key, sizeof spec.key)
       && slice_copy (m->queue, spec.queue, sizeof spec.queue)
       && slice_copy (m->service, spec.service, sizeof spec.service)
--- a/src/controller/dispatcher.h
+++ b/src/controller/dispatcher.h
@@ -35,6 +35,17 @@
 
 struct coordinator;
 
+/* What lends tasks to other dispatchers; none where the functions are NULL. */
+struct dispatch_lending
+{
+  /* Tasks may wait: lends what can be lent.  */
+  void (*pass) (void *arg, int64_t now_ms);
+
+  /* The lent tasks of J are no longer wanted.  */
+  void (*recall) (void *arg, struct run_job *j);
+  void *arg;
+};
+
 struct dispatcher
 {
   struct run_scheduler scheduler;
@@ -42,6 +53,7 @@
   struct target_runner **runners;
   uint32_t runner_count;
   struct coordinator *coordinators;
+  struct dispatch_lending lending;
   struct event *pass; /* one pass after a run of changes */
   struct event *tick;
   bool pass_wanted;
@@ -53,6 +65,9 @@
                       int64_t lease_limit_ms);
 void dispatcher_done (struct dispatcher *d);
 
+/* Looks over what waits once the loop is free.  */
+void dispatcher_want_pass (struct dispatcher *d);
+
 /* Owns ROWS and nothing else from now on.  */
 void dispatcher_set_targets (struct dispatcher *d, int64_t now_ms,
                              const struct owned_target *rows, uint32_t count);
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -194,6 +194,10 @@
                                .deadline_ms = j->deadline_ms - now,
                                .floor_ms = j->spec.floor_ms,
                                .stretch_milli = j->spec.stretch_milli,
+                               .is_part = j->spec.part.is_part,
+                               .part_step = j->spec.part.step,
+                               .part_first = j->spec.part.first,
+                               .part_run = j->spec.part.run,
                                .steps = { steps.data == NULL ? "" : steps.data,
                                           (uint32_t)steps.size },
                                .payload = j->spec.payload };
@@ -253,10 +257,9 @@
   answer (j, JOB_REFUSED, j->answer.reason, j->answer.retry_ms);
 }
 
-struct entry_job *
-job_entry_submit (struct job_entry *n, int64_t now,
-                  const struct job_spec *spec, job_answered answered,
-                  void *arg)
+static struct entry_job *
+job_new (struct job_entry *n, int64_t now, const struct job_spec *spec,
+         job_answered answered, void *arg)
 {
   struct entry_job *j = calloc (1, sizeof *j);
 
@@ -267,7 +270,7 @@
   memcpy (j->payload, spec->payload.data, spec->payload.length);
   j->payload[spec->payload.length] = '\0';
   j->spec.payload.data = j->payload;
-  j->arrived_ms = now;
+  j->arrived_ms = now - spec->age_ms;
   j->deadline_ms = now + spec->deadline_ms;
   j->answered = answered;
   j->arg = arg;
@@ -275,10 +278,45 @@
   j->due = event_new (n->base, -1, 0, on_due, j);
   DL_APPEND (n->jobs, j);
   n->job_count++;
+  return j;
+}
+
+struct entry_job *
+job_entry_submit (struct job_entry *n, int64_t now,
+                  const struct job_spec *spec, job_answered answered,
+                  void *arg)
+{
+  struct entry_job *j = job_new (n, now, spec, answered, arg);
+
   route (n, now, j);
   return j;
 }
 
+struct entry_job *
+job_entry_submit_part (struct job_entry *n, int64_t now,
+                       const struct job_spec *spec, const char *vm,
+                       job_answered answered, void *arg)
+{
+  struct entry_job *j = job_new (n, now, spec, answered, arg);
+
+  j->tried_count = ROUTE_TRY_LIMIT;
+  if (send_job (n, now, j, vm))
+    snprintf (j->vm, sizeof j->vm, "%s", vm);
+  else
+    answer (j, JOB_REFUSED, REFUSAL_LOST_PEER, 0);
+  return j;
+}
+
+void
+job_entry_ask_room (struct job_entry *n, int64_t now,
+                    const struct route_dispatcher *d)
+{
+  struct peer_message m = { .type = PEER_KEEP };
+
+  m.u.keep.sent_ms = now;
+  peer_network_send (n->network, d->vm, &m);
+}
+
 static void
 send_cancel (struct job_entry *n, const struct entry_job *j)
 {
@@ -317,7 +355,7 @@
   struct entry_job *j;
 
   DL_FOREACH (n->jobs, j)
-  if (strcmp (j->spec.key, key) == 0)
+  if (strcmp (j->spec.key, key) == 0 && !j->spec.part.is_part)
     return j;
   return NULL;
 }
@@ -383,6 +421,7 @@
   d->reachable = true;
   set_rooms (d, rooms,
              dispatch_rooms_unpack (rooms, ROUTE_ROOM_LIMIT, m->text), now);
+  lending_controller_room_heard (&n->lending);
 }
 
 static void
@@ -474,9 +513,6 @@
 static void
 poll_dispatchers (struct job_entry *n, int64_t now)
 {
-  struct peer_message m = { .type = PEER_KEEP };
-
-  m.u.keep.sent_ms = now;
   n->poll_ms = now;
   for (uint32_t i = 0; i < n->dispatcher_count; i++)
     {
@@ -494,7 +530,7 @@
         }
       if (busy || strcmp (d->domain, n->settings->peer.domain) == 0
           || now - d->heard_ms >= POLL_FAR_MS)
-        peer_network_send (n->network, d->vm, &m);
+        job_entry_ask_room (n, now, d);
     }
 }
 
@@ -558,6 +594,7 @@
   if (n->network == NULL)
     return false;
   dispatcher_init (&n->dispatcher, base, ops, s->lease_limit_ms);
+  lending_controller_init (&n->lending, n);
   job_entry_reach_seeds (n);
   n->tick = event_new (base, -1, EV_PERSIST, on_tick, n);
   event_add (n->tick, &tick);
@@ -570,6 +607,7 @@
   if (n->network == NULL)
     return;
   event_free (n->tick);
+  lending_controller_done (&n->lending);
   while (n->jobs != NULL)
     job_free (n, n->jobs);
   dispatcher_done (&n->dispatcher);
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -11,6 +11,7 @@
 #include "base/error.h"
 #include "base/node_settings.h"
 #include "controller/dispatcher.h"
+#include "controller/lending_controller.h"
 #include "coord/job_router.h"
 #include "coord/service_document.h"
 #include "net/peer_network.h"
@@ -45,6 +46,7 @@
   document_decode decode;
   struct peer_network *network;
   struct dispatcher dispatcher;
+  struct lending_controller lending;
   struct event *tick;
 
   /* what the keepers told */
@@ -96,6 +98,17 @@
                                     const struct job_spec *spec,
                                     job_answered answered, void *arg);
 
+/* Has VM run SPEC, a part of a job of this entry's dispatcher, and nobody
+   else: ANSWERED tells of a refusal too.  */
+struct entry_job *job_entry_submit_part (struct job_entry *n, int64_t now_ms,
+                                         const struct job_spec *spec,
+                                         const char *vm, job_answered answered,
+                                         void *arg);
+
+/* Asks D, which is not this VM, for its rooms.  */
+void job_entry_ask_room (struct job_entry *n, int64_t now_ms,
+                         const struct route_dispatcher *d);
+
 /* The caller has gone.  */
 void job_entry_cancel (struct job_entry *n, int64_t now_ms,
                        struct entry_job *j);
--- /dev/null
+++ b/src/controller/lending_controller.c
@@ -0,0 +1,134 @@
+#include "controller/lending_controller.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <utlist.h>
+#include "base/counters.h"
+#include "base/event_ring.h"
+#include "base/now.h"
+#include "controller/job_entry.h"
+#include "coord/task_lending.h"
+
+/* Tasks of a job that another dispatcher runs.  */
+struct lent_part
+{
+  struct lending_controller *lending;
+  struct run_job *job;
+  uint32_t first;
+  uint32_t count;
+  struct entry_job *order;
+  struct lent_part *prev;
+  struct lent_part *next;
+};
+
+static void
+on_answered (void *arg, const struct job_answer *a)
+{
+  struct lent_part *p = arg;
+  struct dispatcher *d = &p->lending->entry->dispatcher;
+
+  counters_add (a->result == JOB_REFUSED ? COUNTER_TASKS_SENT_BACK
+                                         : COUNTER_TASKS_RETURNED,
+                p->count);
+  if (a->result != JOB_DONE)
+    event_ring_add (EVENT_TASKS_RETURNED, p->job->spec.key,
+                    "first=%u count=%u result=%s reason=%s", p->first,
+                    p->count, job_result_name (a->result),
+                    refusal_reason_name (a->reason));
+  DL_DELETE (p->lending->parts, p);
+  run_scheduler_returned (&d->scheduler, now_ms (), p->job, p->first, p->count,
+                          a->result, a->reason);
+  dispatcher_want_pass (d);
+  free (p);
+}
+
+static void
+lend (struct lending_controller *l, int64_t now, const struct lending_offer *o)
+{
+  struct job_entry *n = l->entry;
+  struct lent_part *p = calloc (1, sizeof *p);
+  struct job_spec spec;
+
+  task_lending_spec (o, now, &spec);
+  *p = (struct lent_part){
+    .lending = l, .job = o->job, .first = o->first, .count = o->count
+  };
+  DL_APPEND (l->parts, p);
+  run_scheduler_lend (&n->dispatcher.scheduler, now, o->job, o->first,
+                      o->count);
+  counters_add (COUNTER_TASKS_LENT, o->count);
+  event_ring_add (EVENT_TASKS_LENT, o->job->spec.key,
+                  "to=%s first=%u count=%u room_age_ms=%" PRId64, o->to->vm,
+                  o->first, o->count, now - o->to->heard_ms);
+  p->order = job_entry_submit_part (n, now, &spec, o->to->vm, on_answered, p);
+}
+
+static void
+on_pass (void *arg, int64_t now)
+{
+  struct lending_controller *l = arg;
+  struct job_entry *n = l->entry;
+  const char *self = n->settings->peer.vm;
+  const char *domain = n->settings->peer.domain;
+  struct lending_offer offers[LENDING_OFFER_LIMIT];
+  struct route_dispatcher *asked[LENDING_ASK_LIMIT];
+  uint32_t count;
+
+  if (!task_lending_is_wanted (&n->dispatcher.scheduler))
+    return;
+  count = task_lending_choose (&n->dispatcher.scheduler, n->dispatchers,
+                               n->dispatcher_count, self, domain, now, offers);
+  for (uint32_t i = 0; i < count; i++)
+    lend (l, now, &offers[i]);
+  if (!task_lending_is_wanted (&n->dispatcher.scheduler))
+    return;
+  count = task_lending_ask (n->dispatchers, n->dispatcher_count, self, domain,
+                            now, asked);
+  for (uint32_t i = 0; i < count; i++)
+    job_entry_ask_room (n, now, asked[i]);
+}
+
+static void
+on_recall (void *arg, struct run_job *j)
+{
+  struct lending_controller *l = arg;
+  struct lent_part *p;
+  struct lent_part *next;
+  int64_t now = now_ms ();
+
+  DL_FOREACH_SAFE (l->parts, p, next)
+  if (p->job == j)
+    {
+      DL_DELETE (l->parts, p);
+      job_entry_cancel (l->entry, now, p->order);
+      free (p);
+    }
+}
+
+void
+lending_controller_init (struct lending_controller *l, struct job_entry *n)
+{
+  l->entry = n;
+  l->parts = NULL;
+  n->dispatcher.lending = (struct dispatch_lending){ on_pass, on_recall, l };
+}
+
+void
+lending_controller_done (struct lending_controller *l)
+{
+  struct lent_part *p;
+  struct lent_part *next;
+
+  DL_FOREACH_SAFE (l->parts, p, next)
+  {
+    DL_DELETE (l->parts, p);
+    free (p);
+  }
+}
+
+void
+lending_controller_room_heard (struct lending_controller *l)
+{
+  if (task_lending_is_wanted (&l->entry->dispatcher.scheduler))
+    dispatcher_want_pass (&l->entry->dispatcher);
+}
--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -242,7 +242,7 @@
     .task = name, .run = j->tasks[task].run, .fence = r->fence, .job = j
   };
 
-  run_scheduler_task_name (j, task, name);
+  run_job_task_name (j, task, name);
   s.lease_end_ms = lease_end (r, now, START_LEASE_MS);
   counters_add (COUNTER_TASK_STARTS, 1);
   event_ring_add_task (EVENT_TASK_STARTED, j->spec.key, task, "start",
@@ -303,7 +303,7 @@
 
       if (k->state != RUN_STOPPING || k->settled_ms != 0)
         continue;
-      run_scheduler_task_name (p->job, p->task, name);
+      run_job_task_name (p->job, p->task, name);
       target_runner_stop (r, name, k->run);
     }
 }
--- a/src/coord/job_admission.c
+++ b/src/coord/job_admission.c
@@ -7,9 +7,6 @@
   /* Late jobs are worth something up to three times their objective.  */
   LATE_OBJECTIVES = 3,
 
-  /* Part of a target's cores that whole tasks leave unused.  */
-  USABLE_CPU_PERCENT = 84,
-
   RETRY_FIRST_MS = 500,
   RETRY_LAST_MS = 10000
 };
--- a/src/coord/job_admission.h
+++ b/src/coord/job_admission.h
@@ -13,6 +13,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum
+{
+  /* Part of the targets' cores that whole tasks can use.  */
+  USABLE_CPU_PERCENT = 84
+};
+
 /* A job's times, all on the clock of the one who decides.  */
 struct job_times
 {
--- a/src/coord/job_router.c
+++ b/src/coord/job_router.c
@@ -1,15 +1,13 @@
 #include "coord/job_router.h"
 
 #include <string.h>
+#include "coord/job_admission.h"
 
 enum
 {
   /* Rooms older than this are not believed.  */
   ROOM_STALE_MS = 700,
 
-  /* Part of a target's cores that whole tasks can use.  */
-  USABLE_CPU_PERCENT = 84,
-
   /* How long room that is missing now takes to appear, at the mean.  */
   TURNOVER_MS = 120,
 
--- a/src/coord/job_router.h
+++ b/src/coord/job_router.h
@@ -37,6 +37,7 @@
   char domain[NAME_BYTES];
   bool reachable;
   int64_t heard_ms; /* when the rooms were told; 0: never */
+  int64_t asked_ms; /* when the rooms were last asked for to lend tasks */
   struct route_room rooms[ROUTE_ROOM_LIMIT];
   uint32_t room_count;
 };
--- a/src/coord/job_spec.c
+++ b/src/coord/job_spec.c
@@ -8,6 +8,23 @@
   STEP_FIELDS = 7
 };
 
+const char *
+job_result_name (enum job_result r)
+{
+  switch (r)
+    {
+    case JOB_DONE:
+      return "done";
+    case JOB_FAILED:
+      return "failed";
+    case JOB_REFUSED:
+      return "refused";
+    case JOB_UNKNOWN:
+      break;
+    }
+  return "unknown";
+}
+
 const char *
 refusal_reason_name (enum refusal_reason r)
 {
@@ -21,6 +38,20 @@
   return r < REFUSAL_COUNT ? names[r] : "unknown";
 }
 
+bool
+job_spec_overlaps (const struct job_spec *one, const struct job_spec *other)
+{
+  const struct job_part *a = &one->part;
+  const struct job_part *b = &other->part;
+
+  if (strcmp (one->key, other->key) != 0)
+    return false;
+  if (!a->is_part || !b->is_part)
+    return true;
+  return a->step == b->step && a->first < b->first + other->steps[0].count
+         && b->first < a->first + one->steps[0].count;
+}
+
 uint32_t
 job_spec_task_count (const struct job_spec *s)
 {
--- a/src/coord/job_spec.h
+++ b/src/coord/job_spec.h
@@ -40,6 +40,9 @@
   REFUSAL_COUNT
 };
 
+/* The result as a word for logs.  */
+const char *job_result_name (enum job_result r);
+
 /* The reason as a word for logs.  */
 const char *refusal_reason_name (enum refusal_reason r);
 
@@ -54,6 +57,16 @@
   char label[LABEL_BYTES]; /* that the target must have; "" for none */
 };
 
+/* Which tasks of a job a VM runs for the dispatcher that has the job.  Their
+   step is the only one of the spec.  */
+struct job_part
+{
+  bool is_part; /* false: the whole job */
+  uint32_t step;
+  uint32_t first; /* index of the first task within the step */
+  uint64_t run;   /* the last run number that was used for any of them */
+};
+
 struct job_spec
 {
   char key[JOB_KEY_BYTES];
@@ -68,9 +81,14 @@
 
   struct job_step steps[JOB_STEP_LIMIT];
   uint32_t step_count;
+  struct job_part part;
   struct slice payload; /* of another object */
 };
 
+/* Whether some task is of both ONE and OTHER.  */
+bool job_spec_overlaps (const struct job_spec *one,
+                        const struct job_spec *other);
+
 uint32_t job_spec_task_count (const struct job_spec *s);
 
 /* Core-milliseconds of work, in thousandths of a core, as declared.  */
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -10,11 +10,7 @@
 enum
 {
   /* A target that said it had no room is left alone for so long.  */
-  NO_ROOM_PAUSE_MS = 40,
-
-  /* Part of the targets' cores that the queues share; whole tasks leave the
-     rest unused.  */
-  SHARED_CPU_PERCENT = 80
+  NO_ROOM_PAUSE_MS = 40
 };
 
 void
@@ -28,15 +24,6 @@
   queue_share_init (&s->share);
 }
 
-static void
-job_free (struct run_job *j)
-{
-  free (j->tasks);
-  free (j->payload);
-  free (j->wire_payload);
-  free (j);
-}
-
 void
 run_scheduler_done (struct run_scheduler *s)
 {
@@ -46,7 +33,7 @@
   HASH_ITER (hh, s->jobs, j, next)
   {
     HASH_DEL (s->jobs, j);
-    job_free (j);
+    run_job_free (j);
   }
   for (uint32_t i = 0; i < s->target_count; i++)
     free (s->targets[i]);
@@ -78,20 +65,6 @@
   return t;
 }
 
-static const struct job_step *
-step_of (const struct run_job *j, uint32_t task)
-{
-  return &j->spec.steps[j->tasks[task].step];
-}
-
-void
-run_scheduler_task_name (const struct run_job *j, uint32_t task,
-                         char name[RUN_NAME_BYTES])
-{
-  snprintf (name, RUN_NAME_BYTES, "%s.0.%u.%u", j->spec.key,
-            j->tasks[task].step, j->tasks[task].index);
-}
-
 /* Drops a closed job once nothing of it runs.  */
 static void
 drop_if_over (struct run_scheduler *s, struct run_job *j)
@@ -99,7 +72,7 @@
   if (!j->closed || j->active_count != 0 || s->jobs == NULL)
     return;
   HASH_DEL (s->jobs, j);
-  job_free (j);
+  run_job_free (j);
 }
 
 /* Has the run of TASK be over; the task waits again.  */
@@ -108,7 +81,7 @@
 {
   struct run_task *k = &j->tasks[task];
 
-  run_target_free (k->target, step_of (j, task), j, task);
+  run_target_free (k->target, run_job_step (j, task), j, task);
   k->target = NULL;
   k->state = RUN_WAITING;
   j->active_count--;
@@ -126,6 +99,18 @@
   s->output->stop (s->arg, k->target, j, task);
 }
 
+/* Has nobody run the lent tasks of J any more.  */
+static void
+take_back (struct run_scheduler *s, struct run_job *j)
+{
+  s->output->recall (s->arg, j);
+  for (uint32_t i = 0; i < j->task_count; i++)
+    if (j->tasks[i].state == RUN_LENT)
+      j->tasks[i].state = RUN_WAITING;
+  j->waiting_count += j->lent_count;
+  j->lent_count = 0;
+}
+
 /* Gives J its result and stops what runs of it.  J may be gone after.  */
 static void
 close_job (struct run_scheduler *s, struct run_job *j, enum job_result result,
@@ -137,6 +122,8 @@
     return;
   DL_DELETE (s->waiting, j);
   j->closed = true;
+  if (j->lent_count != 0)
+    take_back (s, j);
   for (uint32_t i = 0; i < j->task_count; i++)
     stop_task (s, j, i);
   if (tell)
@@ -253,62 +240,32 @@
   return true;
 }
 
-/* Sets the expected run times, and with them the job's times and work.  */
-static void
-estimate_job (const struct run_scheduler *s, struct run_job *j, int64_t now)
-{
-  struct job_spec expected = j->spec;
-
-  for (uint32_t i = 0; i < expected.step_count; i++)
-    expected.steps[i].estimate_ms = work_estimate_ms (
-        &s->estimate, j->spec.queue, j->spec.steps[i].estimate_ms);
-  j->work = job_spec_work (&expected);
-  j->times = job_times_make (
-      now - j->spec.age_ms, job_spec_chain_ms (&expected),
-      j->spec.stretch_milli, j->spec.floor_ms, now + j->spec.deadline_ms);
-  for (uint32_t i = 0; i < j->task_count; i++)
-    j->tasks[i].expected_ms = expected.steps[j->tasks[i].step].estimate_ms;
-}
-
-static struct run_job *
-job_new (struct run_scheduler *s, const struct job_spec *spec, int64_t now)
+/* Whether an earlier attempt of a task of SPEC may still run.  */
+static bool
+is_known (const struct run_scheduler *s, const struct job_spec *spec)
 {
-  struct run_job *j = calloc (1, sizeof *j);
-  uint32_t n = 0;
+  const struct run_job *j;
+  const struct run_job *next;
 
-  j->spec = *spec;
-  j->number = ++s->next_number;
-  j->first_start_ms = -1;
-  j->payload = malloc (spec->payload.length + 1);
-  memcpy (j->payload, spec->payload.data, spec->payload.length);
-  j->payload[spec->payload.length] = '\0';
-  j->payload_length = spec->payload.length;
-  j->task_count = job_spec_task_count (spec);
-  j->waiting_count = j->task_count;
-  j->tasks = calloc (j->task_count, sizeof *j->tasks);
-  for (uint32_t i = 0; i < spec->step_count; i++)
-    {
-      j->step_left[i] = spec->steps[i].count;
-      for (uint32_t k = 0; k < spec->steps[i].count; k++, n++)
-        {
-          j->tasks[n].step = (uint8_t)i;
-          j->tasks[n].index = k;
-        }
-    }
-  estimate_job (s, j, now);
-  return j;
+  HASH_ITER (hh, s->jobs, j, next)
+  if (job_spec_overlaps (&j->spec, spec))
+    return true;
+  return false;
 }
 
 /* Whether to take J: at once if it need not wait, else if its queue has not
-   had its share and the work ahead leaves it time.  */
+   had its share and the work ahead leaves it time.  Tasks that are run for
+   another VM do not wait here.  */
 static bool
 is_admitted (struct run_scheduler *s, int64_t now, const struct run_job *j,
              const struct job_backlog *b)
 {
-  uint64_t usable = b->cpu_milli * SHARED_CPU_PERCENT / 100;
+  uint64_t usable = b->cpu_milli * USABLE_CPU_PERCENT / 100;
 
   if (fits_now (s, &j->spec, now))
     return true;
+  if (j->spec.part.is_part)
+    return false;
   if (queue_share_is_spent (&s->share, now, j->spec.queue, j->spec.service,
                             usable))
     return false;
@@ -324,8 +281,7 @@
   struct run_job *j;
 
   *retry_ms = 0;
-  HASH_FIND_STR (s->jobs, spec->key, j);
-  if (j != NULL)
+  if (is_known (s, spec))
     {
       *reason = REFUSAL_DUPLICATE;
       return NULL;
@@ -333,19 +289,20 @@
   *reason = never_fits (s, spec);
   if (*reason != REFUSAL_NONE)
     return NULL;
-  j = job_new (s, spec, now);
+  j = run_job_new (spec, ++s->next_number, &s->estimate, now);
   b = run_scheduler_backlog (s, spec->service, j->times.start_by_ms);
-  queue_share_ask (&s->share, now, spec->queue, spec->service, j->work);
+  if (!spec->part.is_part)
+    queue_share_ask (&s->share, now, spec->queue, spec->service, j->work);
   if (!is_admitted (s, now, j, &b))
     {
       *reason = REFUSAL_OVERLOAD;
       *retry_ms = job_admission_retry_ms (&b, j->number * 7919);
-      job_free (j);
+      run_job_free (j);
       return NULL;
     }
   queue_share_grant (&s->share, now, spec->queue, j->work);
   j->holder = holder;
-  HASH_ADD_STR (s->jobs, spec.key, j);
+  HASH_ADD_STR (s->jobs, id, j);
   DL_APPEND (s->waiting, j);
   return j;
 }
@@ -365,9 +322,10 @@
   k->percent = 0;
   k->settled_ms = 0;
   k->seen_ms = 0;
-  run_target_take (t, step_of (j, task), j, task);
+  run_target_take (t, run_job_step (j, task), j, task);
   j->waiting_count--;
   j->active_count++;
+  j->started = true;
   if (j->first_start_ms < 0)
     j->first_start_ms = now;
   target_health_probed (&t->health, now);
@@ -387,7 +345,7 @@
 best_target (const struct run_scheduler *s, const struct run_job *j,
              uint32_t task, int64_t now)
 {
-  const struct job_step *step = step_of (j, task);
+  const struct job_step *step = run_job_step (j, task);
   struct run_target *best = NULL;
   double best_misfit = 0;
 
@@ -410,15 +368,6 @@
   return best;
 }
 
-static bool
-step_may_begin (const struct run_job *j, uint32_t step)
-{
-  for (uint32_t i = 0; i < j->spec.step_count; i++)
-    if ((j->spec.steps[step].after >> i & 1) != 0 && j->step_left[i] != 0)
-      return false;
-  return true;
-}
-
 /* Starts the waiting tasks of J as far as there is room.  */
 static void
 place_job (struct run_scheduler *s, struct run_job *j, int64_t now)
@@ -428,7 +377,7 @@
       struct run_target *t;
 
       if (j->tasks[i].state != RUN_WAITING
-          || !step_may_begin (j, j->tasks[i].step))
+          || !run_job_step_may_begin (j, j->tasks[i].step))
         continue;
       t = best_target (s, j, i, now);
       if (t != NULL)
@@ -504,25 +453,36 @@
     }
 }
 
-void
-run_scheduler_pass (struct run_scheduler *s, int64_t now)
+uint32_t
+run_scheduler_rank (struct run_scheduler *s, int64_t now,
+                    struct wait_rank **ranks)
 {
-  struct wait_rank *ranks;
   struct run_job *j;
   uint32_t n = 0;
 
-  stop_stalled (s, now);
-  refuse_hopeless (s, now);
+  *ranks = NULL;
   DL_FOREACH (s->waiting, j)
   n += j->waiting_count != 0;
   if (n == 0)
-    return;
-  ranks = malloc (n * sizeof *ranks);
+    return 0;
+  *ranks = malloc (n * sizeof **ranks);
   n = 0;
   DL_FOREACH (s->waiting, j)
   if (j->waiting_count != 0)
-    ranks[n++] = wait_rank_of (j, now);
-  qsort (ranks, n, sizeof *ranks, wait_rank_compare);
+    (*ranks)[n++] = wait_rank_of (j, now);
+  qsort (*ranks, n, sizeof **ranks, wait_rank_compare);
+  return n;
+}
+
+void
+run_scheduler_pass (struct run_scheduler *s, int64_t now)
+{
+  struct wait_rank *ranks;
+  uint32_t n;
+
+  stop_stalled (s, now);
+  refuse_hopeless (s, now);
+  n = run_scheduler_rank (s, now, &ranks);
   for (uint32_t i = 0; i < n; i++)
     place_job (s, ranks[i].job, now);
   free (ranks);
@@ -540,7 +500,7 @@
 
       if (p->job->tasks[p->task].run != run)
         continue;
-      run_scheduler_task_name (p->job, p->task, known);
+      run_job_task_name (p->job, p->task, known);
       if (strcmp (known, name) == 0)
         return i;
     }
@@ -561,6 +521,47 @@
     close_job (s, j, JOB_DONE, REFUSAL_NONE, 0);
 }
 
+void
+run_scheduler_lend (struct run_scheduler *s, int64_t now, struct run_job *j,
+                    uint32_t first, uint32_t count)
+{
+  (void)s;
+  for (uint32_t i = first; i < first + count; i++)
+    j->tasks[i].state = RUN_LENT;
+  j->waiting_count -= count;
+  j->lent_count += count;
+  if (j->first_start_ms < 0)
+    j->first_start_ms = now;
+}
+
+void
+run_scheduler_returned (struct run_scheduler *s, int64_t now,
+                        struct run_job *j, uint32_t first, uint32_t count,
+                        enum job_result result, enum refusal_reason reason)
+{
+  bool whole = false;
+
+  (void)now;
+  if (result != JOB_DONE && result != JOB_REFUSED)
+    {
+      close_job (s, j, result, reason, 0);
+      return;
+    }
+  j->lent_count -= count;
+  j->waiting_count += count;
+  for (uint32_t i = first; i < first + count; i++)
+    j->tasks[i].state = RUN_WAITING;
+  if (result == JOB_REFUSED && !j->started && j->lent_count == 0
+      && j->ended_count == 0)
+    j->first_start_ms = -1;
+  for (uint32_t i = first; result == JOB_DONE && i < first + count && !whole;
+       i++)
+    {
+      whole = j->ended_count + 1 == j->task_count;
+      task_done (s, j, i);
+    }
+}
+
 static void
 task_failed (struct run_scheduler *s, int64_t now, struct run_job *j,
              uint32_t task, struct run_target *t)
--- a/src/coord/run_scheduler.h
+++ b/src/coord/run_scheduler.h
@@ -14,74 +14,10 @@
 
 #include <stdbool.h>
 #include <stdint.h>
-#include <uthash.h>
-#include "coord/job_admission.h"
-#include "coord/job_spec.h"
 #include "coord/queue_share.h"
-#include "coord/run_target.h"
+#include "coord/run_job.h"
 #include "coord/work_estimate.h"
 
-enum
-{
-  RUN_NAME_BYTES = 64,
-  RUN_AVOID_LIMIT = 4
-};
-
-enum run_state
-{
-  RUN_WAITING,
-  RUN_STARTING, /* ordered; not known to have begun */
-  RUN_RUNNING,
-  RUN_STOPPING, /* to be stopped; may still run */
-  RUN_ENDED     /* needs no further run */
-};
-
-struct run_task
-{
-  enum run_state state;
-  uint8_t step;
-  uint32_t index; /* within its step */
-  uint64_t run;   /* the number of its last run */
-  struct run_target *target;
-  int64_t ordered_ms;
-  int64_t began_ms; /* known to run since */
-  int64_t expected_ms;
-  int64_t moved_ms;   /* when its progress was last seen to grow */
-  int64_t settled_ms; /* when the target answered an order for it; 0 before */
-  int64_t seen_ms;    /* when the target last listed it as running */
-  uint32_t percent;
-  uint32_t failures;
-  uint32_t stops; /* for standing still or being slow */
-  const struct run_target *avoid[RUN_AVOID_LIMIT]; /* it failed there */
-  uint32_t avoid_count;
-};
-
-struct run_job
-{
-  struct job_spec spec;
-  uint64_t number; /* unique in this scheduler */
-  void *holder;    /* NULL once nobody waits for its end */
-  char *payload;
-  uint32_t payload_length;
-  char *wire_payload; /* the target port's encoding, made once; or NULL */
-
-  struct job_times times;
-  uint64_t work;          /* thousandths of a core times ms, expected */
-  int64_t first_start_ms; /* -1 before */
-  bool closed;            /* has its result; its runs are being stopped */
-
-  struct run_task *tasks;
-  uint32_t task_count;
-  uint32_t waiting_count;
-  uint32_t active_count; /* starting, running, stopping */
-  uint32_t ended_count;
-  uint32_t step_left[JOB_STEP_LIMIT]; /* tasks that have not ended */
-
-  struct run_job *prev;
-  struct run_job *next;
-  UT_hash_handle hh;
-};
-
 /* What came of an order to start.  */
 enum start_outcome
 {
@@ -111,6 +47,8 @@
   /* J has its result; it is not to be touched after return.  */
   void (*finished) (void *arg, struct run_job *j, enum job_result result,
                     enum refusal_reason reason, int64_t retry_ms);
+  /* The lent tasks of J are no longer wanted.  NULL where none is lent.  */
+  void (*recall) (void *arg, struct run_job *j);
 };
 
 struct run_scheduler
@@ -121,7 +59,7 @@
   struct queue_share share;
   struct run_target **targets;
   uint32_t target_count;
-  struct run_job *jobs;    /* by key */
+  struct run_job *jobs;    /* by id */
   struct run_job *waiting; /* open jobs in order of arrival, doubly linked */
   uint64_t next_number;
 };
@@ -198,6 +136,24 @@
    runs that stand still.  */
 void run_scheduler_pass (struct run_scheduler *s, int64_t now_ms);
 
+/* COUNT waiting tasks of J from FIRST on are run by another VM from now on,
+   until run_scheduler_returned or output->recall.  */
+void run_scheduler_lend (struct run_scheduler *s, int64_t now_ms,
+                         struct run_job *j, uint32_t first, uint32_t count);
+
+/* What came of tasks that were lent: JOB_DONE, or JOB_REFUSED if none of them
+   has begun; else the whole job ends with RESULT.  J may be gone after.  */
+void run_scheduler_returned (struct run_scheduler *s, int64_t now_ms,
+                             struct run_job *j, uint32_t first, uint32_t count,
+                             enum job_result result,
+                             enum refusal_reason reason);
+
+/* The jobs with waiting tasks, the most urgent first.  Returns their number;
+ *RANKS is to be freed.  */
+struct wait_rank;
+uint32_t run_scheduler_rank (struct run_scheduler *s, int64_t now_ms,
+                             struct wait_rank **ranks);
+
 /* The work that waits for SERVICE in jobs that have begun or must start on
    time by START_BY_MS or sooner, against its cores.  */
 struct job_backlog run_scheduler_backlog (const struct run_scheduler *s,
@@ -208,8 +164,4 @@
 uint32_t run_scheduler_waiting (const struct run_scheduler *s,
                                 const char *queue);
 
-/* The target's name of a task: KEY.OCCURRENCE.STEP.INDEX.  */
-void run_scheduler_task_name (const struct run_job *j, uint32_t task,
-                              char name[RUN_NAME_BYTES]);
-
 #endif
--- /dev/null
+++ b/src/coord/task_lending.c
@@ -0,0 +1,230 @@
+#include "coord/task_lending.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+#include "coord/wait_order.h"
+
+enum
+{
+  /* Rooms older than this are not believed.  */
+  LENDING_FRESH_MS = 40,
+
+  /* Part of the free cores that is taken to fit whole tasks.  */
+  LENDING_CPU_PERCENT = 70
+};
+
+static struct route_room *
+room_of (struct route_dispatcher *d, const char *service)
+{
+  for (uint32_t i = 0; i < d->room_count; i++)
+    if (strcmp (d->rooms[i].service, service) == 0)
+      return &d->rooms[i];
+  return NULL;
+}
+
+/* The number of tasks of STEP that D is taken to have room for.  */
+static uint32_t
+room_for (struct route_dispatcher *d, const struct run_job *j,
+          const struct job_step *step, int64_t now)
+{
+  const struct route_room *r = room_of (d, j->spec.service);
+  uint64_t free_cpu;
+
+  if (!d->reachable || r == NULL || r->work_ahead != 0
+      || now - d->heard_ms > LENDING_FRESH_MS)
+    return 0;
+  free_cpu = r->free_cpu_milli * LENDING_CPU_PERCENT / 100;
+  if (free_cpu <= r->sent_cpu_milli)
+    return 0;
+  if (step->cpu_milli == 0)
+    return JOB_TASK_LIMIT;
+  return (uint32_t)((free_cpu - r->sent_cpu_milli) / step->cpu_milli);
+}
+
+/* The dispatcher with most room for tasks of STEP, those of DOMAIN first.  */
+static struct route_dispatcher *
+best_taker (struct route_dispatcher *dispatchers, uint32_t count,
+            const char *self, const char *domain, const struct run_job *j,
+            const struct job_step *step, int64_t now, uint32_t *room)
+{
+  struct route_dispatcher *best = NULL;
+  bool best_near = false;
+
+  *room = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct route_dispatcher *d = &dispatchers[i];
+      bool near = strcmp (d->domain, domain) == 0;
+      uint32_t n;
+
+      if (strcmp (d->vm, self) == 0)
+        continue;
+      n = room_for (d, j, step, now);
+      if (n == 0 || (best_near && !near)
+          || (near == best_near && best != NULL && n <= *room))
+        continue;
+      best = d;
+      best_near = near;
+      *room = n;
+    }
+  return best;
+}
+
+/* The tasks of J from AT on that wait side by side in one step.  */
+static uint32_t
+waiting_range (const struct run_job *j, uint32_t at)
+{
+  uint32_t n = 0;
+
+  while (at + n < j->task_count && j->tasks[at + n].state == RUN_WAITING
+         && j->tasks[at + n].step == j->tasks[at].step)
+    n++;
+  return n;
+}
+
+uint32_t
+task_lending_choose (struct run_scheduler *s,
+                     struct route_dispatcher *dispatchers, uint32_t count,
+                     const char *self, const char *domain, int64_t now,
+                     struct lending_offer *offers)
+{
+  struct wait_rank *ranks;
+  uint32_t n = run_scheduler_rank (s, now, &ranks);
+  uint32_t made = 0;
+
+  for (uint32_t r = 0; r < n; r++)
+    {
+      struct run_job *j = ranks[r].job;
+      uint32_t at = 0;
+
+      while (!j->spec.part.is_part && at < j->task_count
+             && made < LENDING_OFFER_LIMIT)
+        {
+          uint32_t range = waiting_range (j, at);
+          const struct job_step *step = run_job_step (j, at);
+          struct route_dispatcher *to;
+          uint32_t room;
+
+          if (range == 0 || !run_job_step_may_begin (j, j->tasks[at].step))
+            {
+              at += range == 0 ? 1 : range;
+              continue;
+            }
+          to = best_taker (dispatchers, count, self, domain, j, step, now,
+                           &room);
+          if (to == NULL)
+            break;
+          if (range > room)
+            range = room;
+          offers[made++] = (struct lending_offer){ j, at, range, to };
+          room_of (to, j->spec.service)->sent_cpu_milli
+              += range * step->cpu_milli;
+          at += range;
+        }
+    }
+  free (ranks);
+  return made;
+}
+
+bool
+task_lending_is_wanted (const struct run_scheduler *s)
+{
+  const struct run_job *j;
+
+  DL_FOREACH (s->waiting, j)
+  if (j->waiting_count != 0 && !j->spec.part.is_part)
+    return true;
+  return false;
+}
+
+/* The free cores that D was last known to have.  */
+static uint64_t
+known_room (const struct route_dispatcher *d)
+{
+  uint64_t cpu = 0;
+
+  for (uint32_t i = 0; i < d->room_count; i++)
+    cpu += d->rooms[i].free_cpu_milli;
+  return cpu;
+}
+
+/* Whether ONE is asked before OTHER.  */
+static bool
+is_asked_first (const struct route_dispatcher *one,
+                const struct route_dispatcher *other, const char *domain)
+{
+  bool one_near = strcmp (one->domain, domain) == 0;
+  bool other_near = strcmp (other->domain, domain) == 0;
+
+  if (one_near != other_near)
+    return one_near;
+  return known_room (one) > known_room (other);
+}
+
+/* Puts D among the N first to be asked.  Returns their number.  */
+static uint32_t
+insert_asked (struct route_dispatcher **asked, uint32_t n,
+              struct route_dispatcher *d, const char *domain)
+{
+  uint32_t at = n;
+
+  if (n == LENDING_ASK_LIMIT)
+    {
+      if (!is_asked_first (d, asked[n - 1], domain))
+        return n;
+      at = n - 1;
+    }
+  for (; at > 0 && is_asked_first (d, asked[at - 1], domain); at--)
+    asked[at] = asked[at - 1];
+  asked[at] = d;
+  return n == LENDING_ASK_LIMIT ? n : n + 1;
+}
+
+uint32_t
+task_lending_ask (struct route_dispatcher *dispatchers, uint32_t count,
+                  const char *self, const char *domain, int64_t now,
+                  struct route_dispatcher **asked)
+{
+  uint32_t n = 0;
+  uint32_t due = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (dispatchers[i].reachable && strcmp (dispatchers[i].vm, self) != 0)
+      n = insert_asked (asked, n, &dispatchers[i], domain);
+  for (uint32_t i = 0; i < n; i++)
+    if (now - asked[i]->asked_ms >= LENDING_ASK_MS)
+      {
+        asked[i]->asked_ms = now;
+        asked[due++] = asked[i];
+      }
+  return due;
+}
+
+void
+task_lending_spec (const struct lending_offer *o, int64_t now,
+                   struct job_spec *spec)
+{
+  const struct run_job *j = o->job;
+  uint32_t failures = 0;
+  uint64_t run = 0;
+
+  for (uint32_t i = o->first; i < o->first + o->count; i++)
+    {
+      if (j->tasks[i].run > run)
+        run = j->tasks[i].run;
+      if (j->tasks[i].failures > failures)
+        failures = j->tasks[i].failures;
+    }
+  *spec = j->spec;
+  spec->steps[0] = *run_job_step (j, o->first);
+  spec->steps[0].count = o->count;
+  spec->steps[0].after = 0;
+  spec->step_count = 1;
+  spec->attempts = j->spec.attempts - failures;
+  spec->part = (struct job_part){ true, j->tasks[o->first].step,
+                                  j->tasks[o->first].index, run };
+  spec->age_ms = now - j->times.arrived_ms;
+  spec->deadline_ms = j->times.deadline_ms - now;
+  spec->payload = (struct slice){ j->payload, j->payload_length };
+}
--- a/src/net/peer_message.c
+++ b/src/net/peer_message.c
@@ -126,11 +126,13 @@
       { U (entry_view.term), U (entry_view.number), B (entry_view.text) } },
   [PEER_DOCUMENT] = { true, { U (document.version), B (document.text) } },
   [PEER_KEEPERS] = { true, { B (keepers.text) } },
-  [PEER_JOB] = { false,
-                 { U (job.id), I (job.sent_ms), B (job.key), B (job.queue),
-                   B (job.service), U (job.priority), U (job.attempts),
-                   I (job.age_ms), I (job.deadline_ms), I (job.floor_ms),
-                   U (job.stretch_milli), B (job.steps), B (job.payload) } },
+  [PEER_JOB]
+  = { false,
+      { U (job.id), I (job.sent_ms), B (job.key), B (job.queue),
+        B (job.service), U (job.priority), U (job.attempts), I (job.age_ms),
+        I (job.deadline_ms), I (job.floor_ms), U (job.stretch_milli),
+        U (job.is_part), U (job.part_step), U (job.part_first),
+        U (job.part_run), B (job.steps), B (job.payload) } },
   [PEER_JOB_END]
   = { false,
       { U (job_end.id), U (job_end.result), I (job_end.retry_ms),
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -11,7 +11,7 @@
 
 enum
 {
-  PEER_PROTOCOL_VERSION = 1
+  PEER_PROTOCOL_VERSION = 2
 };
 
 enum peer_message_type
@@ -273,6 +273,10 @@
   int64_t deadline_ms; /* left until the caller stops waiting */
   int64_t floor_ms;    /* added to the stretched work for the objective */
   uint64_t stretch_milli;
+  uint64_t is_part; /* some tasks of the only step: struct job_part */
+  uint64_t part_step;
+  uint64_t part_first;
+  uint64_t part_run;
   struct slice steps; /* job_spec_pack_steps */
   struct slice payload;
 };
--- /dev/null
+++ b/tests/unit/test_lending.c
@@ -0,0 +1,352 @@
+/* Tasks that one dispatcher runs for another: who is asked, what is offered,
+   and what becomes of a job whose tasks are lent.  */
+#include <stdio.h>
+#include <string.h>
+#include "bench/replay_model.h"
+#include "coord/task_lending.h"
+#include "tests/unit/suites.h"
+
+enum
+{
+  NOW = 1000,
+  TASKS = 8,
+  TASK_CPU = 1000,
+  TARGET_CPU = 3000
+};
+
+struct seen
+{
+  uint32_t starts;
+  uint32_t stops;
+  uint32_t recalls;
+  uint32_t finished;
+  enum job_result result;
+};
+
+static struct seen seen;
+
+static void
+on_start (void *arg, struct run_target *t, struct run_job *j, uint32_t task)
+{
+  (void)arg;
+  (void)t;
+  (void)j;
+  (void)task;
+  seen.starts++;
+}
+
+static void
+on_stop (void *arg, struct run_target *t, struct run_job *j, uint32_t task)
+{
+  (void)arg;
+  (void)t;
+  (void)j;
+  (void)task;
+  seen.stops++;
+}
+
+static void
+on_finished (void *arg, struct run_job *j, enum job_result result,
+             enum refusal_reason reason, int64_t retry_ms)
+{
+  (void)arg;
+  (void)j;
+  (void)reason;
+  (void)retry_ms;
+  seen.finished++;
+  seen.result = result;
+}
+
+static void
+on_recall (void *arg, struct run_job *j)
+{
+  (void)arg;
+  (void)j;
+  seen.recalls++;
+}
+
+static const struct run_scheduler_output output
+    = { on_start, on_stop, on_finished, on_recall };
+
+/* A scheduler with TARGETS targets of three tasks each.  */
+static void
+begin (struct run_scheduler *s, uint32_t targets)
+{
+  memset (&seen, 0, sizeof seen);
+  run_scheduler_init (s, &output, NULL);
+  for (uint32_t i = 0; i < targets; i++)
+    {
+      struct run_target_spec t
+          = { .cpu_milli = TARGET_CPU, .memory_mb = 1000, .slots = 8 };
+
+      snprintf (t.id, sizeof t.id, "t%u", i);
+      snprintf (t.service, sizeof t.service, "svc");
+      run_scheduler_add_target (s, &t)->phase = TARGET_READY;
+    }
+}
+
+static struct job_spec
+make_job (const char *key)
+{
+  struct job_spec j = { .attempts = 3,
+                        .stretch_milli = 1600,
+                        .floor_ms = 60,
+                        .deadline_ms = 3000,
+                        .step_count = 1 };
+
+  snprintf (j.key, sizeof j.key, "%s", key);
+  snprintf (j.queue, sizeof j.queue, "q");
+  snprintf (j.service, sizeof j.service, "svc");
+  j.steps[0] = (struct job_step){ .count = TASKS,
+                                  .cpu_milli = TASK_CPU,
+                                  .estimate_ms = 200 };
+  j.payload = slice_of ("");
+  return j;
+}
+
+static struct run_job *
+submit (struct run_scheduler *s, const struct job_spec *spec)
+{
+  enum refusal_reason reason;
+  int64_t retry_ms;
+  struct run_job *j
+      = run_scheduler_submit (s, NOW, spec, &seen, &reason, &retry_ms);
+
+  run_scheduler_pass (s, NOW);
+  return j;
+}
+
+static struct route_dispatcher
+make_dispatcher (const char *vm, const char *domain, uint64_t free_cpu,
+                 int64_t heard_ms)
+{
+  struct route_dispatcher d
+      = { .reachable = true, .heard_ms = heard_ms, .room_count = 1 };
+
+  snprintf (d.vm, sizeof d.vm, "%s", vm);
+  snprintf (d.domain, sizeof d.domain, "%s", domain);
+  snprintf (d.rooms[0].service, sizeof d.rooms[0].service, "svc");
+  d.rooms[0].cpu_milli = 100000;
+  d.rooms[0].free_cpu_milli = free_cpu;
+  return d;
+}
+
+/* The own failure domain comes first though others have more room; what has
+   been offered is not offered again; old rooms are not believed.  */
+static void
+test_offers (void)
+{
+  struct run_scheduler s;
+  struct lending_offer offers[LENDING_OFFER_LIMIT];
+  struct job_spec spec = make_job ("a");
+  struct route_dispatcher d[]
+      = { make_dispatcher ("self", "d0", 50000, NOW),
+          make_dispatcher ("far", "d1", 50000, NOW),
+          make_dispatcher ("near", "d0", 3000, NOW),
+          make_dispatcher ("old", "d0", 90000, NOW - 500) };
+
+  begin (&s, 1);
+  submit (&s, &spec);
+  CU_ASSERT_EQUAL (seen.starts, 3);
+  CU_ASSERT_EQUAL (task_lending_choose (&s, d, 4, "self", "d0", NOW, offers),
+                   2);
+  CU_ASSERT_PTR_EQUAL (offers[0].to, &d[2]);
+  CU_ASSERT_EQUAL (offers[0].first, 3);
+  CU_ASSERT_EQUAL (offers[0].count, 2);
+  CU_ASSERT_PTR_EQUAL (offers[1].to, &d[1]);
+  CU_ASSERT_EQUAL (offers[1].first, 5);
+  CU_ASSERT_EQUAL (offers[1].count, 3);
+  CU_ASSERT_EQUAL (d[2].rooms[0].sent_cpu_milli, 2 * TASK_CPU);
+  CU_ASSERT_EQUAL (d[1].rooms[0].sent_cpu_milli, 3 * TASK_CPU);
+  run_scheduler_done (&s);
+}
+
+/* Rooms are asked for seldom, the nearest ones first, and of a few.  */
+static void
+test_asking (void)
+{
+  struct route_dispatcher d[8];
+  struct route_dispatcher *asked[LENDING_ASK_LIMIT];
+
+  for (int i = 0; i < 8; i++)
+    {
+      char vm[NAME_BYTES];
+
+      snprintf (vm, sizeof vm, "vm%d", i);
+      d[i] = make_dispatcher (vm, i == 7 ? "d0" : "d1", (uint64_t)i * 1000,
+                              NOW);
+    }
+  d[6].reachable = false;
+  CU_ASSERT_EQUAL (task_lending_ask (d, 8, "vm0", "d0", NOW, asked),
+                   LENDING_ASK_LIMIT);
+  CU_ASSERT_PTR_EQUAL (asked[0], &d[7]);
+  CU_ASSERT_PTR_EQUAL (asked[1], &d[5]);
+  CU_ASSERT_EQUAL (
+      task_lending_ask (d, 8, "vm0", "d0", NOW + LENDING_ASK_MS - 1, asked),
+      0);
+  CU_ASSERT_EQUAL (
+      task_lending_ask (d, 8, "vm0", "d0", NOW + LENDING_ASK_MS, asked),
+      LENDING_ASK_LIMIT);
+}
+
+/* A part keeps the names and run numbers of its job's tasks.  */
+static void
+test_part (void)
+{
+  struct run_scheduler lender;
+  struct run_scheduler taker;
+  struct job_spec spec = make_job ("a");
+  struct job_spec part;
+  struct run_job *j;
+  struct run_job *p;
+  char name[RUN_NAME_BYTES];
+
+  begin (&lender, 1);
+  j = submit (&lender, &spec);
+  j->tasks[6].run = 4;
+  task_lending_spec (&(struct lending_offer){ j, 5, 2, NULL }, NOW + 10,
+                     &part);
+  CU_ASSERT_EQUAL (part.age_ms, 10);
+  begin (&taker, 1);
+  p = submit (&taker, &part);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (p);
+  CU_ASSERT_EQUAL (seen.starts, 2);
+  run_job_task_name (p, 1, name);
+  CU_ASSERT_STRING_EQUAL (name, "a.0.0.6");
+  CU_ASSERT_EQUAL (p->tasks[1].run, 5);
+  run_scheduler_done (&taker);
+  run_scheduler_done (&lender);
+}
+
+/* While a task of a job may run here, nothing that has it is taken.  */
+static void
+test_overlap (void)
+{
+  struct run_scheduler s;
+  struct job_spec whole = make_job ("a");
+  struct job_spec part = make_job ("a");
+
+  begin (&s, 4);
+  part.part.is_part = true;
+  part.part.first = 2;
+  part.steps[0].count = 2;
+  CU_ASSERT_PTR_NOT_NULL (submit (&s, &part));
+  CU_ASSERT_PTR_NULL (submit (&s, &whole));
+  part.part.first = 3;
+  CU_ASSERT_PTR_NULL (submit (&s, &part));
+  part.part.first = 4;
+  CU_ASSERT_PTR_NOT_NULL (submit (&s, &part));
+  run_scheduler_done (&s);
+}
+
+/* A part that does not fit at once is refused, not queued.  */
+static void
+test_part_without_room (void)
+{
+  struct run_scheduler s;
+  struct job_spec part = make_job ("a");
+
+  begin (&s, 2);
+  part.part.is_part = true;
+  CU_ASSERT_PTR_NULL (submit (&s, &part));
+  CU_ASSERT_EQUAL (seen.starts, 0);
+  run_scheduler_done (&s);
+}
+
+/* Lent tasks that were refused wait again, and the job has not begun.  */
+static void
+test_sent_back (void)
+{
+  struct run_scheduler s;
+  struct job_spec spec = make_job ("a");
+  struct run_job *j;
+
+  begin (&s, 1);
+  s.targets[0]->full_until_ms = NOW + 5000;
+  spec.steps[0].count = 2;
+  j = submit (&s, &spec);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (j);
+  run_scheduler_lend (&s, NOW, j, 0, 2);
+  run_scheduler_pass (&s, NOW + 600);
+  CU_ASSERT_EQUAL (seen.starts, 0);
+  run_scheduler_returned (&s, NOW + 100, j, 0, 2, JOB_REFUSED,
+                          REFUSAL_OVERLOAD);
+  CU_ASSERT_EQUAL (j->first_start_ms, -1);
+  run_scheduler_pass (&s, NOW + 1000);
+  CU_ASSERT_EQUAL (seen.finished, 1);
+  CU_ASSERT_EQUAL (seen.result, JOB_REFUSED);
+  run_scheduler_done (&s);
+}
+
+/* A job ends with its lent tasks; one whose lent tasks are lost is lost as a
+   whole, and the rest of it is stopped and recalled.  */
+static void
+test_returned (void)
+{
+  struct run_scheduler s;
+  struct job_spec spec = make_job ("a");
+  struct run_job *j;
+
+  begin (&s, 1);
+  j = submit (&s, &spec);
+  run_scheduler_lend (&s, NOW, j, 3, 2);
+  run_scheduler_lend (&s, NOW, j, 5, 3);
+  run_scheduler_returned (&s, NOW + 200, j, 3, 2, JOB_DONE, REFUSAL_NONE);
+  CU_ASSERT_EQUAL (j->ended_count, 2);
+  run_scheduler_returned (&s, NOW + 210, j, 5, 3, JOB_UNKNOWN,
+                          REFUSAL_LOST_PEER);
+  CU_ASSERT_EQUAL (seen.finished, 1);
+  CU_ASSERT_EQUAL (seen.result, JOB_UNKNOWN);
+  CU_ASSERT_EQUAL (seen.stops, 3);
+  CU_ASSERT_EQUAL (seen.recalls, 1);
+  run_scheduler_done (&s);
+
+  begin (&s, 1);
+  j = submit (&s, &spec);
+  run_scheduler_lend (&s, NOW, j, 3, 5);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      char name[RUN_NAME_BYTES];
+
+      run_job_task_name (j, i, name);
+      run_scheduler_ended (&s, NOW + 200, s.targets[0], name, 1, RUN_END_DONE);
+    }
+  CU_ASSERT_EQUAL (seen.finished, 0);
+  run_scheduler_returned (&s, NOW + 210, j, 3, 5, JOB_DONE, REFUSAL_NONE);
+  CU_ASSERT_EQUAL (seen.finished, 1);
+  CU_ASSERT_EQUAL (seen.result, JOB_DONE);
+  CU_ASSERT_EQUAL (seen.recalls, 0);
+  CU_ASSERT_PTR_NULL (s.jobs);
+  run_scheduler_done (&s);
+}
+
+/* Three failure domains of 16 targets at four fifths of what they can do:
+   jobs of 8 tasks find room together that no domain has alone.  */
+static void
+test_uneven_domains (void)
+{
+  struct replay_setup s;
+  struct replay_result r;
+
+  replay_setup_sofnets (&s);
+  s.length_ms = 15000;
+  s.load = 1.25;
+  s.lends = true;
+  replay_run (&s, &r);
+  CU_ASSERT (r.classes[0].on_time > 0.97 * r.classes[0].jobs);
+}
+
+void
+suite_lending (void)
+{
+  CU_pSuite s = CU_add_suite ("lending", NULL, NULL);
+
+  CU_add_test (s, "near and fresh rooms get offers", test_offers);
+  CU_add_test (s, "rooms are asked for seldom", test_asking);
+  CU_add_test (s, "a part keeps its tasks' names", test_part);
+  CU_add_test (s, "overlapping parts are refused", test_overlap);
+  CU_add_test (s, "a part does not wait", test_part_without_room);
+  CU_add_test (s, "refused tasks wait again", test_sent_back);
+  CU_add_test (s, "a job ends with its lent tasks", test_returned);
+  CU_add_test (s, "domains help each other out", test_uneven_domains);
+}
--- a/tests/unit/test_open.c
+++ b/tests/unit/test_open.c
@@ -19,10 +19,14 @@
   SEEDS = 3,
   PEER_PORT = 17720,
   WAIT_MS = 8000,
+  LONG_WAIT_MS = 2 * WAIT_MS,
   STEP_MS = 20,
   HEARTBEAT_MS = 300,
   LOGGED_MS = 1800,
 
+  /* Two targets run 8 tasks of 1000.  */
+  LENT_JOB_TASKS = 10,
+
   /* Three keepers at rest: 2 appends and replies each 80 ms, 6 beats each
      250 ms; some more for chance.  */
   REST_MS = 500,
@@ -39,6 +43,7 @@
   struct job_entry *entries[ENTRIES];
   int64_t heartbeat_ms;
   bool targets_silent;
+  bool two_domains; /* the second entry and every second target in another */
 };
 
 static void
@@ -165,7 +170,8 @@
       snprintf (t.id, sizeof t.id, "t%d", i);
       snprintf (t.address, sizeof t.address, "127.0.0.1:1");
       snprintf (t.service, sizeof t.service, "svc");
-      snprintf (t.domain, sizeof t.domain, "shop");
+      snprintf (t.domain, sizeof t.domain, "%s",
+                d->two_domains && i % 2 != 0 ? "oven" : "shop");
       t.born_ms = 1;
       t.cpu_milli = 4000;
       t.memory_mb = 1000;
@@ -448,6 +454,141 @@
   deployment_done (&d);
 }
 
+/* Counts the answers of a job.  */
+struct caller
+{
+  uint32_t answers;
+  struct job_answer answer;
+};
+
+static void
+on_answered (void *arg, const struct job_answer *a)
+{
+  struct caller *c = arg;
+
+  c->answers++;
+  c->answer = *a;
+}
+
+/* Two entries with two targets each, in domains of their own; a job at the
+   first one that needs one target more than its domain has.  */
+static struct entry_job *
+begin_lending (struct deployment *d, struct caller *c)
+{
+  struct job_spec spec = { .attempts = 3,
+                           .stretch_milli = 1600,
+                           .floor_ms = 5000,
+                           .deadline_ms = WAIT_MS,
+                           .step_count = 1 };
+  int64_t end = now_ms () + WAIT_MS;
+  struct entry_job *j;
+
+  deployment_init (d);
+  d->two_domains = true;
+  snprintf (d->entry_settings[1].peer.domain, NAME_BYTES, "oven");
+  for (int i = 0; i < SEEDS; i++)
+    start_keeper (d, i);
+  for (int i = 0; i < ENTRIES; i++)
+    start_entry (d, i);
+  while ((d->entries[0]->target_count != 2 || d->entries[1]->target_count != 2
+          || d->entries[0]->dispatcher_count != 2)
+         && now_ms () < end)
+    run_step (d);
+  for (int i = 0; i < 20; i++)
+    run_step (d);
+  snprintf (spec.key, sizeof spec.key, "0123456789abcdef");
+  snprintf (spec.queue, sizeof spec.queue, "q");
+  snprintf (spec.service, sizeof spec.service, "svc");
+  spec.steps[0] = (struct job_step){ .count = LENT_JOB_TASKS,
+                                     .cpu_milli = 1000,
+                                     .estimate_ms = 200 };
+  spec.payload = slice_of ("");
+  memset (c, 0, sizeof *c);
+  j = job_entry_submit (d->entries[0], now_ms (), &spec, on_answered, c);
+  while (fake_port_starts () < LENT_JOB_TASKS && now_ms () < end)
+    run_step (d);
+  CU_ASSERT_EQUAL (fake_port_starts (), LENT_JOB_TASKS);
+  return j;
+}
+
+static uint32_t
+count_running (void)
+{
+  uint32_t n = 0;
+
+  for (int i = 0; i < LENT_JOB_TASKS; i++)
+    {
+      char name[RUN_NAME_BYTES];
+
+      snprintf (name, sizeof name, "0123456789abcdef.0.0.%d", i);
+      n += fake_port_running (name);
+    }
+  return n;
+}
+
+static void
+test_lent_tasks_end (void)
+{
+  struct deployment d;
+  struct caller c;
+  int64_t end = now_ms () + LONG_WAIT_MS;
+
+  begin_lending (&d, &c);
+  CU_ASSERT_EQUAL (count_running (), LENT_JOB_TASKS);
+  for (int t = 0; t < TARGETS; t++)
+    for (int i = 0; i < LENT_JOB_TASKS; i++)
+      {
+        char id[8];
+        char name[RUN_NAME_BYTES];
+
+        snprintf (id, sizeof id, "t%d", t);
+        snprintf (name, sizeof name, "0123456789abcdef.0.0.%d", i);
+        fake_port_end (fake_port_target (id), name, RUN_END_DONE);
+      }
+  while (c.answers == 0 && now_ms () < end)
+    run_step (&d);
+  CU_ASSERT_EQUAL (c.answers, 1);
+  CU_ASSERT_EQUAL (c.answer.result, JOB_DONE);
+  CU_ASSERT_EQUAL (fake_port_starts (), LENT_JOB_TASKS);
+  deployment_done (&d);
+}
+
+/* A caller that leaves has its lent tasks stopped too.  */
+static void
+test_lent_tasks_recalled (void)
+{
+  struct deployment d;
+  struct caller c;
+  struct entry_job *j = begin_lending (&d, &c);
+  int64_t end = now_ms () + WAIT_MS;
+
+  job_entry_cancel (d.entries[0], now_ms (), j);
+  while (count_running () != 0 && now_ms () < end)
+    run_step (&d);
+  CU_ASSERT_EQUAL (count_running (), 0);
+  CU_ASSERT_PTR_NULL (d.entries[0]->jobs);
+  CU_ASSERT_EQUAL (c.answers, 0);
+  deployment_done (&d);
+}
+
+/* Tasks that are lent to an entry that is lost are told of as unknown, and
+   what runs at home is stopped.  */
+static void
+test_taker_lost (void)
+{
+  struct deployment d;
+  struct caller c;
+  int64_t end = now_ms () + LONG_WAIT_MS;
+
+  begin_lending (&d, &c);
+  stop_entry (&d, 1);
+  while (c.answers == 0 && now_ms () < end)
+    run_step (&d);
+  CU_ASSERT_EQUAL (c.answers, 1);
+  CU_ASSERT_EQUAL (c.answer.result, JOB_UNKNOWN);
+  deployment_done (&d);
+}
+
 void
 suite_open (void)
 {
@@ -460,4 +601,7 @@
   CU_add_test (s, "a lost entry's targets go on", test_entry_lost);
   CU_add_test (s, "targets are recalled", test_targets_recalled);
   CU_add_test (s, "an entry that leaves hands over", test_entry_leaves);
+  CU_add_test (s, "lent tasks end", test_lent_tasks_end);
+  CU_add_test (s, "lent tasks are recalled", test_lent_tasks_recalled);
+  CU_add_test (s, "the taker of tasks is lost", test_taker_lost);
 }
--- a/tests/unit/test_scheduler.c
+++ b/tests/unit/test_scheduler.c
@@ -64,7 +64,7 @@
 }
 
 static const struct run_scheduler_output output
-    = { on_start, on_stop, on_finished };
+    = { on_start, on_stop, on_finished, NULL };
 
 static void
 begin (struct run_scheduler *s, uint32_t workers)
@@ -139,7 +139,7 @@
           const struct run_place p = t->runs[r];
           const struct run_task *k = &p.job->tasks[p.task];
 
-          run_scheduler_task_name (p.job, p.task, name);
+          run_job_task_name (p.job, p.task, name);
           if (k->state == RUN_STARTING)
             run_scheduler_started (s, now, t, name, k->run, START_ACCEPTED);
           if (now - k->ordered_ms < p.job->spec.steps[0].estimate_ms)
@@ -208,7 +208,7 @@
   CU_ASSERT_EQUAL (seen.starts, 2);
   for (uint32_t i = 0; i < 2; i++)
     {
-      run_scheduler_task_name (f, 0, name);
+      run_job_task_name (f, 0, name);
       run_scheduler_ended (&s, 900, s.targets[0],
                            i == 0 ? "full.0.0.0" : "full.0.0.1", 1,
                            RUN_END_DONE);
@@ -275,7 +275,7 @@
         {
           const struct run_place p = bad->runs[0];
 
-          run_scheduler_task_name (p.job, p.task, name);
+          run_job_task_name (p.job, p.task, name);
           at_bad++;
           run_scheduler_ended (&s, now, bad, name, p.job->tasks[p.task].run,
                                RUN_END_FAILED);
