--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -8,6 +8,8 @@
 #include "base/json_check.h"
 #include "base/now.h"
 #include "controller/quorum_members.h"
+#include "coord/dispatcher_choice.h"
+#include "coord/rendezvous.h"
 #include "coord/target_rows.h"
 
 enum
@@ -17,7 +19,14 @@
 
   /* The known targets go into the log at most so often, so that a new leader
      need not wait for their heartbeats when the entries have lost theirs.  */
-  LOG_TARGETS_MS = 1500
+  LOG_TARGETS_MS = 1500,
+  CHECK_TARGETS_MS = 250,
+
+  /* Targets in one entry of the log.  */
+  LOG_TARGETS_MOST = 200,
+
+  /* Changes of the set of dispatchers are told at most so often.  */
+  DISPATCHERS_AGAIN_MS = 100
 };
 
 void
@@ -59,28 +68,29 @@
   l->document_sent_ms = now;
 }
 
-/* Tells an entry of the other keepers: any of them may come to lead, and its
-   seeds need not be among them.  */
+/* Tells an entry of the keepers that vote: any of them may come to lead, and
+   the entry's seeds need not be among them.  */
 static void
 tell_keepers (struct quorum_keeper *k, struct keeper_entry_link *l)
 {
   struct peer_message m = { .type = PEER_KEEPERS };
-  uint32_t count = 0;
+  const char *voters[TOLD_VOTER_LIMIT];
+  uint32_t count = quorum_members_core (k, voters, TOLD_VOTER_LIMIT);
+  uint64_t digest = 1;
   json_t *array;
   char *text;
 
-  for (int i = 0; i < k->log.member_count; i++)
-    count += quorum_members_is_other (k, i);
-  if (count == l->keepers_told)
+  for (uint32_t i = 0; i < count; i++)
+    digest += rendezvous_weight ("", voters[i]);
+  if (digest == l->keepers_told)
     return;
   array = json_array ();
-  for (int i = 0; i < k->log.member_count; i++)
-    if (quorum_members_is_other (k, i))
-      json_array_append_new (array, json_string (k->peers[i].member.address));
+  for (uint32_t i = 0; i < count; i++)
+    json_array_append_new (array, json_string (voters[i]));
   text = json_dumps (array, JSON_COMPACT);
   m.u.keepers.text = slice_of (text);
   if (peer_conn_send (l->conn, &m))
-    l->keepers_told = count;
+    l->keepers_told = digest;
   free (text);
   json_decref (array);
 }
@@ -121,6 +131,7 @@
       l->view_number = 0;
       l->document_version = b->document_version;
       l->keepers_told = 0;
+      l->dispatchers_told = 0;
     }
   tell_keepers (k, l);
   if (now - l->document_sent_ms > DOCUMENT_AGAIN_MS)
@@ -139,7 +150,10 @@
   else if (!e->reported)
     entry_links_ask (k, l);
   if (b->view_term != k->log.term || b->view_number < l->view_number)
-    e->dirty = true;
+    {
+      l->dispatchers_told = 0;
+      e->dirty = true;
+    }
 }
 
 static void
@@ -154,19 +168,16 @@
   peer_conn_send (l->conn, &m);
 }
 
+/* The dispatchers of C; left out of a view where the entry has them.  */
 static void
-append_dispatchers (const struct quorum_keeper *k, json_t *view)
+append_dispatchers (const struct dispatcher_choice *c, json_t *view)
 {
   json_t *array = json_array ();
 
-  for (uint32_t i = 0; i < k->plan.entry_count; i++)
-    {
-      const struct plan_entry *e = &k->plan.entries[i];
-
-      if (e->alive && e->owned != 0)
-        json_array_append_new (
-            array, json_pack ("{s:s s:s}", "vm", e->vm, "domain", e->domain));
-    }
+  for (uint32_t i = 0; i < c->count; i++)
+    json_array_append_new (array,
+                           json_pack ("{s:s s:s}", "vm", c->entries[i]->vm,
+                                      "domain", c->entries[i]->domain));
   json_object_set_new (view, "dispatchers", array);
 }
 
@@ -177,7 +188,7 @@
 
   for (uint32_t i = 0; i < k->plan.target_count; i++)
     {
-      const struct plan_target *t = &k->plan.targets[i];
+      const struct plan_target *t = k->plan.targets[i];
       json_t *o;
 
       if (strcmp (t->owner, vm) != 0)
@@ -194,13 +205,17 @@
 push_view (struct quorum_keeper *k, struct plan_entry *e)
 {
   struct keeper_entry_link *l = entry_links_find (k, e->vm);
+  struct dispatcher_choice c;
   json_t *view;
   char *text;
 
   if (l == NULL || l->conn == NULL || !e->reported)
     return;
+  dispatcher_choice_make (&k->plan, e, &c);
   view = json_object ();
-  append_dispatchers (k, view);
+  if (c.digest != l->dispatchers_told)
+    append_dispatchers (&c, view);
+  l->dispatchers_told = c.digest;
   append_targets (k, e->vm, view);
   text = json_dumps (view, JSON_COMPACT);
   send_view (k, l, text);
@@ -218,36 +233,105 @@
 recall_targets (struct quorum_keeper *k, int64_t now)
 {
   struct run_target_spec spec;
-  size_t i;
+  const char *id;
   json_t *o;
 
   if (k->targets_recalled || !quorum_keeper_knows_committed (k))
     return;
   k->targets_recalled = true;
-  json_array_foreach (k->applied_targets, i,
-                      o) if (run_target_spec_from_json (&spec, o))
+  json_object_foreach (k->applied_targets, id,
+                       o) if (run_target_spec_from_json (&spec, o))
       owner_plan_recall_target (&k->plan, now, &spec);
 }
 
+/* Whether the log knows the life of a target that T is.  */
+static bool
+is_logged (const struct quorum_keeper *k, const struct run_target_spec *t)
+{
+  const json_t *o = json_object_get (k->applied_targets, t->id);
+
+  return json_get_integer (o, "born", 0) == t->born_ms
+         && strcmp (json_get_text (o, "address", ""), t->address) == 0;
+}
+
+/* The targets of the plan that the log does not know, up to
+   LOG_TARGETS_MOST.  */
+static json_t *
+targets_to_put (const struct quorum_keeper *k)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0;
+       i < k->plan.target_count && json_array_size (list) < LOG_TARGETS_MOST;
+       i++)
+    if (!is_logged (k, &k->plan.targets[i]->spec))
+      json_array_append_new (
+          list, run_target_spec_to_json (&k->plan.targets[i]->spec));
+  return list;
+}
+
+/* The ids of targets that the log knows and the plan does not.  */
+static json_t *
+targets_to_drop (const struct quorum_keeper *k)
+{
+  json_t *list = json_array ();
+  const char *id;
+  json_t *o;
+
+  json_object_foreach (k->applied_targets, id,
+                       o) if (owner_plan_target (&k->plan, id) == NULL)
+      json_array_append_new (list, json_string (id));
+  return list;
+}
+
 void
 entry_links_log_targets (struct quorum_keeper *k, int64_t now)
 {
-  uint64_t digest = owner_plan_digest (&k->plan);
-  uint64_t index;
-  json_t *list;
+  uint64_t digest;
+  json_t *put;
+  json_t *drop;
 
-  if (!k->targets_recalled || digest == k->targets_logged
+  if (!k->targets_recalled || now - k->targets_checked_ms < CHECK_TARGETS_MS
+      || k->log.applied_index < k->targets_index)
+    return;
+  k->targets_checked_ms = now;
+  digest = owner_plan_digest (&k->plan);
+  if (digest == k->targets_logged
       || now - k->targets_logged_ms < LOG_TARGETS_MS)
     return;
-  list = json_array ();
-  for (uint32_t i = 0; i < k->plan.target_count; i++)
-    json_array_append_new (list,
-                           run_target_spec_to_json (&k->plan.targets[i].spec));
+  put = targets_to_put (k);
+  drop = targets_to_drop (k);
+  if (json_array_size (put) < LOG_TARGETS_MOST)
+    {
+      k->targets_logged = digest;
+      k->targets_logged_ms = now;
+    }
   quorum_keeper_propose (
-      k, json_pack ("{s:s s:o}", "type", "targets", "list", list), now,
-      &index);
-  k->targets_logged = digest;
-  k->targets_logged_ms = now;
+      k,
+      json_pack ("{s:s s:o s:o}", "type", "targets", "put", put, "drop", drop),
+      now, &k->targets_index);
+}
+
+/* Has the entries told of a changed set of dispatchers, those whose own
+   choice has changed.  */
+static void
+spread_dispatchers (struct quorum_keeper *k, int64_t now)
+{
+  if (!k->plan.owners_changed
+      || now - k->dispatchers_sent_ms < DISPATCHERS_AGAIN_MS)
+    return;
+  k->plan.owners_changed = false;
+  k->dispatchers_sent_ms = now;
+  for (uint32_t i = 0; i < k->plan.entry_count; i++)
+    {
+      struct plan_entry *e = k->plan.entries[i];
+      const struct keeper_entry_link *l = entry_links_find (k, e->vm);
+      struct dispatcher_choice c;
+
+      dispatcher_choice_make (&k->plan, e, &c);
+      if (l != NULL && l->dispatchers_told != c.digest)
+        e->dirty = true;
+    }
 }
 
 /* Logs what the plan has come to believe and decided since the last time.  */
@@ -256,7 +340,7 @@
 {
   for (uint32_t i = 0; i < k->plan.entry_count; i++)
     {
-      struct plan_entry *e = &k->plan.entries[i];
+      struct plan_entry *e = k->plan.entries[i];
 
       if (e->alive == e->told_alive)
         continue;
@@ -267,7 +351,7 @@
     }
   for (uint32_t i = 0; i < k->plan.target_count; i++)
     {
-      struct plan_target *t = &k->plan.targets[i];
+      struct plan_target *t = k->plan.targets[i];
 
       if (t->fence == t->told_fence || t->owner[0] == '\0')
         continue;
@@ -284,9 +368,10 @@
   recall_targets (k, now);
   owner_plan_step (&k->plan, now);
   log_plan (k, now);
+  spread_dispatchers (k, now);
   for (uint32_t i = 0; i < k->plan.entry_count; i++)
-    if (k->plan.entries[i].dirty && k->plan.entries[i].alive)
-      push_view (k, &k->plan.entries[i]);
+    if (k->plan.entries[i]->dirty && k->plan.entries[i]->alive)
+      push_view (k, k->plan.entries[i]);
   for (uint32_t i = 0; i < k->link_count; i++)
     send_document (k, &k->links[i], now);
 }
--- a/src/controller/entry_view.c
+++ b/src/controller/entry_view.c
@@ -57,31 +57,78 @@
   n->beat_ms = now;
 }
 
+static bool
+is_seed (const struct job_entry *n, const char *address)
+{
+  for (uint32_t i = 0; i < n->settings->seed_count; i++)
+    if (strcmp (n->settings->seeds[i].address, address) == 0)
+      return true;
+  return false;
+}
+
+/* Makes place for another keeper: the one told of longest ago goes, but no
+   seed and not FROM, whose message is being handled.  */
+static void
+forget_keeper (struct job_entry *n, const char *from)
+{
+  uint32_t i = 0;
+
+  while (is_seed (n, n->keepers[i]) || strcmp (n->keepers[i], from) == 0)
+    i++;
+  peer_network_forget (n->network, n->keepers[i]);
+  n->keeper_count--;
+  memmove (n->keepers[i], n->keepers[i + 1],
+           (n->keeper_count - i) * sizeof n->keepers[0]);
+}
+
 static void
-reach_keeper (struct job_entry *n, const char *address)
+reach_keeper (struct job_entry *n, const char *address, const char *from)
 {
   for (uint32_t i = 0; i < n->keeper_count; i++)
     if (strcmp (n->keepers[i], address) == 0)
       return;
   if (n->keeper_count == ENTRY_KEEPER_LIMIT)
-    return;
+    forget_keeper (n, from);
   snprintf (n->keepers[n->keeper_count++], NAME_BYTES, "%s", address);
   peer_network_reach_address (n->network, address,
                               n->settings->peer.peer_port);
 }
 
 void
-entry_view_receive_keepers (struct job_entry *n, struct slice text)
+entry_view_receive_keepers (struct job_entry *n, const char *from,
+                            struct slice text)
 {
   json_t *array = json_loadb (text.data, text.length, 0, NULL);
   size_t i;
   json_t *o;
 
   json_array_foreach (array, i, o) if (json_is_string (o))
-      reach_keeper (n, json_string_value (o));
+      reach_keeper (n, json_string_value (o), from);
   json_decref (array);
 }
 
+/* Keeps those of OLD that have jobs of this entry, but sends them no more:
+   they drop the jobs of an entry that they do not hear.  */
+static void
+keep_busy (struct job_entry *n, const struct route_dispatcher *old,
+           uint32_t old_count)
+{
+  uint32_t count = n->dispatcher_count;
+
+  for (uint32_t i = 0; i < old_count; i++)
+    {
+      bool known = !job_entry_has_jobs_at (n, old[i].vm);
+
+      for (uint32_t k = 0; k < count && !known; k++)
+        known = strcmp (n->dispatchers[k].vm, old[i].vm) == 0;
+      if (known || n->dispatcher_count == ENTRY_DISPATCHER_LIMIT)
+        continue;
+      n->dispatchers[n->dispatcher_count] = old[i];
+      n->dispatchers[n->dispatcher_count].retired = true;
+      n->dispatchers[n->dispatcher_count++].room_count = 0;
+    }
+}
+
 /* Takes the dispatchers of VIEW, keeping what is known of their rooms.  */
 static void
 take_dispatchers (struct job_entry *n, const json_t *view)
@@ -106,6 +153,7 @@
     for (uint32_t k = 0; k < old_count; k++)
       if (strcmp (old[k].vm, vm) == 0)
         *d = old[k];
+    d->retired = false;
     snprintf (d->vm, sizeof d->vm, "%s", vm);
     snprintf (d->domain, sizeof d->domain, "%s",
               json_get_text (o, "domain", ""));
@@ -117,6 +165,7 @@
         d->reachable = peer_network_is_up (n->network, vm);
       }
   }
+  keep_busy (n, old, old_count);
   free (old);
 }
 
@@ -178,7 +227,8 @@
     }
   n->view_term = v->term;
   n->view_number = v->number;
-  take_dispatchers (n, view);
+  if (json_object_get (view, "dispatchers") != NULL)
+    take_dispatchers (n, view);
   take_targets (n, now, view);
   json_decref (view);
   counters_add (COUNTER_VIEWS_TAKEN, 1);
@@ -227,5 +277,5 @@
 job_entry_reach_seeds (struct job_entry *n)
 {
   for (uint32_t i = 0; i < n->settings->seed_count; i++)
-    reach_keeper (n, n->settings->seeds[i].address);
+    reach_keeper (n, n->settings->seeds[i].address, "");
 }
--- a/src/controller/entry_view.h
+++ b/src/controller/entry_view.h
@@ -11,7 +11,8 @@
 void entry_view_send_beat (struct job_entry *n, int64_t now);
 
 /* Reaches the keepers of the JSON list TEXT.  */
-void entry_view_receive_keepers (struct job_entry *n, struct slice text);
+void entry_view_receive_keepers (struct job_entry *n, const char *from_vm,
+                                 struct slice text);
 
 /* Takes a view of the keeper FROM, unless it is older than the one held.  */
 void entry_view_receive (struct job_entry *n, int64_t now, const char *from,
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -419,8 +419,11 @@
   if (d == NULL)
     return;
   d->reachable = true;
-  set_rooms (d, rooms,
-             dispatch_rooms_unpack (rooms, ROUTE_ROOM_LIMIT, m->text), now);
+  if (d->retired)
+    d->heard_ms = now;
+  else
+    set_rooms (d, rooms,
+               dispatch_rooms_unpack (rooms, ROUTE_ROOM_LIMIT, m->text), now);
   lending_controller_room_heard (&n->lending);
 }
 
@@ -438,7 +441,7 @@
       entry_view_receive (n, now, from->vm, &m->u.entry_view);
       break;
     case PEER_KEEPERS:
-      entry_view_receive_keepers (n, m->u.keepers.text);
+      entry_view_receive_keepers (n, from->vm, m->u.keepers.text);
       break;
     case PEER_DOCUMENT:
       entry_view_receive_document (n, from->vm, &m->u.document);
@@ -497,8 +500,8 @@
 static const struct peer_network_events network_events
     = { on_message, on_link, on_gone };
 
-static bool
-has_jobs_at (const struct job_entry *n, const char *vm)
+bool
+job_entry_has_jobs_at (const struct job_entry *n, const char *vm)
 {
   const struct entry_job *j;
 
@@ -521,7 +524,7 @@
 
       if (strcmp (d->vm, n->settings->peer.vm) == 0)
         continue;
-      busy = has_jobs_at (n, d->vm);
+      busy = job_entry_has_jobs_at (n, d->vm);
       if (busy && d->reachable && d->heard_ms != 0
           && now - d->heard_ms > DISPATCHER_SILENT_MS)
         {
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -127,6 +127,9 @@
    begun, as far as this entry knows.  */
 uint32_t job_entry_waiting (const struct job_entry *n, const char *queue);
 
+/* Whether VM has jobs of this entry.  */
+bool job_entry_has_jobs_at (const struct job_entry *n, const char *vm);
+
 /* Begins a graceful stop: others take over targets and new callers.  */
 void job_entry_leave (struct job_entry *n, int64_t now_ms);
 
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -17,7 +17,6 @@
 enum
 {
   TICK_MS = 20,
-  BEAT_MS = 250,
 
   /* A leader's heartbeat; an election takes place when it has been missing
      for once to twice the election time.  */
@@ -136,6 +135,44 @@
   *applied = list;
 }
 
+static void
+put_targets (struct quorum_keeper *k, const json_t *list)
+{
+  size_t i;
+  json_t *o;
+
+  json_array_foreach (list, i, o)
+      json_object_set (k->applied_targets, json_get_text (o, "id", ""), o);
+}
+
+/* The targets that were known change: "put" and "drop", or all of them in a
+   "list", as earlier versions wrote them.  */
+static void
+apply_targets (struct quorum_keeper *k, const json_t *o)
+{
+  const json_t *list = json_object_get (o, "list");
+  size_t i;
+  json_t *id;
+
+  if (list != NULL)
+    json_object_clear (k->applied_targets);
+  put_targets (k, list);
+  put_targets (k, json_object_get (o, "put"));
+  json_array_foreach (json_object_get (o, "drop"), i, id)
+      json_object_del (k->applied_targets, json_string_value (id));
+}
+
+static json_t *
+targets_list (const struct quorum_keeper *k)
+{
+  json_t *list = json_array ();
+  const char *id;
+  json_t *o;
+
+  json_object_foreach (k->applied_targets, id, o) json_array_append (list, o);
+  return list;
+}
+
 static void
 apply (void *arg, uint64_t index, const struct log_entry *e)
 {
@@ -148,7 +185,7 @@
   if (strcmp (json_get_text (o, "type", ""), "document") == 0)
     apply_document (k, index, o);
   else if (strcmp (json_get_text (o, "type", ""), "targets") == 0)
-    set_applied (&k->applied_targets, json_object_get (o, "list"));
+    apply_targets (k, o);
   else
     set_applied (&k->applied_voters, json_object_get (o, "list"));
   json_decref (o);
@@ -159,10 +196,10 @@
 take_snapshot (void *arg, uint32_t *length)
 {
   struct quorum_keeper *k = arg;
-  json_t *o = json_pack ("{s:I s:s s:O s:O}", "version",
+  json_t *o = json_pack ("{s:I s:s s:O s:o}", "version",
                          (json_int_t)k->document_version, "text",
                          k->document == NULL ? "" : k->document, "voters",
-                         k->applied_voters, "targets", k->applied_targets);
+                         k->applied_voters, "targets", targets_list (k));
   char *text = json_dumps (o, JSON_COMPACT);
 
   json_decref (o);
@@ -181,7 +218,8 @@
   if (version > k->document_version)
     set_document (k, version, json_get_text (o, "text", ""));
   set_applied (&k->applied_voters, json_object_get (o, "voters"));
-  set_applied (&k->applied_targets, json_object_get (o, "targets"));
+  json_object_clear (k->applied_targets);
+  put_targets (k, json_object_get (o, "targets"));
   json_decref (o);
 }
 
@@ -206,8 +244,12 @@
   owner_plan_lead (&k->plan, k->log.term, now_ms ());
   k->targets_recalled = false;
   k->targets_logged = 0;
+  k->targets_index = 0;
   for (uint32_t i = 0; i < k->link_count; i++)
-    k->links[i].view_number = 0;
+    {
+      k->links[i].view_number = 0;
+      k->links[i].dispatchers_told = 0;
+    }
   for (uint32_t i = 0; i < k->link_count; i++)
     if (k->links[i].conn != NULL)
       entry_links_ask (k, &k->links[i]);
@@ -439,7 +481,7 @@
       quorum_members_manage (k, now);
     }
   tend_calls (k, now);
-  if (now - k->beat_ms >= BEAT_MS)
+  if (now - k->beat_ms >= quorum_members_beat_ms (k))
     quorum_members_send_beats (k, now);
 }
 
@@ -522,7 +564,7 @@
   json_decref (k->applied_voters);
   k->applied_voters = json_array ();
   json_decref (k->applied_targets);
-  k->applied_targets = json_array ();
+  k->applied_targets = json_object ();
   status = journal_create (s->peer.data_folder, e);
   if (status != STORE_OK && status != STORE_ALREADY_INITIALISED)
     return false;
--- a/src/controller/quorum_keeper.h
+++ b/src/controller/quorum_keeper.h
@@ -33,6 +33,11 @@
 typedef void (*document_done) (void *arg, enum document_result result,
                                const char *text);
 
+enum
+{
+  TOLD_VOTER_LIMIT = 16
+};
+
 struct keeper_call;
 
 struct keeper_peer
@@ -51,7 +56,8 @@
   uint64_t view_number;      /* the last one sent */
   uint64_t document_version; /* that it is known to have, or was sent */
   int64_t document_sent_ms;
-  uint32_t keepers_told; /* the number of keepers that it was told of */
+  uint64_t dispatchers_told; /* digest of those last sent; 0: none */
+  uint64_t keepers_told;     /* alike */
 };
 
 struct quorum_keeper
@@ -66,23 +72,29 @@
   struct replicated_log log;
   struct keeper_peer peers[QUORUM_MEMBER_LIMIT]; /* by the log's numbers */
   uint64_t change_index; /* of the quorum's last change proposed */
-  bool failed;           /* the disk; to be opened again */
+  char told_voters[TOLD_VOTER_LIMIT][NAME_BYTES]; /* by other keepers */
+  uint32_t told_voter_count;
+  uint64_t told_voters_term;
+  bool failed; /* the disk; to be opened again */
   int64_t failed_ms;
 
   /* the log's state */
   uint64_t document_version;
   char *document;
   json_t *applied_voters;
-  json_t *applied_targets; /* that were known when the log last told */
+  json_t *applied_targets; /* by id, that the log knows of */
 
   /* leading */
   struct owner_plan plan;
   struct keeper_entry_link links[PLAN_ENTRY_LIMIT];
   uint32_t link_count;
   uint64_t view_counter;
-  bool targets_recalled;   /* the plan has those of the log */
-  uint64_t targets_logged; /* digest of those that the log has */
+  int64_t dispatchers_sent_ms; /* when the entries were last told of changes */
+  bool targets_recalled;       /* the plan has those of the log */
+  uint64_t targets_logged;     /* digest of those that the log has */
+  uint64_t targets_index;      /* of the last change proposed */
   int64_t targets_logged_ms;
+  int64_t targets_checked_ms;
   struct keeper_call *calls;
 
   int64_t tick_ms;
--- a/src/controller/quorum_members.c
+++ b/src/controller/quorum_members.c
@@ -11,7 +11,13 @@
 enum
 {
   /* A keeper's word that it leads holds for so long.  */
-  LEADER_WORD_MS = 1000
+  LEADER_WORD_MS = 1000,
+
+  /* Voters beat at each other; the other keepers ask them more seldom.  */
+  VOTER_BEAT_MS = 250,
+  OTHER_BEAT_MS = 500,
+
+  ADDRESSEE_LIMIT = 64
 };
 
 uint64_t
@@ -132,21 +138,88 @@
   json_decref (voters);
 }
 
-/* Whether one of the first COUNT members of the log is at ADDRESS; a VM whose
-   disk was wiped is several.  */
+/* Adds ADDRESS to the COUNT others unless it is there or the limit is
+   reached.  Returns their number.  */
+static uint32_t
+add_address (const char **addresses, uint32_t count, uint32_t limit,
+             const char *address)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (addresses[i], address) == 0)
+      return count;
+  if (count < limit)
+    addresses[count++] = address;
+  return count;
+}
+
 static bool
-has_member_at (const struct quorum_keeper *k, const char *address, int count)
+votes_here (const struct quorum_keeper *k)
 {
-  for (int i = 0; i < count; i++)
-    if (strcmp (k->peers[i].member.address, address) == 0)
-      return true;
-  return false;
+  return k->peers[k->log.self].member.voter;
 }
 
-void
-quorum_members_send_beats (struct quorum_keeper *k, int64_t now)
+uint32_t
+quorum_members_core (const struct quorum_keeper *k, const char **addresses,
+                     uint32_t limit)
+{
+  uint32_t count = 0;
+
+  for (int i = 0; i < k->log.member_count; i++)
+    if (k->peers[i].member.voter
+        && strcmp (k->peers[i].member.address, k->settings->peer.vm) != 0)
+      count
+          = add_address (addresses, count, limit, k->peers[i].member.address);
+  if (!votes_here (k))
+    for (uint32_t i = 0; i < k->told_voter_count; i++)
+      if (strcmp (k->told_voters[i], k->settings->peer.vm) != 0)
+        count = add_address (addresses, count, limit, k->told_voters[i]);
+  return count;
+}
+
+/* Those that this keeper speaks to of its own accord: the seeds and the
+   voters.  All others ask it.  */
+static uint32_t
+addressees (const struct quorum_keeper *k, const char **addresses,
+            uint32_t limit)
+{
+  uint32_t count = quorum_members_core (k, addresses, limit);
+
+  for (uint32_t i = 0; i < k->settings->seed_count; i++)
+    if (strcmp (k->settings->seeds[i].address, k->settings->peer.vm) != 0)
+      count = add_address (addresses, count, limit,
+                           k->settings->seeds[i].address);
+  return count;
+}
+
+/* The voters as this keeper tells of them.  */
+static char *
+voters_text (const struct quorum_keeper *k)
+{
+  json_t *array = json_array ();
+  char *text;
+
+  if (votes_here (k))
+    {
+      for (int i = 0; i < k->log.member_count; i++)
+        if (k->peers[i].member.voter)
+          json_array_append_new (array,
+                                 json_string (k->peers[i].member.address));
+    }
+  else
+    for (uint32_t i = 0; i < k->told_voter_count; i++)
+      json_array_append_new (array, json_string (k->told_voters[i]));
+  text = json_dumps (array, JSON_COMPACT);
+  json_decref (array);
+  return text;
+}
+
+/* Sends a beat to the COUNT addresses TO, or as a reply on CONN.  */
+static void
+send_beat (struct quorum_keeper *k, const char **to, uint32_t count,
+           struct peer_conn *conn)
 {
   char control[ADDRESS_BYTES + 8];
+  char *voters = voters_text (k);
   struct peer_message m = { .type = PEER_KEEPER_BEAT };
 
   snprintf (control, sizeof control, "%s:%u", k->settings->control.address,
@@ -155,29 +228,74 @@
     .disk_id = k->journal.disk_id,
     .term = k->log.term,
     .is_leader = quorum_keeper_leads (k),
+    .is_reply = conn != NULL,
     .domain = slice_of (k->settings->peer.domain),
     .control = slice_of (control),
+    .voters_term = votes_here (k) ? k->log.term : k->told_voters_term,
+    .voters = slice_of (voters),
   };
-  for (uint32_t i = 0; i < k->settings->seed_count; i++)
-    if (!has_member_at (k, k->settings->seeds[i].address, k->log.member_count))
-      peer_network_send (k->network, k->settings->seeds[i].address, &m);
-  for (int i = 0; i < k->log.member_count; i++)
-    if (i != k->log.self && !has_member_at (k, k->peers[i].member.address, i))
-      peer_network_send (k->network, k->peers[i].member.address, &m);
+  if (conn != NULL)
+    peer_conn_send (conn, &m);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      peer_network_reach_address (k->network, to[i],
+                                  k->settings->peer.peer_port);
+      peer_network_send (k->network, to[i], &m);
+    }
+  free (voters);
+}
+
+void
+quorum_members_send_beats (struct quorum_keeper *k, int64_t now)
+{
+  const char *to[ADDRESSEE_LIMIT];
+
+  send_beat (k, to, addressees (k, to, ADDRESSEE_LIMIT), NULL);
   k->beat_ms = now;
 }
 
-/* Whether member I of the log is another keeper that was heard.  */
-bool
-quorum_members_is_other (const struct quorum_keeper *k, int i)
+int64_t
+quorum_members_beat_ms (const struct quorum_keeper *k)
 {
-  return i != k->log.self && k->peers[i].member.address[0] != '\0'
-         && k->peers[i].member.heard_ms != 0;
+  return votes_here (k) ? VOTER_BEAT_MS : OTHER_BEAT_MS;
+}
+
+/* Takes the voters that another keeper tells of, for one that does not vote
+   itself and so may not hear of their changes.  */
+static void
+take_told_voters (struct quorum_keeper *k, const struct peer_keeper_beat *b)
+{
+  json_t *array = json_loadb (b->voters.data, b->voters.length, 0, NULL);
+  size_t i;
+  json_t *o;
+
+  if (json_array_size (array) != 0 && b->voters_term >= k->told_voters_term)
+    {
+      k->told_voters_term = b->voters_term;
+      k->told_voter_count = 0;
+      json_array_foreach (array, i,
+                          o) if (json_is_string (o)
+                                 && k->told_voter_count < TOLD_VOTER_LIMIT)
+          snprintf (k->told_voters[k->told_voter_count++], NAME_BYTES, "%s",
+                    json_string_value (o));
+    }
+  json_decref (array);
+}
+
+static bool
+is_addressee (const struct quorum_keeper *k, const char *address)
+{
+  const char *to[ADDRESSEE_LIMIT];
+  uint32_t count = addressees (k, to, ADDRESSEE_LIMIT);
+
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (to[i], address) == 0)
+      return true;
+  return false;
 }
 
 void
-quorum_members_receive_beat (struct quorum_keeper *k,
-                             const struct peer_conn *from,
+quorum_members_receive_beat (struct quorum_keeper *k, struct peer_conn *from,
                              const struct peer_keeper_beat *b)
 {
   int n = quorum_members_number (k, quorum_members_name (from->vm, b->disk_id),
@@ -192,8 +310,9 @@
   p->term = b->term;
   slice_copy (b->domain, p->member.domain, sizeof p->member.domain);
   slice_copy (b->control, p->control, sizeof p->control);
-  peer_network_reach_address (k->network, from->vm,
-                              k->settings->peer.peer_port);
+  take_told_voters (k, b);
+  if (!b->is_reply && !is_addressee (k, from->vm))
+    send_beat (k, NULL, 0, from);
 }
 
 /* The newest member known at the address of FROM.  */
--- a/src/controller/quorum_members.h
+++ b/src/controller/quorum_members.h
@@ -25,20 +25,28 @@
    in force, committed or not.  */
 void quorum_members_stored_changed (void *arg, struct replicated_log *l);
 
-/* Tells the other keepers who this is and whether it leads.  */
+/* The addresses of up to LIMIT keepers that vote, without this one, as far as
+   it knows: from the log, and where it does not vote itself also from what
+   others have told.  Returns their number; the addresses are K's.  */
+uint32_t quorum_members_core (const struct quorum_keeper *k,
+                              const char **addresses, uint32_t limit);
+
+/* Tells the seeds and the voters who this is and whether it leads.  Any other
+   keeper that tells this one gets a reply, so that all know the leader and
+   the leader all, with no more messages than keepers.  */
 void quorum_members_send_beats (struct quorum_keeper *k, int64_t now);
 
 void quorum_members_receive_beat (struct quorum_keeper *k,
-                                  const struct peer_conn *from,
+                                  struct peer_conn *from,
                                   const struct peer_keeper_beat *b);
 
+/* How often this keeper tells.  */
+int64_t quorum_members_beat_ms (const struct quorum_keeper *k);
+
 /* The newest member known at ADDRESS, or LOG_NO_MEMBER.  */
 int quorum_members_at (const struct quorum_keeper *k, const char *address);
 
 /* Proposes the change of the quorum that is due (coord/quorum_plan).  */
 void quorum_members_manage (struct quorum_keeper *k, int64_t now);
 
-/* Whether member I of the log is another keeper that was heard.  */
-bool quorum_members_is_other (const struct quorum_keeper *k, int i);
-
 #endif
--- a/src/coord/job_router.h
+++ b/src/coord/job_router.h
@@ -36,6 +36,7 @@
   char vm[NAME_BYTES];
   char domain[NAME_BYTES];
   bool reachable;
+  bool retired;     /* has jobs of ours and gets no more */
   int64_t heard_ms; /* when the rooms were told; 0: never */
   int64_t asked_ms; /* when the rooms were last asked for to lend tasks */
   struct route_room rooms[ROUTE_ROOM_LIMIT];
--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -54,6 +54,12 @@
 void
 owner_plan_done (struct owner_plan *p)
 {
+  HASH_CLEAR (hh, p->entries_by_vm);
+  HASH_CLEAR (hh, p->targets_by_id);
+  for (uint32_t i = 0; i < p->entry_count; i++)
+    free (p->entries[i]);
+  for (uint32_t i = 0; i < p->target_count; i++)
+    free (p->targets[i]);
   free (p->entries);
   free (p->targets);
   owner_plan_init (p);
@@ -70,19 +76,19 @@
 struct plan_entry *
 owner_plan_entry (const struct owner_plan *p, const char *vm)
 {
-  for (uint32_t i = 0; i < p->entry_count; i++)
-    if (strcmp (p->entries[i].vm, vm) == 0)
-      return &p->entries[i];
-  return NULL;
+  struct plan_entry *e;
+
+  HASH_FIND (hh, p->entries_by_vm, vm, strlen (vm), e);
+  return e;
 }
 
-static struct plan_target *
-find_target (const struct owner_plan *p, const char *id)
+struct plan_target *
+owner_plan_target (const struct owner_plan *p, const char *id)
 {
-  for (uint32_t i = 0; i < p->target_count; i++)
-    if (strcmp (p->targets[i].spec.id, id) == 0)
-      return &p->targets[i];
-  return NULL;
+  struct plan_target *t;
+
+  HASH_FIND (hh, p->targets_by_id, id, strlen (id), t);
+  return t;
 }
 
 static void
@@ -128,8 +134,21 @@
 orphan_targets (struct owner_plan *p, const char *vm)
 {
   for (uint32_t i = 0; i < p->target_count; i++)
-    if (strcmp (p->targets[i].owner, vm) == 0)
-      set_owner (p, &p->targets[i], "");
+    if (strcmp (p->targets[i]->owner, vm) == 0)
+      set_owner (p, p->targets[i], "");
+}
+
+static struct plan_entry *
+add_entry (struct owner_plan *p, const char *vm)
+{
+  struct plan_entry *e = calloc (1, sizeof *e);
+
+  p->entries = realloc (p->entries,
+                        (p->entry_count + 1) * sizeof (struct plan_entry *));
+  p->entries[p->entry_count++] = e;
+  snprintf (e->vm, sizeof e->vm, "%s", vm);
+  HASH_ADD_STR (p->entries_by_vm, vm, e);
+  return e;
 }
 
 struct plan_entry *
@@ -142,11 +161,7 @@
     {
       if (p->entry_count == PLAN_ENTRY_LIMIT)
         return NULL;
-      p->entries
-          = realloc (p->entries, (p->entry_count + 1) * sizeof *p->entries);
-      e = &p->entries[p->entry_count++];
-      memset (e, 0, sizeof *e);
-      snprintf (e->vm, sizeof e->vm, "%s", vm);
+      e = add_entry (p, vm);
       e->boot_id = boot_id;
       e->dirty = true;
       p->entry_joined_ms = now;
@@ -174,13 +189,13 @@
 static struct plan_target *
 add_target (struct owner_plan *p, const struct run_target_spec *spec)
 {
-  struct plan_target *t;
+  struct plan_target *t = calloc (1, sizeof *t);
 
-  p->targets
-      = realloc (p->targets, (p->target_count + 1) * sizeof *p->targets);
-  t = &p->targets[p->target_count++];
-  memset (t, 0, sizeof *t);
+  p->targets = realloc (p->targets,
+                        (p->target_count + 1) * sizeof (struct plan_target *));
+  p->targets[p->target_count++] = t;
   t->spec = *spec;
+  HASH_ADD_STR (p->targets_by_id, spec.id, t);
   return t;
 }
 
@@ -189,7 +204,7 @@
                        const struct run_target_spec *spec, uint64_t fence,
                        enum owned_state state)
 {
-  struct plan_target *t = find_target (p, spec->id);
+  struct plan_target *t = owner_plan_target (p, spec->id);
 
   if (t == NULL)
     {
@@ -215,7 +230,7 @@
 owner_plan_hear_target (struct owner_plan *p, int64_t now,
                         const struct run_target_spec *spec)
 {
-  struct plan_target *t = find_target (p, spec->id);
+  struct plan_target *t = owner_plan_target (p, spec->id);
 
   if (t == NULL)
     {
@@ -249,14 +264,20 @@
 static void
 remove_target (struct owner_plan *p, struct plan_target *t)
 {
+  uint32_t i = 0;
+
   set_owner (p, t, "");
-  *t = p->targets[--p->target_count];
+  while (p->targets[i] != t)
+    i++;
+  p->targets[i] = p->targets[--p->target_count];
+  HASH_DEL (p->targets_by_id, t);
+  free (t);
 }
 
 void
 owner_plan_forget_target (struct owner_plan *p, const char *id)
 {
-  struct plan_target *t = find_target (p, id);
+  struct plan_target *t = owner_plan_target (p, id);
 
   if (t != NULL)
     remove_target (p, t);
@@ -267,7 +288,7 @@
 {
   for (uint32_t i = 0; i < p->entry_count; i++)
     {
-      struct plan_entry *e = &p->entries[i];
+      struct plan_entry *e = p->entries[i];
 
       if (e->alive && now - e->heard_ms > ENTRY_DEAD_MS)
         {
@@ -324,7 +345,7 @@
 
   for (uint32_t i = 0; i < p->entry_count; i++)
     {
-      struct plan_entry *e = &p->entries[i];
+      struct plan_entry *e = p->entries[i];
 
       if (!may_own (e) || (!anywhere && strcmp (e->domain, domain) != 0))
         continue;
@@ -339,8 +360,8 @@
 domain_had_entry (const struct owner_plan *p, const char *domain, int64_t now)
 {
   for (uint32_t i = 0; i < p->entry_count; i++)
-    if (strcmp (p->entries[i].domain, domain) == 0 && !p->entries[i].leaving
-        && now - p->entries[i].heard_ms < FOREIGN_AFTER_MS)
+    if (strcmp (p->entries[i]->domain, domain) == 0 && !p->entries[i]->leaving
+        && now - p->entries[i]->heard_ms < FOREIGN_AFTER_MS)
       return true;
   return now - p->leading_since_ms < FOREIGN_AFTER_MS;
 }
@@ -392,8 +413,8 @@
   uint32_t i = 0;
 
   while (i < p->target_count)
-    if (now - p->targets[i].heard_ms > TARGET_FORGOTTEN_MS)
-      remove_target (p, &p->targets[i]);
+    if (now - p->targets[i]->heard_ms > TARGET_FORGOTTEN_MS)
+      remove_target (p, p->targets[i]);
     else
       i++;
 }
@@ -410,7 +431,7 @@
       || now - p->entry_joined_ms < REPORT_QUIET_MS)
     return false;
   for (uint32_t i = 0; i < p->entry_count; i++)
-    if (!p->entries[i].reported)
+    if (!p->entries[i]->reported)
       return false;
   return true;
 }
@@ -419,7 +440,7 @@
 owner_plan_recall_target (struct owner_plan *p, int64_t now,
                           const struct run_target_spec *spec)
 {
-  struct plan_target *t = find_target (p, spec->id);
+  struct plan_target *t = owner_plan_target (p, spec->id);
 
   if (t != NULL)
     return;
@@ -434,9 +455,9 @@
   uint64_t digest = p->target_count;
 
   for (uint32_t i = 0; i < p->target_count; i++)
-    digest += rendezvous_weight (p->targets[i].spec.id,
-                                 p->targets[i].spec.address)
-              + (uint64_t)p->targets[i].spec.born_ms;
+    digest += rendezvous_weight (p->targets[i]->spec.id,
+                                 p->targets[i]->spec.address)
+              + (uint64_t)p->targets[i]->spec.born_ms;
   return digest;
 }
 
@@ -449,14 +470,10 @@
     return;
   for (uint32_t i = 0; i < p->target_count; i++)
     {
-      orphan_target (p, &p->targets[i], now);
-      if (p->targets[i].owner[0] == '\0')
-        give_owner (p, &p->targets[i], now);
+      orphan_target (p, p->targets[i], now);
+      if (p->targets[i]->owner[0] == '\0')
+        give_owner (p, p->targets[i], now);
       else
-        ask_release (p, &p->targets[i], now);
+        ask_release (p, p->targets[i], now);
     }
-  if (p->owners_changed)
-    for (uint32_t i = 0; i < p->entry_count; i++)
-      p->entries[i].dirty = true;
-  p->owners_changed = false;
 }
--- a/src/coord/owner_plan.h
+++ b/src/coord/owner_plan.h
@@ -13,11 +13,12 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <uthash.h>
 #include "coord/run_target.h"
 
 enum
 {
-  PLAN_ENTRY_LIMIT = 256
+  PLAN_ENTRY_LIMIT = 1024
 };
 
 /* How an entry holds a target that it reports.  */
@@ -41,6 +42,7 @@
   uint32_t owned;
   bool dirty;      /* its view has changed */
   bool told_alive; /* what was last logged */
+  UT_hash_handle hh;
 };
 
 struct plan_target
@@ -52,6 +54,7 @@
   int64_t heard_ms;    /* the target's last heartbeat, or an owner's report */
   int64_t since_ms;    /* heard without a gap since */
   uint64_t told_fence; /* of the owner that was last logged */
+  UT_hash_handle hh;
 };
 
 struct owner_plan
@@ -61,11 +64,14 @@
   int64_t leading_since_ms;
   int64_t
       entry_joined_ms; /* when an entry was last heard for the first time */
-  struct plan_entry *entries;
+  struct plan_entry **entries;
   uint32_t entry_count;
-  struct plan_target *targets;
+  struct plan_entry *entries_by_vm;
+  struct plan_target **targets;
   uint32_t target_count;
-  bool owners_changed; /* the set of entries that own targets */
+  struct plan_target *targets_by_id;
+  bool owners_changed; /* the set of entries that own targets; to be reset by
+                          the one who tells the entries */
 };
 
 void owner_plan_init (struct owner_plan *p);
@@ -105,4 +111,8 @@
 struct plan_entry *owner_plan_entry (const struct owner_plan *p,
                                      const char *vm);
 
+/* The target called ID, or NULL.  */
+struct plan_target *owner_plan_target (const struct owner_plan *p,
+                                       const char *id);
+
 #endif
--- a/src/coord/quorum_plan.h
+++ b/src/coord/quorum_plan.h
@@ -14,7 +14,7 @@
 
 enum
 {
-  QUORUM_MEMBER_LIMIT = 32
+  QUORUM_MEMBER_LIMIT = 512
 };
 
 struct quorum_member
--- a/src/coord/replicated_log.h
+++ b/src/coord/replicated_log.h
@@ -15,7 +15,7 @@
 
 enum
 {
-  LOG_MEMBER_LIMIT = 32,
+  LOG_MEMBER_LIMIT = 512,
   LOG_NO_MEMBER = -1
 };
 
--- a/src/net/peer_message.c
+++ b/src/net/peer_message.c
@@ -111,10 +111,12 @@
   = { true,
       { U (snapshot.term), U (snapshot.last_index), U (snapshot.last_term),
         U (snapshot.round), B (snapshot.data) } },
-  [PEER_KEEPER_BEAT] = { true,
-                         { U (keeper_beat.disk_id), U (keeper_beat.term),
-                           U (keeper_beat.is_leader), B (keeper_beat.domain),
-                           B (keeper_beat.control) } },
+  [PEER_KEEPER_BEAT]
+  = { true,
+      { U (keeper_beat.disk_id), U (keeper_beat.term),
+        U (keeper_beat.is_leader), U (keeper_beat.is_reply),
+        B (keeper_beat.domain), B (keeper_beat.control),
+        U (keeper_beat.voters_term), B (keeper_beat.voters) } },
   [PEER_ENTRY_BEAT]
   = { true,
       { U (entry_beat.boot_id), U (entry_beat.view_term),
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -222,8 +222,11 @@
   uint64_t disk_id; /* new with every empty data folder */
   uint64_t term;
   uint64_t is_leader;
+  uint64_t is_reply; /* answers a beat, and is not to be answered */
   struct slice domain;
   struct slice control; /* address of its operators' and targets' port */
+  uint64_t voters_term; /* of the list of voters */
+  struct slice voters;  /* their addresses, a JSON array */
 };
 
 /* From an entry of an open deployment to a keeper.  */
--- a/src/net/peer_network.c
+++ b/src/net/peer_network.c
@@ -381,23 +381,25 @@
   return n;
 }
 
+static void
+link_free (struct link *l)
+{
+  event_free (l->timer);
+  if (l->conn != NULL)
+    {
+      peer_conn_close (l->conn);
+      peer_conn_release (l->conn);
+    }
+  free (l);
+}
+
 void
 peer_network_free (struct peer_network *n)
 {
   evconnlistener_free (n->listener);
   lose_calls (n, NULL);
   for (uint32_t i = 0; i < n->link_count; i++)
-    {
-      struct link *l = n->links[i];
-
-      event_free (l->timer);
-      if (l->conn != NULL)
-        {
-          peer_conn_close (l->conn);
-          peer_conn_release (l->conn);
-        }
-      free (l);
-    }
+    link_free (n->links[i]);
   free (n->links);
   while (n->accepted != NULL)
     {
@@ -444,6 +446,21 @@
   add_link (n, &vm);
 }
 
+void
+peer_network_forget (struct peer_network *n, const char *vm)
+{
+  struct link *l = link_find (n, vm);
+  uint32_t i = 0;
+
+  if (l == NULL)
+    return;
+  lose_calls (n, l);
+  while (n->links[i] != l)
+    i++;
+  n->links[i] = n->links[--n->link_count];
+  link_free (l);
+}
+
 bool
 peer_network_is_up (const struct peer_network *n, const char *vm)
 {
--- a/src/net/peer_network.h
+++ b/src/net/peer_network.h
@@ -62,6 +62,10 @@
 void peer_network_reach_address (struct peer_network *n, const char *address,
                                  uint16_t port);
 
+/* Closes the link to VM for good.  Not to be called for the VM whose message
+   is being handled.  */
+void peer_network_forget (struct peer_network *n, const char *vm);
+
 /* Whether the link to VM is ready.  */
 bool peer_network_is_up (const struct peer_network *n, const char *vm);
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -70,6 +70,7 @@
   suite_dispatch ();
   suite_plan ();
   suite_open ();
+  suite_keepers ();
   suite_lending ();
   suite_load ();
   suite_scheduler ();
--- a/tests/unit/test_open.c
+++ b/tests/unit/test_open.c
@@ -1,27 +1,16 @@
-/* Keepers and entries of an open deployment together, in one process, over
-   loopback addresses of their own; targets are tables (fake_port).  */
+/* Keepers and entries of an open deployment together: documents, lost disks,
+   owners, lent tasks.  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include "base/counters.h"
 #include "base/now.h"
-#include "controller/job_entry.h"
-#include "controller/quorum_keeper.h"
-#include "platform/desired_state.h"
+#include "tests/unit/deployment.h"
 #include "tests/unit/fake_port.h"
 #include "tests/unit/suites.h"
 
 enum
 {
-  KEEPERS = 4,
-  ENTRIES = 2,
-  TARGETS = 4,
-  SEEDS = 3,
-  PEER_PORT = 17720,
-  WAIT_MS = 8000,
-  LONG_WAIT_MS = 2 * WAIT_MS,
-  STEP_MS = 20,
-  HEARTBEAT_MS = 300,
   LOGGED_MS = 1800,
 
   /* Two targets run 8 tasks of 1000.  */
@@ -33,194 +22,6 @@
   REST_FRAMES = 60
 };
 
-struct deployment
-{
-  struct event_base *base;
-  struct node_settings keeper_settings[KEEPERS];
-  struct node_settings entry_settings[ENTRIES];
-  char folders[KEEPERS][64];
-  struct quorum_keeper *keepers[KEEPERS]; /* NULL while down */
-  struct job_entry *entries[ENTRIES];
-  int64_t heartbeat_ms;
-  bool targets_silent;
-  bool two_domains; /* the second entry and every second target in another */
-};
-
-static void
-fill_settings (struct node_settings *s, const char *name, int net, int host,
-               enum process_role role)
-{
-  memset (s, 0, sizeof *s);
-  snprintf (s->name, sizeof s->name, "%s-%d", name, host);
-  snprintf (s->peer.vm, sizeof s->peer.vm, "127.0.%d.%d", net, host);
-  snprintf (s->peer.address, sizeof s->peer.address, "127.0.%d.%d", net, host);
-  snprintf (s->peer.domain, sizeof s->peer.domain, "shop");
-  snprintf (s->peer.environment, sizeof s->peer.environment, "test");
-  snprintf (s->peer.peer_secret, sizeof s->peer.peer_secret,
-            "0123456789abcdef");
-  s->peer.peer_port = PEER_PORT;
-  s->peer.open_membership = true;
-  s->role = role;
-  s->first_start = true;
-  s->lost_keepers = 1;
-  s->lease_limit_ms = 500;
-  s->seed_count = SEEDS;
-  for (int i = 0; i < SEEDS; i++)
-    {
-      snprintf (s->seeds[i].address, sizeof s->seeds[i].address, "127.0.21.%d",
-                i + 1);
-      s->seeds[i].port = 1;
-    }
-}
-
-static void
-start_keeper (struct deployment *d, int i)
-{
-  struct error e;
-
-  d->keepers[i] = calloc (1, sizeof *d->keepers[i]);
-  CU_ASSERT_FATAL (quorum_keeper_start (
-      d->keepers[i], d->base, &d->keeper_settings[i], (uint64_t)rand (), &e));
-}
-
-static void
-stop_keeper (struct deployment *d, int i)
-{
-  quorum_keeper_done (d->keepers[i]);
-  free (d->keepers[i]);
-  d->keepers[i] = NULL;
-  d->keeper_settings[i].first_start = false;
-}
-
-static void
-start_entry (struct deployment *d, int i)
-{
-  struct error e;
-
-  d->entries[i] = calloc (1, sizeof *d->entries[i]);
-  CU_ASSERT_FATAL (job_entry_start (d->entries[i], d->base,
-                                    &d->entry_settings[i], (uint64_t)rand (),
-                                    &fake_port_ops, desired_state_decode, &e));
-}
-
-static void
-stop_entry (struct deployment *d, int i)
-{
-  job_entry_done (d->entries[i]);
-  free (d->entries[i]);
-  d->entries[i] = NULL;
-}
-
-static void
-deployment_init (struct deployment *d)
-{
-  memset (d, 0, sizeof *d);
-  fake_port_reset ();
-  d->base = event_base_new ();
-  for (int i = 0; i < KEEPERS; i++)
-    {
-      test_folder_make (d->folders[i]);
-      fill_settings (&d->keeper_settings[i], "keeper", 21, i + 1, ROLE_KEEPER);
-      snprintf (d->keeper_settings[i].peer.data_folder,
-                sizeof d->keeper_settings[i].peer.data_folder, "%s/data",
-                d->folders[i]);
-    }
-  for (int i = 0; i < ENTRIES; i++)
-    fill_settings (&d->entry_settings[i], "entry", 22, i + 1, ROLE_ENTRY);
-}
-
-static void
-deployment_done (struct deployment *d)
-{
-  for (int i = 0; i < ENTRIES; i++)
-    if (d->entries[i] != NULL)
-      stop_entry (d, i);
-  for (int i = 0; i < KEEPERS; i++)
-    {
-      if (d->keepers[i] != NULL)
-        stop_keeper (d, i);
-      test_folder_remove (d->folders[i]);
-    }
-  event_base_free (d->base);
-}
-
-static struct quorum_keeper *
-leader (const struct deployment *d)
-{
-  for (int i = 0; i < KEEPERS; i++)
-    if (d->keepers[i] != NULL && quorum_keeper_leads (d->keepers[i]))
-      return d->keepers[i];
-  return NULL;
-}
-
-/* Targets speak to the leading keeper, as their heartbeats would.  */
-static void
-send_heartbeats (struct deployment *d)
-{
-  struct quorum_keeper *k = leader (d);
-  struct run_target_spec t;
-
-  if (k == NULL || d->targets_silent
-      || now_ms () - d->heartbeat_ms < HEARTBEAT_MS)
-    return;
-  d->heartbeat_ms = now_ms ();
-  for (int i = 0; i < TARGETS; i++)
-    {
-      memset (&t, 0, sizeof t);
-      snprintf (t.id, sizeof t.id, "t%d", i);
-      snprintf (t.address, sizeof t.address, "127.0.0.1:1");
-      snprintf (t.service, sizeof t.service, "svc");
-      snprintf (t.domain, sizeof t.domain, "%s",
-                d->two_domains && i % 2 != 0 ? "oven" : "shop");
-      t.born_ms = 1;
-      t.cpu_milli = 4000;
-      t.memory_mb = 1000;
-      t.slots = 8;
-      quorum_keeper_hear_target (k, now_ms (), &t);
-    }
-}
-
-static void
-run_step (struct deployment *d)
-{
-  struct timeval t = now_timeval (STEP_MS);
-
-  event_base_loopexit (d->base, &t);
-  event_base_dispatch (d->base);
-  send_heartbeats (d);
-}
-
-static uint32_t
-targets_owned (const struct deployment *d)
-{
-  uint32_t n = 0;
-
-  for (int i = 0; i < ENTRIES; i++)
-    if (d->entries[i] != NULL)
-      n += d->entries[i]->target_count;
-  return n;
-}
-
-static void
-run_until_owned (struct deployment *d)
-{
-  int64_t end = now_ms () + WAIT_MS;
-
-  while (targets_owned (d) != TARGETS && now_ms () < end)
-    run_step (d);
-  CU_ASSERT_EQUAL (targets_owned (d), TARGETS);
-}
-
-static void
-run_until_led (struct deployment *d)
-{
-  int64_t end = now_ms () + WAIT_MS;
-
-  while (leader (d) == NULL && now_ms () < end)
-    run_step (d);
-  CU_ASSERT_PTR_NOT_NULL (leader (d));
-}
-
 /* What an operator's call came to.  */
 struct said
 {
@@ -248,11 +49,11 @@
   do
     {
       memset (said, 0, sizeof *said);
-      run_until_led (d);
-      quorum_keeper_put (leader (d), now_ms (), version, text, on_document,
-                         said);
+      deployment_run_until_led (d);
+      quorum_keeper_put (deployment_leader (d), now_ms (), version, text,
+                         on_document, said);
       while (!said->done && now_ms () < end)
-        run_step (d);
+        deployment_run_step (d);
     }
   while (said->result != DOCUMENT_TAKEN && now_ms () < end);
   CU_ASSERT_EQUAL (said->result, DOCUMENT_TAKEN);
@@ -266,10 +67,10 @@
   do
     {
       memset (said, 0, sizeof *said);
-      run_until_led (d);
-      quorum_keeper_get (leader (d), now_ms (), on_document, said);
+      deployment_run_until_led (d);
+      quorum_keeper_get (deployment_leader (d), now_ms (), on_document, said);
       while (!said->done && now_ms () < end)
-        run_step (d);
+        deployment_run_step (d);
     }
   while (said->result != DOCUMENT_READ && now_ms () < end);
   CU_ASSERT_EQUAL (said->result, DOCUMENT_READ);
@@ -292,15 +93,15 @@
 
   deployment_init (&d);
   for (int i = 0; i < KEEPERS; i++)
-    start_keeper (&d, i);
-  run_until_led (&d);
-  while (d.keepers[other] == leader (&d))
+    deployment_start_keeper (&d, i);
+  deployment_run_until_led (&d);
+  while (d.keepers[other] == deployment_leader (&d))
     other++;
   d.entry_settings[0].seed_count = 1;
   memcpy (d.entry_settings[0].seeds[0].address,
           d.keeper_settings[other].peer.address, ADDRESS_BYTES);
-  start_entry (&d, 0);
-  run_until_owned (&d);
+  deployment_start_entry (&d, 0);
+  deployment_run_until_owned (&d);
   deployment_done (&d);
 }
 
@@ -314,22 +115,22 @@
 
   deployment_init (&d);
   for (int i = 0; i < SEEDS; i++)
-    start_keeper (&d, i);
-  start_entry (&d, 0);
+    deployment_start_keeper (&d, i);
+  deployment_start_entry (&d, 0);
   put (&d, 1, first_text, &said);
   put (&d, 1, other_text, &said);
   get (&d, &said);
   CU_ASSERT_STRING_EQUAL (said.text, first_text);
   put (&d, 5, next_text, &said);
   for (int i = 0; i < SEEDS; i++)
-    stop_keeper (&d, i);
+    deployment_stop_keeper (&d, i);
   for (int i = 0; i < SEEDS; i++)
-    start_keeper (&d, i);
+    deployment_start_keeper (&d, i);
   get (&d, &said);
   CU_ASSERT_STRING_EQUAL (said.text, next_text);
   for (int64_t end = now_ms () + WAIT_MS;
        d.entries[0]->document.version != 5 && now_ms () < end;)
-    run_step (&d);
+    deployment_run_step (&d);
   CU_ASSERT_EQUAL (d.entries[0]->document.version, 5);
   deployment_done (&d);
 }
@@ -346,20 +147,20 @@
 
   deployment_init (&d);
   for (int i = 0; i < SEEDS; i++)
-    start_keeper (&d, i);
+    deployment_start_keeper (&d, i);
   put (&d, 1, first_text, &said);
   for (int i = 0; i < SEEDS; i++)
     {
       int64_t end = now_ms () + WAIT_MS;
       uint32_t voters;
 
-      stop_keeper (&d, i);
+      deployment_stop_keeper (&d, i);
       snprintf (command, sizeof command, "rm -rf '%s/data'", d.folders[i]);
       CU_ASSERT_EQUAL (system (command), 0);
-      start_keeper (&d, i);
+      deployment_start_keeper (&d, i);
       do
         {
-          run_step (&d);
+          deployment_run_step (&d);
           voters = 0;
           for (int n = 0; n < d.keepers[i]->log.member_count; n++)
             voters += d.keepers[i]->log.members[n].voter;
@@ -367,7 +168,7 @@
       while (now_ms () < end
              && (!d.keepers[i]->log.members[d.keepers[i]->log.self].voter
                  || voters != SEEDS || d.keepers[i]->document_version != 1
-                 || leader (&d) == NULL));
+                 || deployment_leader (&d) == NULL));
       CU_ASSERT (d.keepers[i]->log.members[d.keepers[i]->log.self].voter);
       CU_ASSERT_EQUAL (voters, SEEDS);
       CU_ASSERT_EQUAL (d.keepers[i]->document_version, 1);
@@ -376,7 +177,7 @@
   CU_ASSERT_STRING_EQUAL (said.text, first_text);
   frames = counters.value[COUNTER_PEER_FRAMES_OUT];
   for (int64_t end = now_ms () + REST_MS; now_ms () < end;)
-    run_step (&d);
+    deployment_run_step (&d);
   frames = counters.value[COUNTER_PEER_FRAMES_OUT] - frames;
   CU_ASSERT (frames < REST_FRAMES);
   if (frames >= REST_FRAMES)
@@ -393,14 +194,14 @@
 
   deployment_init (&d);
   for (int i = 0; i < SEEDS; i++)
-    start_keeper (&d, i);
+    deployment_start_keeper (&d, i);
   for (int i = 0; i < ENTRIES; i++)
-    start_entry (&d, i);
-  run_until_owned (&d);
+    deployment_start_entry (&d, i);
+  deployment_run_until_owned (&d);
   owner = d.entries[0]->target_count != 0 ? 0 : 1;
   CU_ASSERT_EQUAL (d.entries[owner]->target_count, TARGETS);
-  stop_entry (&d, owner);
-  run_until_owned (&d);
+  deployment_stop_entry (&d, owner);
+  deployment_run_until_owned (&d);
   deployment_done (&d);
 }
 
@@ -414,19 +215,19 @@
 
   deployment_init (&d);
   for (int i = 0; i < SEEDS; i++)
-    start_keeper (&d, i);
-  start_entry (&d, 0);
-  run_until_owned (&d);
+    deployment_start_keeper (&d, i);
+  deployment_start_entry (&d, 0);
+  deployment_run_until_owned (&d);
   for (end = now_ms () + LOGGED_MS; now_ms () < end;)
-    run_step (&d);
-  stop_entry (&d, 0);
+    deployment_run_step (&d);
+  deployment_stop_entry (&d, 0);
   for (int i = 0; i < SEEDS; i++)
-    stop_keeper (&d, i);
+    deployment_stop_keeper (&d, i);
   d.targets_silent = true;
   for (int i = 0; i < SEEDS; i++)
-    start_keeper (&d, i);
-  start_entry (&d, 0);
-  run_until_owned (&d);
+    deployment_start_keeper (&d, i);
+  deployment_start_entry (&d, 0);
+  deployment_run_until_owned (&d);
   deployment_done (&d);
 }
 
@@ -440,15 +241,15 @@
 
   deployment_init (&d);
   for (int i = 0; i < SEEDS; i++)
-    start_keeper (&d, i);
+    deployment_start_keeper (&d, i);
   for (int i = 0; i < ENTRIES; i++)
-    start_entry (&d, i);
-  run_until_owned (&d);
+    deployment_start_entry (&d, i);
+  deployment_run_until_owned (&d);
   owner = d.entries[0]->target_count != 0 ? 0 : 1;
   job_entry_leave (d.entries[owner], now_ms ());
   end = now_ms () + WAIT_MS;
   while (!job_entry_may_end (d.entries[owner], now_ms ()) && now_ms () < end)
-    run_step (&d);
+    deployment_run_step (&d);
   CU_ASSERT (job_entry_may_end (d.entries[owner], now_ms ()));
   CU_ASSERT_EQUAL (d.entries[1 - owner]->target_count, TARGETS);
   deployment_done (&d);
@@ -487,15 +288,15 @@
   d->two_domains = true;
   snprintf (d->entry_settings[1].peer.domain, NAME_BYTES, "oven");
   for (int i = 0; i < SEEDS; i++)
-    start_keeper (d, i);
+    deployment_start_keeper (d, i);
   for (int i = 0; i < ENTRIES; i++)
-    start_entry (d, i);
+    deployment_start_entry (d, i);
   while ((d->entries[0]->target_count != 2 || d->entries[1]->target_count != 2
           || d->entries[0]->dispatcher_count != 2)
          && now_ms () < end)
-    run_step (d);
+    deployment_run_step (d);
   for (int i = 0; i < 20; i++)
-    run_step (d);
+    deployment_run_step (d);
   snprintf (spec.key, sizeof spec.key, "0123456789abcdef");
   snprintf (spec.queue, sizeof spec.queue, "q");
   snprintf (spec.service, sizeof spec.service, "svc");
@@ -506,7 +307,7 @@
   memset (c, 0, sizeof *c);
   j = job_entry_submit (d->entries[0], now_ms (), &spec, on_answered, c);
   while (fake_port_starts () < LENT_JOB_TASKS && now_ms () < end)
-    run_step (d);
+    deployment_run_step (d);
   CU_ASSERT_EQUAL (fake_port_starts (), LENT_JOB_TASKS);
   return j;
 }
@@ -546,7 +347,7 @@
         fake_port_end (fake_port_target (id), name, RUN_END_DONE);
       }
   while (c.answers == 0 && now_ms () < end)
-    run_step (&d);
+    deployment_run_step (&d);
   CU_ASSERT_EQUAL (c.answers, 1);
   CU_ASSERT_EQUAL (c.answer.result, JOB_DONE);
   CU_ASSERT_EQUAL (fake_port_starts (), LENT_JOB_TASKS);
@@ -564,7 +365,7 @@
 
   job_entry_cancel (d.entries[0], now_ms (), j);
   while (count_running () != 0 && now_ms () < end)
-    run_step (&d);
+    deployment_run_step (&d);
   CU_ASSERT_EQUAL (count_running (), 0);
   CU_ASSERT_PTR_NULL (d.entries[0]->jobs);
   CU_ASSERT_EQUAL (c.answers, 0);
@@ -581,9 +382,9 @@
   int64_t end = now_ms () + LONG_WAIT_MS;
 
   begin_lending (&d, &c);
-  stop_entry (&d, 1);
+  deployment_stop_entry (&d, 1);
   while (c.answers == 0 && now_ms () < end)
-    run_step (&d);
+    deployment_run_step (&d);
   CU_ASSERT_EQUAL (c.answers, 1);
   CU_ASSERT_EQUAL (c.answer.result, JOB_UNKNOWN);
   deployment_done (&d);
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -42,8 +42,8 @@
 owner_of (const struct owner_plan *p, const char *id)
 {
   for (uint32_t i = 0; i < p->target_count; i++)
-    if (strcmp (p->targets[i].spec.id, id) == 0)
-      return p->targets[i].owner;
+    if (strcmp (p->targets[i]->spec.id, id) == 0)
+      return p->targets[i]->owner;
   return "none";
 }
 
@@ -51,8 +51,8 @@
 fence_of (const struct owner_plan *p, const char *id)
 {
   for (uint32_t i = 0; i < p->target_count; i++)
-    if (strcmp (p->targets[i].spec.id, id) == 0)
-      return p->targets[i].fence;
+    if (strcmp (p->targets[i]->spec.id, id) == 0)
+      return p->targets[i]->fence;
   return 0;
 }
 
@@ -202,7 +202,7 @@
       owner_plan_step (&p, now);
     }
   CU_ASSERT_STRING_EQUAL (owner_of (&p, "o1"), "shop-1");
-  CU_ASSERT (p.targets[0].release);
+  CU_ASSERT (p.targets[0]->release);
   owner_plan_hear_owned (&p, now, hear_entry (&p, now, "shop-1", "shop"), &o1,
                          fence_of (&p, "o1"), OWNED_RELEASED);
   owner_plan_step (&p, now);
