Racks of data and few tasks a target; the soak reaches links, disks and clocks

Cause: a job with data-rack or anti-affinity was refused (503), though both only guide placement; a grace of 2.5 s from the users' bounds made the settings unreadable (the template appended 000); the soak had no faults between VMs, of disks or of clocks. Change: coord/run_placement (split off run_scheduler, as run_admission) sends a task to the rack of its data, and away from it only where it still ends on time or is late already; far_factor and stop_grace_s come with fractions. tests/soak/fault_proxy stands in front of every VM's peer port (setting peer_listen_port) and delays, cuts one way or both, silences and resets; keepers' disks are full (a limit of that process) or lost; a third of the workers have clocks 2% slow; faults are drawn apart from the load. Ruled out: a seam in the product's store or clock for the soak: a file-size limit, a removed folder and the workers' clocks do it from outside. Tests: suite placement, six tests for what is new; the fraction's test fails with the old setting.

--- a/src/base/node_settings.c
+++ b/src/base/node_settings.c
@@ -17,7 +17,9 @@
   RESERVED_DESCRIPTORS = 800,
   DESCRIPTORS_MINIMUM = 1000,
 
-  IDLE_TIMEOUT_MS = 60000
+  IDLE_TIMEOUT_MS = 60000,
+
+  DEFAULT_FAR_FACTOR = 2
 };
 
 static const struct json_rule node_rules[] = {
@@ -27,6 +29,7 @@
   { "address", RULE_TEXT, true, 7, ADDRESS_BYTES - 1, NULL, NULL },
   { "domain", RULE_TEXT, true, 1, NAME_BYTES - 1, NULL, NULL },
   { "peer_port", RULE_INTEGER, true, 1, PORT_MAXIMUM, NULL, NULL },
+  { "peer_listen_port", RULE_INTEGER, false, 0, PORT_MAXIMUM, NULL, NULL },
   { "peer_secret", RULE_TEXT, true, 16, SECRET_BYTES - 1, NULL, NULL },
   { "callers", RULE_TEXT, false, 0, ADDRESS_BYTES + 8, NULL, NULL },
   { "readiness", RULE_TEXT, false, 0, ADDRESS_BYTES + 8, NULL, NULL },
@@ -39,7 +42,8 @@
   { "descriptors", RULE_INTEGER, true, DESCRIPTORS_MINIMUM, 1 << 20, NULL,
     NULL },
   { "lease_limit_ms", RULE_INTEGER, true, 200, 60000, NULL, NULL },
-  { "stop_grace_ms", RULE_INTEGER, true, 500, 600000, NULL, NULL },
+  { "stop_grace_s", RULE_REAL, true, 1, 600, NULL, NULL },
+  { "far_factor", RULE_REAL, false, 1, 100, NULL, NULL },
   { "log_level", RULE_CHOICE, false, 0, 0, NULL, "debug|info|warn|error" },
   { NULL, RULE_END, false, 0, 0, NULL, NULL },
 };
@@ -126,6 +130,8 @@
     json_report_add (r, "address", "is not an IP number: %s", p->address);
   p->role = s->role;
   p->peer_port = (uint16_t)json_get_integer (root, "peer_port", 0);
+  p->peer_listen_port
+      = (uint16_t)json_get_integer (root, "peer_listen_port", 0);
   p->open_membership = true;
   p->body_bytes = BODY_BYTES;
   p->idle_timeout_ms = IDLE_TIMEOUT_MS;
@@ -151,7 +157,8 @@
   s->first_start = json_get_boolean (root, "first_start", false);
   s->lost_keepers = (uint32_t)json_get_integer (root, "lost_keepers", 1);
   s->lease_limit_ms = json_get_integer (root, "lease_limit_ms", 0);
-  s->stop_grace_ms = json_get_integer (root, "stop_grace_ms", 0);
+  s->far_factor = json_get_real (root, "far_factor", DEFAULT_FAR_FACTOR);
+  s->stop_grace_ms = (int64_t)(json_get_real (root, "stop_grace_s", 0) * 1000);
   if (s->role == ROLE_KEEPER && s->peer.data_folder[0] == '\0')
     json_report_add (r, "data_folder", "is missing; a keeper needs one");
   if (s->role == ROLE_KEEPER && s->control.port == 0)
--- a/src/base/node_settings.h
+++ b/src/base/node_settings.h
@@ -41,6 +41,7 @@
   uint32_t lost_keepers;  /* that must be survived at once */
   int64_t lease_limit_ms; /* of a run on a target */
   int64_t stop_grace_ms;  /* from SIGTERM to the kill */
+  double far_factor;      /* a task takes so many times as long off its data */
 };
 
 /* Reads PATH into S.  On SETTINGS_INVALID the message lists every fault.  */
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -55,6 +55,7 @@
   char address[ADDRESS_BYTES];
   uint16_t http_port;
   uint16_t peer_port;
+  uint16_t peer_listen_port; /* behind a forwarder; 0: peer_port */
 
   /* secrets */
   char peer_secret[SECRET_BYTES];
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -597,6 +597,8 @@
   if (n->network == NULL)
     return false;
   dispatcher_init (&n->dispatcher, base, ops, s->lease_limit_ms);
+  if (s->far_factor >= 1)
+    n->dispatcher.scheduler.far_factor = s->far_factor;
   lending_controller_init (&n->lending, n);
   job_entry_reach_seeds (n);
   n->tick = event_new (base, -1, EV_PERSIST, on_tick, n);
--- a/src/coord/job_spec.c
+++ b/src/coord/job_spec.c
@@ -5,7 +5,9 @@
 
 enum
 {
-  STEP_FIELDS = 7
+  STEP_FIELDS = 9,
+  FIELD_LABEL = 6,
+  FIELD_DATA_RACK = 7
 };
 
 const char *
@@ -93,6 +95,13 @@
   return longest;
 }
 
+static void
+pack_text (msgpack_packer *p, const char *text)
+{
+  msgpack_pack_bin (p, strlen (text));
+  msgpack_pack_bin_body (p, text, strlen (text));
+}
+
 void
 job_spec_pack_steps (const struct job_spec *s, msgpack_sbuffer *buffer)
 {
@@ -109,8 +118,9 @@
       msgpack_pack_uint64 (&p, t->gpu);
       msgpack_pack_uint64 (&p, (uint64_t)t->estimate_ms);
       msgpack_pack_uint32 (&p, t->after);
-      msgpack_pack_bin (&p, strlen (t->label));
-      msgpack_pack_bin_body (&p, t->label, strlen (t->label));
+      pack_text (&p, t->label);
+      pack_text (&p, t->data_rack);
+      msgpack_pack_uint32 (&p, t->most_on_target);
     }
 }
 
@@ -120,10 +130,11 @@
 {
   uint64_t value;
 
-  if (f == STEP_FIELDS - 1)
+  if (f == FIELD_LABEL || f == FIELD_DATA_RACK)
     return o->type == MSGPACK_OBJECT_BIN
            && slice_copy ((struct slice){ o->via.bin.ptr, o->via.bin.size },
-                          t->label, sizeof t->label);
+                          f == FIELD_LABEL ? t->label : t->data_rack,
+                          LABEL_BYTES);
   if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
     return false;
   value = o->via.u64;
@@ -144,9 +155,12 @@
     case 4:
       t->estimate_ms = (int64_t)value;
       return value <= INT32_MAX;
-    default:
+    case 5:
       t->after = (uint32_t)value;
       return value <= UINT32_MAX;
+    default:
+      t->most_on_target = (uint32_t)value;
+      return value <= UINT32_MAX;
     }
 }
 
--- a/src/coord/job_spec.h
+++ b/src/coord/job_spec.h
@@ -55,6 +55,8 @@
   int64_t estimate_ms;
   uint32_t after;          /* a bit for each step that must be done first */
   char label[LABEL_BYTES]; /* that the target must have; "" for none */
+  char data_rack[LABEL_BYTES]; /* elsewhere a task takes longer; "": none */
+  uint32_t most_on_target;     /* tasks of it at a time; 0: no limit */
 };
 
 /* Which tasks of a job a VM runs for the dispatcher that has the job.  Their
--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -264,13 +264,15 @@
 static void
 remove_target (struct owner_plan *p, struct plan_target *t)
 {
-  uint32_t i = 0;
-
   set_owner (p, t, "");
-  while (p->targets[i] != t)
-    i++;
-  p->targets[i] = p->targets[--p->target_count];
-  HASH_DEL (p->targets_by_id, t);
+  if (p->targets_by_id != NULL)
+    HASH_DEL (p->targets_by_id, t);
+  for (uint32_t i = 0; i < p->target_count; i++)
+    if (p->targets[i] == t)
+      {
+        p->targets[i] = p->targets[--p->target_count];
+        break;
+      }
   free (t);
 }
 
--- a/src/coord/run_job.c
+++ b/src/coord/run_job.c
@@ -51,7 +51,10 @@
       now - j->spec.age_ms, job_spec_chain_ms (&expected),
       j->spec.stretch_milli, j->spec.floor_ms, now + j->spec.deadline_ms);
   for (uint32_t i = 0; i < j->task_count; i++)
-    j->tasks[i].expected_ms = expected.steps[j->tasks[i].step].estimate_ms;
+    {
+      j->tasks[i].near_ms = expected.steps[j->tasks[i].step].estimate_ms;
+      j->tasks[i].expected_ms = j->tasks[i].near_ms;
+    }
 }
 
 struct run_job *
--- a/src/coord/run_job.h
+++ b/src/coord/run_job.h
@@ -35,11 +35,12 @@
   uint64_t run;   /* the number of its last run */
   struct run_target *target;
   int64_t ordered_ms;
-  int64_t began_ms; /* known to run since */
-  int64_t expected_ms;
-  int64_t moved_ms;   /* when its progress was last seen to grow */
-  int64_t settled_ms; /* when the target answered an order for it; 0 before */
-  int64_t seen_ms;    /* when the target last listed it as running */
+  int64_t began_ms;    /* known to run since */
+  int64_t near_ms;     /* expected with its data at hand */
+  int64_t expected_ms; /* where it runs */
+  int64_t moved_ms;    /* when its progress was last seen to grow */
+  int64_t settled_ms;  /* when the target answered an order for it; 0 before */
+  int64_t seen_ms;     /* when the target last listed it as running */
   uint32_t percent;
   uint32_t failures;
   uint32_t stops; /* for standing still or being slow */
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
+#include "coord/run_admission.h"
+#include "coord/run_placement.h"
 #include "coord/run_progress.h"
 #include "coord/wait_order.h"
 
@@ -13,6 +15,9 @@
   NO_ROOM_PAUSE_MS = 40
 };
 
+/* Where the settings do not tell.  */
+static const double default_far_factor = 2;
+
 void
 run_scheduler_init (struct run_scheduler *s,
                     const struct run_scheduler_output *output, void *arg)
@@ -20,6 +25,7 @@
   memset (s, 0, sizeof *s);
   s->output = output;
   s->arg = arg;
+  s->far_factor = default_far_factor;
   work_estimate_init (&s->estimate);
   queue_share_init (&s->share);
 }
@@ -184,94 +190,6 @@
   return n;
 }
 
-/* Why J can never run here, or REFUSAL_NONE.  */
-static enum refusal_reason
-never_fits (const struct run_scheduler *s, const struct job_spec *spec)
-{
-  bool any = false;
-
-  for (uint32_t i = 0; i < spec->step_count; i++)
-    {
-      bool fits = false;
-
-      for (uint32_t t = 0; t < s->target_count && !fits; t++)
-        {
-          if (strcmp (s->targets[t]->spec.service, spec->service) != 0)
-            continue;
-          any = true;
-          fits = run_target_could_run (s->targets[t], &spec->steps[i]);
-        }
-      if (!fits)
-        return any ? REFUSAL_TOO_LARGE : REFUSAL_NO_TARGET;
-    }
-  return REFUSAL_NONE;
-}
-
-/* Whether all tasks of SPEC's first steps could start right now; then no work
-   is ahead of the job, whatever waits for larger room.  */
-static bool
-fits_now (const struct run_scheduler *s, const struct job_spec *spec,
-          int64_t now)
-{
-  for (uint32_t i = 0; i < spec->step_count; i++)
-    {
-      const struct job_step *step = &spec->steps[i];
-      uint32_t left = step->count;
-
-      if (step->after != 0)
-        continue;
-      for (uint32_t t = 0; t < s->target_count && left != 0; t++)
-        {
-          const struct run_target *target = s->targets[t];
-          uint64_t room;
-
-          if (!run_target_may_start (target, step, now)
-              || strcmp (target->spec.service, spec->service) != 0)
-            continue;
-          room = step->cpu_milli == 0
-                     ? left
-                     : (target->spec.cpu_milli - target->cpu_used)
-                           / step->cpu_milli;
-          left -= room < left ? (uint32_t)room : left;
-        }
-      if (left != 0)
-        return false;
-    }
-  return true;
-}
-
-/* Whether an earlier attempt of a task of SPEC may still run.  */
-static bool
-is_known (const struct run_scheduler *s, const struct job_spec *spec)
-{
-  const struct run_job *j;
-  const struct run_job *next;
-
-  HASH_ITER (hh, s->jobs, j, next)
-  if (job_spec_overlaps (&j->spec, spec))
-    return true;
-  return false;
-}
-
-/* Whether to take J: at once if it need not wait, else if its queue has not
-   had its share and the work ahead leaves it time.  Tasks that are run for
-   another VM do not wait here.  */
-static bool
-is_admitted (struct run_scheduler *s, int64_t now, const struct run_job *j,
-             const struct job_backlog *b)
-{
-  uint64_t usable = b->cpu_milli * USABLE_CPU_PERCENT / 100;
-
-  if (fits_now (s, &j->spec, now))
-    return true;
-  if (j->spec.part.is_part)
-    return false;
-  if (queue_share_is_spent (&s->share, now, j->spec.queue, j->spec.service,
-                            usable))
-    return false;
-  return job_admission_accepts (&j->times, b, now);
-}
-
 struct run_job *
 run_scheduler_submit (struct run_scheduler *s, int64_t now,
                       const struct job_spec *spec, void *holder,
@@ -281,19 +199,19 @@
   struct run_job *j;
 
   *retry_ms = 0;
-  if (is_known (s, spec))
+  if (run_admission_is_known (s, spec))
     {
       *reason = REFUSAL_DUPLICATE;
       return NULL;
     }
-  *reason = never_fits (s, spec);
+  *reason = run_admission_never_fits (s, spec);
   if (*reason != REFUSAL_NONE)
     return NULL;
   j = run_job_new (spec, ++s->next_number, &s->estimate, now);
   b = run_scheduler_backlog (s, spec->service, j->times.start_by_ms);
   if (!spec->part.is_part)
     queue_share_ask (&s->share, now, spec->queue, spec->service, j->work);
-  if (!is_admitted (s, now, j, &b))
+  if (!run_admission_accepts (s, now, j, &b))
     {
       *reason = REFUSAL_OVERLOAD;
       *retry_ms = job_admission_retry_ms (&b, j->number * 7919);
@@ -319,6 +237,8 @@
   k->ordered_ms = now;
   k->began_ms = now;
   k->moved_ms = now;
+  k->expected_ms
+      = run_placement_expected_ms (s, t, run_job_step (j, task), k->near_ms);
   k->percent = 0;
   k->settled_ms = 0;
   k->seen_ms = 0;
@@ -332,42 +252,6 @@
   s->output->start (s->arg, t, j, task);
 }
 
-static bool
-is_avoided (const struct run_task *k, const struct run_target *t)
-{
-  for (uint32_t i = 0; i < k->avoid_count; i++)
-    if (k->avoid[i] == t)
-      return true;
-  return false;
-}
-
-static struct run_target *
-best_target (const struct run_scheduler *s, const struct run_job *j,
-             uint32_t task, int64_t now)
-{
-  const struct job_step *step = run_job_step (j, task);
-  struct run_target *best = NULL;
-  double best_misfit = 0;
-
-  for (uint32_t i = 0; i < s->target_count; i++)
-    {
-      struct run_target *t = s->targets[i];
-      double misfit;
-
-      if (!run_target_may_start (t, step, now)
-          || strcmp (t->spec.service, j->spec.service) != 0
-          || is_avoided (&j->tasks[task], t))
-        continue;
-      misfit = run_target_misfit (t, step);
-      if (best == NULL || misfit < best_misfit)
-        {
-          best = t;
-          best_misfit = misfit;
-        }
-    }
-  return best;
-}
-
 /* Starts the waiting tasks of J as far as there is room.  */
 static void
 place_job (struct run_scheduler *s, struct run_job *j, int64_t now)
@@ -379,7 +263,7 @@
       if (j->tasks[i].state != RUN_WAITING
           || !run_job_step_may_begin (j, j->tasks[i].step))
         continue;
-      t = best_target (s, j, i, now);
+      t = run_placement_choose (s, j, i, now);
       if (t != NULL)
         start_task (s, j, i, t, now);
     }
@@ -599,8 +483,9 @@
     {
       double expected = (double)(k->expected_ms < 1 ? 1 : k->expected_ms);
 
-      work_estimate_add (&s->estimate, j->spec.queue,
-                         j->spec.steps[k->step].estimate_ms, elapsed);
+      if (k->expected_ms == k->near_ms)
+        work_estimate_add (&s->estimate, j->spec.queue,
+                           j->spec.steps[k->step].estimate_ms, elapsed);
       target_health_success (&t->health, (double)elapsed / expected);
       task_done (s, j, task);
     }
--- a/src/coord/run_scheduler.h
+++ b/src/coord/run_scheduler.h
@@ -55,6 +55,7 @@
 {
   const struct run_scheduler_output *output;
   void *arg;
+  double far_factor; /* a task takes so many times as long off its data */
   struct work_estimate estimate;
   struct queue_share share;
   struct run_target **targets;
--- a/src/coord/run_target.c
+++ b/src/coord/run_target.c
@@ -1,6 +1,7 @@
 #include "coord/run_target.h"
 
 #include <string.h>
+#include "coord/run_job.h"
 
 /* What a slowness of twice the ordinary costs, as a share of a target's
    cores left over.  */
@@ -28,6 +29,25 @@
   return false;
 }
 
+bool
+run_target_has_data (const struct run_target *t, const struct job_step *step)
+{
+  return run_target_has_label (t, step->data_rack);
+}
+
+bool
+run_target_may_add (const struct run_target *t, const struct run_job *job,
+                    const struct job_step *step, uint32_t number)
+{
+  uint32_t n = 0;
+
+  if (step->most_on_target == 0)
+    return true;
+  for (uint32_t i = 0; i < t->run_count; i++)
+    n += t->runs[i].job == job && job->tasks[t->runs[i].task].step == number;
+  return n < step->most_on_target;
+}
+
 bool
 run_target_could_run (const struct run_target *t, const struct job_step *step)
 {
--- a/src/coord/run_target.h
+++ b/src/coord/run_target.h
@@ -74,6 +74,15 @@
 
 bool run_target_has_label (const struct run_target *t, const char *label);
 
+/* Whether T is on the rack of the data of STEP, or it has none.  */
+bool run_target_has_data (const struct run_target *t,
+                          const struct job_step *step);
+
+/* Whether one more task of step STEP of JOB is allowed beside those that run
+   on T.  */
+bool run_target_may_add (const struct run_target *t, const struct run_job *job,
+                         const struct job_step *step, uint32_t number);
+
 /* Whether a task of STEP could ever run on T.  */
 bool run_target_could_run (const struct run_target *t,
                            const struct job_step *step);
--- a/src/net/peer_network.c
+++ b/src/net/peer_network.c
@@ -360,7 +360,9 @@
 {
   struct peer_network *n = calloc (1, sizeof *n);
   struct sockaddr_storage at;
-  int length = fill_address (s->address, s->peer_port, &at);
+  uint16_t port
+      = s->peer_listen_port != 0 ? s->peer_listen_port : s->peer_port;
+  int length = fill_address (s->address, port, &at);
 
   n->base = base;
   n->settings = s;
@@ -373,7 +375,7 @@
   if (n->listener == NULL)
     {
       error_set (e, NETWORK_ADDRESS_IN_USE, "cannot listen on %s port %u: %s",
-                 s->address, s->peer_port,
+                 s->address, port,
                  evutil_socket_error_to_string (EVUTIL_SOCKET_ERROR ()));
       free (n);
       return NULL;
--- a/tests/node_soak.sh
+++ b/tests/node_soak.sh
@@ -1,21 +1,21 @@
 #!/bin/sh
 # Soaks ragwort-node under faults: node_soak.sh BUILD SECONDS SEED...
-# Ends with "soak: N passed, N failed", a seed counting as one.
+# LANES seeds run side by side, each on loopback addresses of its own.  Ends
+# with "soak: N passed, N failed", a seed counting as one.
 set -u
 build=$1
 seconds=$2
 shift 2
-passed=0
-failed=0
-for seed in "$@"; do
-  if out=$("$build/node_soak" --seed "$seed" --seconds "$seconds" \
-      "$build/ragwort-node" 2>&1); then
-    passed=$((passed + 1))
-    echo "$out" | tail -n 1
+out=$(mktemp -d)
+printf '%s\n' "$@" | xargs -P "${LANES:-1}" -n 1 sh -c \
+  'if "$0/node_soak" --net "$(((($3 - 1) % 70) * 3 + 31))" --seed "$3" \
+      --seconds "$1" "$0/ragwort-node" > "$2/$3" 2>&1; then
+    tail -n 1 "$2/$3"
   else
-    failed=$((failed + 1))
-    echo "$out"
-  fi
-done
-echo "soak: $passed passed, $failed failed"
+    cat "$2/$3"
+    : > "$2/failed-$3"
+  fi' "$build" "$seconds" "$out"
+failed=$(find "$out" -name 'failed-*' | wc -l)
+rm -rf "$out"
+echo "soak: $(($# - failed)) passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tests/soak/fake_worker.c
+++ b/tests/soak/fake_worker.c
@@ -34,6 +34,13 @@
   return (uint32_t)(w->random >> 11) % limit;
 }
 
+/* What the worker's steady clock shows.  */
+static int64_t
+clock_ms (const struct fake_worker *w, int64_t now)
+{
+  return (now - w->born_ms) * w->clock_percent / 100;
+}
+
 static void
 reply (struct fake_worker *w, struct evhttp_request *req, int status,
        json_t *body)
@@ -47,7 +54,7 @@
       return;
     }
   json_object_set_new (body, "clock-ms",
-                       json_integer ((json_int_t)(now_ms () - w->born_ms)));
+                       json_integer ((json_int_t)clock_ms (w, now_ms ())));
   json_object_set_new (body, "born", json_integer ((json_int_t)w->born_ms));
   text = json_dumps (body, JSON_COMPACT);
   evbuffer_add (out, text, strlen (text));
@@ -116,7 +123,7 @@
 
   while (i < w->run_count)
     {
-      if (now - w->born_ms > w->lease_end_ms)
+      if (clock_ms (w, now) > w->lease_end_ms)
         end_run (w, i, "lapsed");
       else if (now >= w->runs[i].end_ms)
         end_run (w, i, w->mood == WORKER_FAILS ? "failed" : "done");
@@ -131,7 +138,7 @@
 take_lease (struct fake_worker *w, const json_t *body)
 {
   int64_t until = json_integer_value (json_object_get (body, "until-ms"));
-  int64_t most = now_ms () - w->born_ms + LEASE_MOST_MS;
+  int64_t most = clock_ms (w, now_ms ()) + LEASE_MOST_MS;
 
   if (until > most)
     until = most;
@@ -159,7 +166,7 @@
   int64_t now = now_ms ();
   struct worker_run *r;
 
-  if (until < now - w->born_ms)
+  if (until < clock_ms (w, now))
     {
       refuse (w, req, "late");
       return;
@@ -349,6 +356,7 @@
   w->base = base;
   w->zone = zone;
   w->port = port;
+  w->clock_percent = seed % 3 == 0 ? 98 : 100;
   w->random = seed * 0x9E3779B97F4A7C15U + 1;
   w->born_ms = now_ms ();
   snprintf (w->id, sizeof w->id, "%s", id);
--- a/tests/soak/fake_worker.h
+++ b/tests/soak/fake_worker.h
@@ -52,6 +52,7 @@
   uint16_t port;
   const char *zone;
   int64_t born_ms;
+  int64_t clock_percent; /* of true time, that its clock shows */
   uint64_t sequence;
   enum worker_mood mood;
   uint64_t random;
--- a/tests/soak/node_soak.c
+++ b/tests/soak/node_soak.c
@@ -1,8 +1,10 @@
 /* A soak of ragwort-node: real keepers and entries as processes of their own,
    on loopback addresses, with workers, callers and an operator that speak the
    platform's protocol in this process.  Processes are killed, paused, stopped
-   gracefully and started again in overlapping series; workers fall silent,
-   lose answers, reset connections, fail and are reborn.
+   gracefully and started again in overlapping series; a keeper's disk is full
+   or lost; the connections between VMs go through a forwarder that delays,
+   silences, cuts one way and resets them; workers fall silent, lose answers,
+   reset connections, fail, are reborn and have slow clocks.
 
    Checked all the while, from what callers and workers see:
    - no task runs twice at the same time,
@@ -22,12 +24,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <uthash.h>
 #include "base/now.h"
 #include "tests/soak/fake_worker.h"
+#include "tests/soak/fault_proxy.h"
 
 enum
 {
@@ -54,8 +58,12 @@
   CONTROL_PORT = 18723,
   METRICS_PORT = 18724,
   WORKER_PORT = 18725,
-  FIRST_NET = 31,
+  LISTEN_PORT = 18726, /* the peer port behind the forwarder */
+  DELAY_MOST_MS = 300,
+  FULL_DISK_BYTES = 64,
+  WIPE_REST_MS = 8000,
   SERVED_PERCENT = 90,
+  HARM_LIMIT = 4,
   TEXT_BYTES = 1024
 };
 
@@ -70,6 +78,17 @@
   int64_t fault_ms; /* the last kill or pause of it */
   int64_t until_ms; /* when to resume or to start again */
   int64_t start_ms; /* the last start */
+  bool full;        /* its disk takes no more bytes */
+  int64_t full_until_ms;
+};
+
+/* A disturbance of the path between two VMs.  */
+struct harm
+{
+  int from;
+  int to;
+  bool both;        /* ways */
+  int64_t until_ms; /* 0: none */
 };
 
 /* A job, over all its attempts.  */
@@ -102,14 +121,23 @@
 
 static struct event_base *base;
 static struct node nodes[NODES];
+static struct fault_proxy proxy;
+static struct harm harms[HARM_LIMIT];
+static int64_t wiped_ms;
 static struct fake_worker workers[WORKERS];
 static struct job *jobs;
 static struct running *runs;
 static char root[128];
 static const char *program;
 static uint64_t seed = 1;
+static int first_net = 31; /* 127.0.N.x and the next two are this soak's */
 static int64_t seconds = 20;
-static uint64_t random_state;
+static bool keep_logs;
+/* The faults are drawn apart from the load, whose draws depend on answers:
+   a seed has the same series of faults each time, as far as what they meet is
+   the same.  */
+static uint64_t fault_random;
+static uint64_t load_random;
 static int64_t begin_ms;
 static int64_t heartbeat_ms;
 static int64_t fault_ms;
@@ -126,13 +154,27 @@
 static uint32_t changes_acked;
 static uint32_t faults;
 
+static uint32_t
+next_random (uint64_t *state, uint32_t limit)
+{
+  *state ^= *state << 13;
+  *state ^= *state >> 7;
+  *state ^= *state << 17;
+  return (uint32_t)(*state >> 11) % limit;
+}
+
+/* For the faults.  */
 static uint32_t
 draw (uint32_t limit)
 {
-  random_state ^= random_state << 13;
-  random_state ^= random_state >> 7;
-  random_state ^= random_state << 17;
-  return (uint32_t)(random_state >> 11) % limit;
+  return next_random (&fault_random, limit);
+}
+
+/* For callers, operators and heartbeats.  */
+static uint32_t
+draw_load (uint32_t limit)
+{
+  return next_random (&load_random, limit);
 }
 
 static int64_t
@@ -223,13 +265,14 @@
   fprintf (f,
            "{\"vm\":\"node-%d\",\"role\":\"%s\",\"environment\":\"soak\","
            "\"address\":\"%s\",\"domain\":\"zone-%d\",\"peer_port\":%d,"
+           "\"peer_listen_port\":%d,"
            "\"peer_secret\":\"0123456789abcdef\",\"metrics_port\":%d,"
            "\"seeds\":[\"127.0.%d.1:1\",\"127.0.%d.2:1\",\"127.0.%d.3:1\"],"
            "\"first_start\":%s,\"lost_keepers\":1,\"descriptors\":2000,"
-           "\"lease_limit_ms\":1000,\"stop_grace_ms\":%d,",
+           "\"lease_limit_ms\":1000,\"stop_grace_s\":%d,",
            n->index, is_keeper (n) ? "keeper" : "entry", n->address,
-           n->index % 2, PEER_PORT, METRICS_PORT, FIRST_NET, FIRST_NET,
-           FIRST_NET, first ? "true" : "false", GRACE_MS);
+           n->index % 2, PEER_PORT, LISTEN_PORT, METRICS_PORT, first_net,
+           first_net, first_net, first ? "true" : "false", GRACE_MS / 1000);
   if (is_keeper (n))
     fprintf (f, "\"control\":\"%s:%d\",\"data_folder\":\"%s/data\"}",
              n->address, CONTROL_PORT, n->folder);
@@ -255,11 +298,13 @@
 
       dup2 (fd, STDOUT_FILENO);
       dup2 (fd, STDERR_FILENO);
+      signal (SIGXFSZ, SIG_IGN);
       execl (program, program, path, (char *)NULL);
       _exit (127);
     }
   n->paused = false;
   n->stopping = false;
+  n->full = false;
   n->until_ms = 0;
   n->start_ms = now_ms ();
 }
@@ -337,10 +382,117 @@
   uint32_t count = 0;
 
   for (int i = 0; i < KEEPERS; i++)
-    count += nodes[i].pid != 0 && !nodes[i].paused && !nodes[i].stopping;
+    count += nodes[i].pid != 0 && !nodes[i].paused && !nodes[i].stopping
+             && !nodes[i].full;
   return count;
 }
 
+/* Has the disk of N take no more bytes, by a limit of that process alone.  */
+static void
+set_full (struct node *n, bool full)
+{
+  struct rlimit limit = { RLIM_INFINITY, RLIM_INFINITY };
+
+  if (full)
+    limit.rlim_cur = FULL_DISK_BYTES;
+  if (prlimit (n->pid, RLIMIT_FSIZE, &limit, NULL) != 0)
+    return;
+  n->full = full;
+  n->full_until_ms = now_ms () + 500 + draw (3000);
+  note (full ? "disk is full" : "disk has room", n->address);
+}
+
+static void
+remove_folder (const char *folder)
+{
+  char command[320];
+
+  snprintf (command, sizeof command, "rm -rf '%s'", folder);
+  if (system (command) != 0)
+    printf ("cannot remove %s\n", folder);
+}
+
+/* Kills N, which comes back with an empty disk.  */
+static void
+wipe_node (struct node *n)
+{
+  char folder[300];
+
+  kill_node (n);
+  snprintf (folder, sizeof folder, "%s/data", n->folder);
+  remove_folder (folder);
+  wiped_ms = now_ms ();
+  note ("lost its disk", n->address);
+}
+
+static void
+fault_disk (int64_t now)
+{
+  struct node *n = &nodes[draw (KEEPERS)];
+
+  if (sound_keepers () < KEEPERS || now - wiped_ms < WIPE_REST_MS)
+    return;
+  if (draw (2) == 0)
+    set_full (n, true);
+  else
+    wipe_node (n);
+}
+
+static void
+set_harm (const struct harm *h, bool cut, int64_t delay_ms)
+{
+  fault_proxy_cut (&proxy, h->from, h->to, cut);
+  fault_proxy_delay (&proxy, h->from, h->to, delay_ms);
+  if (!h->both)
+    return;
+  fault_proxy_cut (&proxy, h->to, h->from, cut);
+  fault_proxy_delay (&proxy, h->to, h->from, delay_ms);
+}
+
+/* Disturbs the path between two VMs for a while.  Keepers are cut off from
+   each other as little as they are lost: a majority stays together.  */
+static void
+fault_path (int64_t now)
+{
+  struct harm h = { .from = (int)draw (NODES), .to = (int)draw (NODES) };
+  uint32_t kind = draw (4);
+
+  if (h.from == h.to)
+    return;
+  printf ("%" PRId64 " ms: path %s to %s: %u\n", elapsed_ms (),
+          nodes[h.from].address, nodes[h.to].address, kind);
+  if (kind == 0)
+    fault_proxy_reset (&proxy, h.from, h.to);
+  else if (kind == 1)
+    fault_proxy_silence (&proxy, h.from, h.to);
+  for (int i = 0; i < HARM_LIMIT && kind > 1; i++)
+    if (harms[i].until_ms == 0)
+      {
+        h.both = draw (2) == 0;
+        h.until_ms = now + 300 + draw (3000);
+        harms[i] = h;
+        set_harm (&h, kind == 2,
+                  kind == 3 ? 20 + (int64_t)draw (DELAY_MOST_MS) : 0);
+        return;
+      }
+}
+
+/* Ends the disturbances that are over, or all.  */
+static void
+end_harms (int64_t now, bool all)
+{
+  for (int i = 0; i < HARM_LIMIT; i++)
+    if (harms[i].until_ms != 0 && (all || now >= harms[i].until_ms))
+      {
+        set_harm (&harms[i], false, 0);
+        harms[i].until_ms = 0;
+      }
+  for (int i = 0; i < KEEPERS; i++)
+    if (nodes[i].full && nodes[i].pid != 0
+        && (all || now >= nodes[i].full_until_ms))
+      set_full (&nodes[i], false);
+}
+
 static void
 fault_worker (void)
 {
@@ -388,10 +540,22 @@
     return;
   fault_ms = now + FAULT_GAP_MS / 2 + draw (FAULT_GAP_MS);
   faults++;
-  if (draw (2) == 0)
-    fault_worker ();
-  else
-    fault_node ();
+  switch (draw (6))
+    {
+    case 0:
+    case 1:
+      fault_worker ();
+      break;
+    case 2:
+    case 3:
+      fault_node ();
+      break;
+    case 4:
+      fault_path (now);
+      break;
+    default:
+      fault_disk (now);
+    }
 }
 
 static struct evhttp_connection *
@@ -490,8 +654,8 @@
   char path[64];
 
   do
-    c->entry = &nodes[KEEPERS + draw (ENTRIES)];
-  while (c->entry->pid == 0 && draw (4) != 0);
+    c->entry = &nodes[KEEPERS + draw_load (ENTRIES)];
+  while (c->entry->pid == 0 && draw_load (4) != 0);
   j->open = true;
   j->attempts++;
   c->job = j;
@@ -509,7 +673,7 @@
                        "{\"spec\":\"x\",\"best-effort\":true,\"steps\":[{"
                        "\"count\":%u,\"cpu\":4000,\"mem-mb\":64,"
                        "\"estimate-ms\":100}]}",
-                       1 + draw (4));
+                       1 + draw_load (4));
   c->conn = connect_to (c->entry->address, CALLER_PORT,
                         DEADLINE_MS + 2 * ANSWER_SLACK_MS);
   evhttp_make_request (c->conn, req, EVHTTP_REQ_POST, path);
@@ -524,8 +688,8 @@
       struct job *j = calloc (1, sizeof *j);
 
       call_ms += 1000 / CALLS_A_SECOND;
-      snprintf (j->id, sizeof j->id, "%08x%08x", draw (1U << 31),
-                draw (1U << 31));
+      snprintf (j->id, sizeof j->id, "%08x%08x", draw_load (1U << 31),
+                draw_load (1U << 31));
       HASH_ADD_STR (jobs, id, j);
       send_call (j);
     }
@@ -620,7 +784,7 @@
 static const char *
 any_keeper (void)
 {
-  return nodes[draw (KEEPERS)].address;
+  return nodes[draw_load (KEEPERS)].address;
 }
 
 static void
@@ -635,7 +799,7 @@
             "\"soak.example\",\"path-prefix\":\"/jobs/\",\"timeout-ms\":%d,"
             "\"target-duration-ms\":400,\"service\":\"svc\",\"max-attempts\":"
             "4,\"stretch\":2}],\"services\":[{\"name\":\"svc\"}]}",
-            c->version, 1500 + (int)draw (500));
+            c->version, 1500 + (int)draw_load (500));
   c->body = strdup (text);
   send_control (c, any_keeper ());
 }
@@ -647,7 +811,7 @@
 
   if (now < change_ms)
     return;
-  change_ms = now + CHANGE_GAP_MS / 2 + draw (CHANGE_GAP_MS);
+  change_ms = now + CHANGE_GAP_MS / 2 + draw_load (CHANGE_GAP_MS);
   put_document ();
   read = control_new ();
   read->acked = now - acked_ms > APPLY_MS ? acked_version : 0;
@@ -681,6 +845,7 @@
   note ("the faults end", "");
   for (int i = 0; i < WORKERS; i++)
     workers[i].mood = WORKER_GOOD;
+  end_harms (now_ms (), true);
 }
 
 static void
@@ -695,6 +860,7 @@
     fake_worker_tick (&workers[i], now);
   tend_nodes (now);
   make_fault (now);
+  end_harms (now, false);
   calm_down ();
   send_heartbeats (now);
   make_changes (now);
@@ -716,10 +882,11 @@
     {
       nodes[i].index = i;
       snprintf (nodes[i].address, sizeof nodes[i].address, "127.0.%d.%d",
-                i < KEEPERS ? FIRST_NET : FIRST_NET + 1, i % KEEPERS + 1);
+                i < KEEPERS ? first_net : first_net + 1, i % KEEPERS + 1);
       snprintf (nodes[i].folder, sizeof nodes[i].folder, "%s/node-%d", root,
                 i);
-      if (mkdir (nodes[i].folder, 0700) != 0)
+      if (mkdir (nodes[i].folder, 0700) != 0
+          || fault_proxy_add (&proxy, nodes[i].address, PEER_PORT) != i)
         return false;
       start_node (&nodes[i], true);
     }
@@ -728,7 +895,7 @@
       char id[16];
 
       snprintf (id, sizeof id, "w%d", i);
-      snprintf (text, sizeof text, "127.0.%d.%d", FIRST_NET + 2, i + 1);
+      snprintf (text, sizeof text, "127.0.%d.%d", first_net + 2, i + 1);
       if (!fake_worker_start (&workers[i], base, id, text, WORKER_PORT,
                               i % 2 == 0 ? "zone-0" : "zone-1", seed + i + 1,
                               &worker_events))
@@ -741,8 +908,6 @@
 static void
 tear_down (bool keep)
 {
-  char command[160];
-
   for (int i = 0; i < NODES; i++)
     if (nodes[i].pid != 0)
       {
@@ -754,9 +919,7 @@
       printf ("logs are kept in %s\n", root);
       return;
     }
-  snprintf (command, sizeof command, "rm -rf '%s'", root);
-  if (system (command) != 0)
-    printf ("cannot remove %s\n", root);
+  remove_folder (root);
 }
 
 static void
@@ -779,6 +942,7 @@
   }
   for (int i = 0; i < WORKERS; i++)
     fake_worker_done (&workers[i]);
+  fault_proxy_done (&proxy);
 }
 
 static error_t
@@ -789,6 +953,12 @@
     case 's':
       seed = strtoull (arg, NULL, 10);
       return 0;
+    case 'k':
+      keep_logs = true;
+      return 0;
+    case 'n':
+      first_net = atoi (arg);
+      return 0;
     case 't':
       seconds = strtoll (arg, NULL, 10);
       return 0;
@@ -806,6 +976,9 @@
 
 static const struct argp_option options[]
     = { { "seed", 's', "N", 0, "The seed of the faults", 0 },
+        { "keep", 'k', NULL, 0, "Keeps the logs of a run without a fault", 0 },
+        { "net", 'n', "N", 0, "127.0.N.x and the next two nets are used (31)",
+          0 },
         { "seconds", 't', "S", 0, "How long faults are made", 0 },
         { NULL, 0, NULL, 0, NULL, 0 } };
 
@@ -825,8 +998,10 @@
   argp_parse (&parser, argc, argv, 0, NULL, NULL);
   signal (SIGPIPE, SIG_IGN);
   setvbuf (stdout, NULL, _IOLBF, 0);
-  random_state = seed * 0x9E3779B97F4A7C15U + 1;
+  fault_random = seed * 0x9E3779B97F4A7C15U + 1;
+  load_random = fault_random ^ 0xD1B54A32D192ED03U;
   base = event_base_new ();
+  fault_proxy_init (&proxy, base, LISTEN_PORT);
   begin_ms = now_ms ();
   fault_ms = begin_ms + SETTLE_MS;
   call_ms = begin_ms + SETTLE_MS / 2;
@@ -847,7 +1022,7 @@
           "faults %u of %u, %u changes acknowledged, %u violations\n",
           seed, faults, answered, served, last_served, last_asked,
           changes_acked, violations);
-  tear_down (violations != 0);
+  tear_down (keep_logs || violations != 0);
   event_free (timer);
   free_tables ();
   event_base_free (base);
--- /dev/null
+++ b/tests/unit/test_placement.c
@@ -0,0 +1,219 @@
+/* Where tasks go that want the rack of their data, or few beside them.  */
+#include <stdio.h>
+#include <string.h>
+#include "base/node_settings.h"
+#include "coord/run_placement.h"
+#include "platform/job_request.h"
+#include "tests/unit/suites.h"
+
+enum
+{
+  NOW = 1000,
+  TARGET_CPU = 2000,
+  TASK_CPU = 1000,
+  TASK_MS = 100
+};
+
+static void
+on_order (void *arg, struct run_target *t, struct run_job *j, uint32_t task)
+{
+  (void)arg;
+  (void)t;
+  (void)j;
+  (void)task;
+}
+
+static void
+on_finished (void *arg, struct run_job *j, enum job_result result,
+             enum refusal_reason reason, int64_t retry_ms)
+{
+  (void)arg;
+  (void)j;
+  (void)result;
+  (void)reason;
+  (void)retry_ms;
+}
+
+static const struct run_scheduler_output output
+    = { on_order, on_order, on_finished, NULL };
+
+/* One target on rack r1 and two on r2, of two tasks each.  */
+static void
+begin (struct run_scheduler *s, double far_factor)
+{
+  run_scheduler_init (s, &output, NULL);
+  s->far_factor = far_factor;
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      struct run_target_spec t = { .cpu_milli = TARGET_CPU,
+                                   .memory_mb = 1000,
+                                   .slots = 8,
+                                   .label_count = 1 };
+
+      snprintf (t.id, sizeof t.id, "t%u", i);
+      snprintf (t.service, sizeof t.service, "svc");
+      snprintf (t.labels[0], LABEL_BYTES, "r%d", i == 0 ? 1 : 2);
+      run_scheduler_add_target (s, &t)->phase = TARGET_READY;
+    }
+}
+
+static struct run_job *
+submit (struct run_scheduler *s, const char *key, uint32_t tasks,
+        const char *rack, uint32_t most)
+{
+  struct job_spec spec = { .attempts = 3,
+                           .stretch_milli = 1600,
+                           .floor_ms = 60,
+                           .deadline_ms = 3000,
+                           .step_count = 1 };
+  enum refusal_reason reason;
+  int64_t retry_ms;
+  struct run_job *j;
+
+  snprintf (spec.key, sizeof spec.key, "%s", key);
+  snprintf (spec.queue, sizeof spec.queue, "q");
+  snprintf (spec.service, sizeof spec.service, "svc");
+  spec.steps[0] = (struct job_step){ .count = tasks,
+                                     .cpu_milli = TASK_CPU,
+                                     .estimate_ms = TASK_MS,
+                                     .most_on_target = most };
+  snprintf (spec.steps[0].data_rack, LABEL_BYTES, "%s", rack);
+  spec.payload = slice_of ("");
+  j = run_scheduler_submit (s, NOW, &spec, s, &reason, &retry_ms);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (j);
+  run_scheduler_pass (s, NOW);
+  return j;
+}
+
+/* Tasks go to their data; elsewhere while they still end on time there, and
+   are then expected to take longer.  */
+static void
+test_data_rack (void)
+{
+  struct run_scheduler s;
+  struct run_job *j;
+
+  begin (&s, 1.5);
+  j = submit (&s, "a", 3, "r1", 0);
+  CU_ASSERT_EQUAL (s.targets[0]->run_count, 2);
+  CU_ASSERT_EQUAL (j->waiting_count, 0);
+  CU_ASSERT_EQUAL (j->tasks[0].expected_ms, TASK_MS);
+  CU_ASSERT_EQUAL (j->tasks[2].expected_ms, TASK_MS * 3 / 2);
+  run_scheduler_done (&s);
+}
+
+/* Where it would end late elsewhere, a task waits for its rack until it would
+   be late there too.  */
+static void
+test_far_is_late (void)
+{
+  struct run_scheduler s;
+  struct run_job *j;
+
+  begin (&s, 3);
+  j = submit (&s, "a", 3, "r1", 0);
+  CU_ASSERT_EQUAL (j->waiting_count, 1);
+  run_scheduler_pass (&s, j->times.start_by_ms);
+  CU_ASSERT_EQUAL (j->waiting_count, 1);
+  run_scheduler_pass (&s, j->times.start_by_ms + 1);
+  CU_ASSERT_EQUAL (j->waiting_count, 0);
+  run_scheduler_done (&s);
+}
+
+/* A rack that is not there is no reason to wait for ever.  */
+static void
+test_unknown_rack (void)
+{
+  struct run_scheduler s;
+  struct run_job *j;
+
+  begin (&s, 1.2);
+  j = submit (&s, "a", 3, "r9", 0);
+  CU_ASSERT_EQUAL (j->waiting_count, 0);
+  run_scheduler_done (&s);
+}
+
+/* At most so many tasks of a step are on one target, though there is room;
+   other jobs are free to join them.  */
+static void
+test_few_on_target (void)
+{
+  struct run_scheduler s;
+  struct run_job *j;
+
+  begin (&s, 2);
+  j = submit (&s, "a", 5, "", 1);
+  CU_ASSERT_EQUAL (j->waiting_count, 2);
+  for (uint32_t i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (s.targets[i]->run_count, 1);
+  j = submit (&s, "b", 3, "", 0);
+  CU_ASSERT_EQUAL (j->waiting_count, 0);
+  run_scheduler_done (&s);
+}
+
+static void
+test_fields (void)
+{
+  static const char text[]
+      = "{\"best-effort\":true,\"steps\":[{\"count\":2,\"data-rack\":\"r1-3\","
+        "\"anti-affinity\":4}]}";
+  struct queue_rule queue = { .name = "q", .service = "svc", .attempts = 2 };
+  struct job_spec spec;
+  struct job_spec copy;
+  msgpack_sbuffer packed;
+  struct error e;
+  json_t *body;
+
+  CU_ASSERT_EQUAL_FATAL (job_request_decode (&spec, &body, text,
+                                             sizeof text - 1,
+                                             "0123456789abcdef", &queue, &e),
+                         DECODE_OK);
+  msgpack_sbuffer_init (&packed);
+  job_spec_pack_steps (&spec, &packed);
+  CU_ASSERT (job_spec_unpack_steps (
+      &copy, (struct slice){ packed.data, (uint32_t)packed.size }));
+  CU_ASSERT_STRING_EQUAL (copy.steps[0].data_rack, "r1-3");
+  CU_ASSERT_EQUAL (copy.steps[0].most_on_target, 4);
+  msgpack_sbuffer_destroy (&packed);
+  json_decref (body);
+}
+
+/* The users' bounds may have fractions.  */
+static void
+test_fractions (void)
+{
+  char folder[64];
+  char path[96];
+  struct node_settings s;
+  struct error e;
+  FILE *f;
+
+  test_folder_make (folder);
+  snprintf (path, sizeof path, "%s/settings.json", folder);
+  f = fopen (path, "w");
+  fprintf (f, "{\"vm\":\"v\",\"role\":\"entry\",\"environment\":\"e\","
+              "\"address\":\"127.0.0.1\",\"domain\":\"d\",\"peer_port\":1,"
+              "\"peer_secret\":\"0123456789abcdef\",\"callers\":"
+              "\"127.0.0.1:2\",\"seeds\":[\"127.0.0.1:3\"],\"first_start\":"
+              "true,\"lost_keepers\":1,\"descriptors\":2000,"
+              "\"lease_limit_ms\":1000,\"far_factor\":1.5,"
+              "\"stop_grace_s\":2.5}");
+  fclose (f);
+  CU_ASSERT_EQUAL (node_settings_load (&s, path, &e), SETTINGS_OK);
+  CU_ASSERT_EQUAL (s.stop_grace_ms, 2500);
+  CU_ASSERT_DOUBLE_EQUAL (s.far_factor, 1.5, 0.001);
+  test_folder_remove (folder);
+}
+
+void
+suite_placement (void)
+{
+  CU_pSuite s = CU_add_suite ("placement", NULL, NULL);
+
+  CU_add_test (s, "tasks go to their data", test_data_rack);
+  CU_add_test (s, "late elsewhere is worth a wait", test_far_is_late);
+  CU_add_test (s, "an unknown rack holds nothing up", test_unknown_rack);
+  CU_add_test (s, "few tasks of a step on a target", test_few_on_target);
+  CU_add_test (s, "rack and limit travel", test_fields);
+  CU_add_test (s, "settings with fractions", test_fractions);
+}
