Lending counts whole tasks; what was sent back is not offered again at once

Change: rooms tell the free cores of the 8 targets with most (coord/room_free); a dispatcher that sent tasks back is offered nothing before its rooms are told anew.

--- a/bench/replay.c
+++ b/bench/replay.c
@@ -109,11 +109,14 @@
       add_up (&sum.all, &r.all);
       worst += r.worst_window / o.seeds;
       sum.busy += r.busy / o.seeds;
+      sum.parts += r.parts;
+      sum.parts_sent_back += r.parts_sent_back;
     }
   printf ("class       jobs  on time   late  refused  too late  earned\n");
   for (uint32_t c = 0; c < o.setup.class_count; c++)
     print_row (o.setup.classes[c].name, &sum.classes[c]);
   print_row ("all", &sum.all);
-  printf ("worst window %.3f, cores busy %.3f\n", worst, sum.busy);
+  printf ("worst window %.3f, cores busy %.3f, parts lent %u, sent back %u\n",
+          worst, sum.busy, sum.parts, sum.parts_sent_back);
   return 0;
 }
--- a/bench/replay_model.h
+++ b/bench/replay_model.h
@@ -64,7 +64,9 @@
   struct replay_class_result classes[REPLAY_CLASS_LIMIT];
   struct replay_class_result all;
   double worst_window; /* earned of owed, the worst two seconds */
-  double busy;         /* share of the targets' cores that ran tasks */
+  uint32_t parts;      /* lent */
+  uint32_t parts_sent_back;
+  double busy; /* share of the targets' cores that ran tasks */
 };
 
 /* The users' sheet of sofnets on three domains of 16 targets.  */
--- a/src/controller/dispatch_room.c
+++ b/src/controller/dispatch_room.c
@@ -6,7 +6,8 @@
 
 enum
 {
-  ROOM_FIELDS = 4
+  FIELD_TARGETS = 4,
+  ROOM_FIELDS = FIELD_TARGETS + ROOM_FREE_TARGETS
 };
 
 void
@@ -23,6 +24,8 @@
       msgpack_pack_uint64 (&p, rooms[i].cpu_milli);
       msgpack_pack_uint64 (&p, rooms[i].free_cpu_milli);
       msgpack_pack_uint64 (&p, rooms[i].work_ahead);
+      for (uint32_t t = 0; t < ROOM_FREE_TARGETS; t++)
+        msgpack_pack_uint64 (&p, rooms[i].free_targets.milli[t]);
     }
 }
 
@@ -40,8 +43,10 @@
     room->cpu_milli = o->via.u64;
   else if (f == 2)
     room->free_cpu_milli = o->via.u64;
-  else
+  else if (f == 3)
     room->work_ahead = o->via.u64;
+  else
+    room->free_targets.milli[f - FIELD_TARGETS] = o->via.u64;
   return true;
 }
 
--- a/src/controller/dispatch_room.h
+++ b/src/controller/dispatch_room.h
@@ -5,6 +5,7 @@
 #include <msgpack.h>
 #include <stdint.h>
 #include "base/slice.h"
+#include "coord/room_free.h"
 #include "coord/service_document.h"
 
 /* The room for a service, as told to the entries.  */
@@ -13,6 +14,7 @@
   char service[DOCUMENT_NAME_BYTES];
   uint64_t cpu_milli; /* of the targets in use */
   uint64_t free_cpu_milli;
+  struct room_free free_targets;
   uint64_t work_ahead; /* thousandths of a core times ms */
 };
 
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -647,6 +647,13 @@
   return &rooms[(*count)++];
 }
 
+static void
+add_free (struct dispatch_room *room, uint64_t cpu_milli)
+{
+  room->free_cpu_milli += cpu_milli;
+  room_free_add (&room->free_targets, cpu_milli);
+}
+
 uint32_t
 dispatcher_rooms (const struct dispatcher *d, struct dispatch_room *rooms,
                   uint32_t limit)
@@ -666,7 +673,7 @@
         continue;
       room->cpu_milli += t->spec.cpu_milli;
       if (t->spec.cpu_milli > t->cpu_used)
-        room->free_cpu_milli += t->spec.cpu_milli - t->cpu_used;
+        add_free (room, t->spec.cpu_milli - t->cpu_used);
     }
   for (uint32_t i = 0; i < count; i++)
     rooms[i].work_ahead
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -155,6 +155,7 @@
       memcpy (r->service, rooms[i].service, sizeof r->service);
       r->cpu_milli = rooms[i].cpu_milli;
       r->free_cpu_milli = rooms[i].free_cpu_milli;
+      r->free_targets = rooms[i].free_targets;
       r->work_ahead = rooms[i].work_ahead;
     }
 }
--- a/src/controller/lending_controller.c
+++ b/src/controller/lending_controller.c
@@ -1,7 +1,9 @@
 #include "controller/lending_controller.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <utlist.h>
 #include "base/counters.h"
 #include "base/event_ring.h"
@@ -14,6 +16,7 @@
 {
   struct lending_controller *lending;
   struct run_job *job;
+  char taker[NAME_BYTES];
   uint32_t first;
   uint32_t count;
   struct entry_job *order;
@@ -21,6 +24,14 @@
   struct lent_part *next;
 };
 
+static void
+note_refusal (struct job_entry *n, const char *taker)
+{
+  for (uint32_t i = 0; i < n->dispatcher_count; i++)
+    if (strcmp (n->dispatchers[i].vm, taker) == 0)
+      task_lending_refused (&n->dispatchers[i], now_ms ());
+}
+
 static void
 on_answered (void *arg, const struct job_answer *a)
 {
@@ -35,6 +46,8 @@
                     "first=%u count=%u result=%s reason=%s", p->first,
                     p->count, job_result_name (a->result),
                     refusal_reason_name (a->reason));
+  if (a->result == JOB_REFUSED)
+    note_refusal (p->lending->entry, p->taker);
   DL_DELETE (p->lending->parts, p);
   run_scheduler_returned (&d->scheduler, now_ms (), p->job, p->first, p->count,
                           a->result, a->reason);
@@ -53,6 +66,7 @@
   *p = (struct lent_part){
     .lending = l, .job = o->job, .first = o->first, .count = o->count
   };
+  snprintf (p->taker, sizeof p->taker, "%s", o->to->vm);
   DL_APPEND (l->parts, p);
   run_scheduler_lend (&n->dispatcher.scheduler, now, o->job, o->first,
                       o->count);
--- a/src/coord/job_router.h
+++ b/src/coord/job_router.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 #include "base/settings.h"
 #include "coord/job_spec.h"
+#include "coord/room_free.h"
 
 enum
 {
@@ -26,8 +27,9 @@
   char service[DOCUMENT_NAME_BYTES];
   uint64_t cpu_milli;
   uint64_t free_cpu_milli;
-  uint64_t work_ahead;     /* thousandths of a core times ms */
-  uint64_t sent_cpu_milli; /* sent there since this was heard */
+  struct room_free free_targets; /* less what was lent since */
+  uint64_t work_ahead;           /* thousandths of a core times ms */
+  uint64_t sent_cpu_milli;       /* sent there since this was heard */
   uint64_t sent_work;
 };
 
@@ -39,6 +41,7 @@
   bool retired;     /* has jobs of ours and gets no more */
   int64_t heard_ms; /* when the rooms were told; 0: never */
   int64_t asked_ms; /* when the rooms were last asked for to lend tasks */
+  int64_t full_ms;  /* when it last sent tasks back: older rooms are wrong */
   struct route_room rooms[ROUTE_ROOM_LIMIT];
   uint32_t room_count;
 };
--- a/src/coord/task_lending.c
+++ b/src/coord/task_lending.c
@@ -8,10 +8,7 @@
 enum
 {
   /* Rooms older than this are not believed.  */
-  LENDING_FRESH_MS = 40,
-
-  /* Part of the free cores that is taken to fit whole tasks.  */
-  LENDING_CPU_PERCENT = 70
+  LENDING_FRESH_MS = 40
 };
 
 static struct route_room *
@@ -23,23 +20,17 @@
   return NULL;
 }
 
-/* The number of tasks of STEP that D is taken to have room for.  */
+/* The number of tasks of STEP that D has room for.  */
 static uint32_t
 room_for (struct route_dispatcher *d, const struct run_job *j,
           const struct job_step *step, int64_t now)
 {
   const struct route_room *r = room_of (d, j->spec.service);
-  uint64_t free_cpu;
 
   if (!d->reachable || r == NULL || r->work_ahead != 0
-      || now - d->heard_ms > LENDING_FRESH_MS)
-    return 0;
-  free_cpu = r->free_cpu_milli * LENDING_CPU_PERCENT / 100;
-  if (free_cpu <= r->sent_cpu_milli)
+      || now - d->heard_ms > LENDING_FRESH_MS || d->heard_ms <= d->full_ms)
     return 0;
-  if (step->cpu_milli == 0)
-    return JOB_TASK_LIMIT;
-  return (uint32_t)((free_cpu - r->sent_cpu_milli) / step->cpu_milli);
+  return room_free_tasks (&r->free_targets, step->cpu_milli, JOB_TASK_LIMIT);
 }
 
 /* The dispatcher with most room for tasks of STEP, those of DOMAIN first.  */
@@ -118,8 +109,8 @@
           if (range > room)
             range = room;
           offers[made++] = (struct lending_offer){ j, at, range, to };
-          room_of (to, j->spec.service)->sent_cpu_milli
-              += range * step->cpu_milli;
+          room_free_take (&room_of (to, j->spec.service)->free_targets,
+                          step->cpu_milli, range);
           at += range;
         }
     }
@@ -201,6 +192,12 @@
   return due;
 }
 
+void
+task_lending_refused (struct route_dispatcher *to, int64_t now)
+{
+  to->full_ms = now;
+}
+
 void
 task_lending_spec (const struct lending_offer *o, int64_t now,
                    struct job_spec *spec)
--- a/src/coord/task_lending.h
+++ b/src/coord/task_lending.h
@@ -52,6 +52,10 @@
                            const char *domain, int64_t now_ms,
                            struct route_dispatcher **asked);
 
+/* TO has sent tasks back: nothing is offered before its rooms are told
+   anew.  */
+void task_lending_refused (struct route_dispatcher *to, int64_t now_ms);
+
 /* The job of which an offer is made, as its taker gets it.  */
 void task_lending_spec (const struct lending_offer *o, int64_t now_ms,
                         struct job_spec *spec);
