Two findings of the soak: silent connections, and orders from before a freeze

A keeper answers an entry's beats only with changes, so the entry could not tell, and acknowledged bytes do not stop TCP's own timeout. Ruled out: TCP_USER_TIMEOUT and keep-alive probes (the bytes are acknowledged by the host); answers to every beat (the square of the entries at the keepers). Change: a connection on which nothing came for 0.7 s is asked for a sign of life (PEER_PING) and closed after 2.1 s, at either end, but not by a process that stood still itself; a silent sender's jobs are stopped but its connection's delay is kept, and an order that comes first on a connection is refused as stale. Peer protocol version 3. Tests: suite silence; both fail with the mechanism off.

--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -62,6 +62,8 @@
        "read the reason; overload wants more targets")                        \
   ROW (337, DISPATCH_ROUTED, INFO, "job sent to another dispatcher",          \
        "nothing")                                                             \
+  ROW (509, PEER_SILENT, WARN, "nothing came from a peer; connection closed", \
+       "look for a cut or a VM that stands still")                            \
   ROW (338, TASKS_LENT, INFO, "tasks given to another dispatcher to run",     \
        "nothing")                                                             \
   ROW (339, TASKS_RETURNED, INFO, "lent tasks came back without being done",  \
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -250,8 +250,8 @@
 }
 
 static void
-drop_coordinator (struct dispatcher *d, struct coordinator *c, int64_t now,
-                  const char *why)
+cancel_jobs (struct dispatcher *d, struct coordinator *c, int64_t now,
+             const char *why)
 {
   uint32_t n = 0;
 
@@ -263,25 +263,34 @@
       cancel_job (d, j, now);
       n++;
     }
-  if (n != 0)
-    event_ring_add (EVENT_COORDINATOR_LOST, c->vm,
-                    "why=%s jobs=%u silent_ms=%" PRId64, why, n,
-                    now - c->heard_ms);
+  if (n == 0)
+    return;
+  event_ring_add (EVENT_COORDINATOR_LOST, c->vm,
+                  "why=%s jobs=%u silent_ms=%" PRId64, why, n,
+                  now - c->heard_ms);
+  want_pass (d);
+}
+
+static void
+drop_coordinator (struct dispatcher *d, struct coordinator *c, int64_t now,
+                  const char *why)
+{
+  cancel_jobs (d, c, now, why);
   DL_DELETE (d->coordinators, c);
   peer_conn_release (c->conn);
   free (c);
-  want_pass (d);
 }
 
+/* The coordinators stay until their connections end: how quick they were tells
+   what comes late from them.  */
 static void
-drop_silent_coordinators (struct dispatcher *d, int64_t now)
+stop_for_silent_coordinators (struct dispatcher *d, int64_t now)
 {
   struct coordinator *c;
-  struct coordinator *next;
 
-  DL_FOREACH_SAFE (d->coordinators, c, next)
+  DL_FOREACH (d->coordinators, c)
   if (now - c->heard_ms > COORDINATOR_SILENT_MS)
-    drop_coordinator (d, c, now, "silent");
+    cancel_jobs (d, c, now, "silent");
 }
 
 static void
@@ -292,7 +301,7 @@
 
   (void)fd;
   (void)what;
-  drop_silent_coordinators (d, now);
+  stop_for_silent_coordinators (d, now);
   drop_lost_runners (d, now);
   if (d->scheduler.jobs != NULL)
     pass (d, now);
@@ -482,9 +491,16 @@
   return NULL;
 }
 
-/* Takes in that FROM sent something at SENT_MS by its own clock.  Returns
-   whether it came as quickly as it should.  */
+/* Whether what C sent at SENT_MS by its own clock has come as quickly as it
+   should.  Nothing is known of the first message of a connection.  */
 static bool
+is_timely (const struct coordinator *c, int64_t now, int64_t sent_ms)
+{
+  return c->has_delay && now - sent_ms - c->least_delay_ms <= ORDER_STALE_MS;
+}
+
+/* Takes in a sign of life that C sent at SENT_MS.  */
+static void
 hear (struct coordinator *c, int64_t now, int64_t sent_ms)
 {
   int64_t delay = now - sent_ms;
@@ -492,10 +508,8 @@
   if (!c->has_delay || delay < c->least_delay_ms)
     c->least_delay_ms = delay;
   c->has_delay = true;
-  if (delay - c->least_delay_ms > ORDER_STALE_MS)
-    return false;
-  c->heard_ms = now;
-  return true;
+  if (is_timely (c, now, sent_ms))
+    c->heard_ms = now;
 }
 
 static void
@@ -507,8 +521,9 @@
   enum refusal_reason reason = REFUSAL_STALE;
   int64_t retry_ms = 0;
   struct dispatch_job *j = NULL;
-  bool timely = hear (c, now, m->sent_ms);
+  bool timely = is_timely (c, now, m->sent_ms);
 
+  hear (c, now, m->sent_ms);
   memset (&spec, 0, sizeof spec);
   spec.priority = (uint32_t)m->priority;
   spec.attempts = (uint32_t)m->attempts;
--- a/src/net/peer_conn.c
+++ b/src/net/peer_conn.c
@@ -2,11 +2,13 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <inttypes.h>
 #include <openssl/rand.h>
 #include <stdlib.h>
 #include <string.h>
 #include "base/counters.h"
 #include "base/event_ring.h"
+#include "base/now.h"
 
 enum
 {
@@ -162,6 +164,17 @@
   return NULL;
 }
 
+static void
+take_message (struct peer_conn *c, const struct peer_message *m)
+{
+  const struct peer_message pong = { .type = PEER_PONG };
+
+  if (m->type == PEER_PING)
+    send_frame (c, &pong);
+  else if (m->type != PEER_PONG)
+    c->events->message (c->arg, c, m);
+}
+
 /* Returns NULL or what is wrong with the frame.  */
 static const char *
 take_frame (struct peer_conn *c, const uint8_t *frame, uint32_t length)
@@ -178,9 +191,10 @@
   counters_add (COUNTER_PEER_FRAMES_IN, 1);
   counters_add (COUNTER_PEER_BYTES_IN, length + sizeof length);
   event_ring_observe (m.clock);
+  c->heard_ms = now_ms ();
   if (c->ready)
     {
-      c->events->message (c->arg, c, &m);
+      take_message (c, &m);
       return NULL;
     }
   fault = take_hello (c, &m);
@@ -189,6 +203,24 @@
   return fault;
 }
 
+void
+peer_conn_check (struct peer_conn *c, int64_t now, int64_t ask_ms,
+                 int64_t dead_ms)
+{
+  const struct peer_message ping = { .type = PEER_PING };
+
+  if (!c->ready || now - c->heard_ms < ask_ms)
+    return;
+  if (now - c->heard_ms < dead_ms)
+    {
+      send_frame (c, &ping);
+      return;
+    }
+  event_ring_add (EVENT_PEER_SILENT, c->vm, "silent_ms=%" PRId64,
+                  now - c->heard_ms);
+  fail (c);
+}
+
 static void
 refuse (struct peer_conn *c, const char *fault)
 {
--- a/src/net/peer_conn.h
+++ b/src/net/peer_conn.h
@@ -37,6 +37,7 @@
   /* the other side, once ready */
   char vm[NAME_BYTES];
   uint64_t boot_id;
+  int64_t heard_ms; /* when the last frame came */
 
   struct bufferevent *bev;
   struct frame_seal seal;
@@ -63,6 +64,11 @@
    ready or has too much unsent.  */
 bool peer_conn_send (struct peer_conn *c, const struct peer_message *m);
 
+/* Closes the connection and tells its holder, if nothing has come for
+   DEAD_MS; asks for a sign of life after ASK_MS.  */
+void peer_conn_check (struct peer_conn *c, int64_t now_ms, int64_t ask_ms,
+                      int64_t dead_ms);
+
 /* Closes the transport; the closed callback is not called.  */
 void peer_conn_close (struct peer_conn *c);
 
--- a/src/net/peer_message.c
+++ b/src/net/peer_message.c
@@ -142,6 +142,8 @@
   [PEER_JOB_CANCEL] = { false, { U (job_cancel.id) } },
   [PEER_KEEP] = { false, { I (keep.sent_ms) } },
   [PEER_ROOM] = { false, { I (room.echo_ms), B (room.text) } },
+  [PEER_PING] = { true, { U (ping.unused) } },
+  [PEER_PONG] = { true, { U (ping.unused) } },
 };
 
 #undef U
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -11,7 +11,7 @@
 
 enum
 {
-  PEER_PROTOCOL_VERSION = 2
+  PEER_PROTOCOL_VERSION = 3
 };
 
 enum peer_message_type
@@ -44,6 +44,8 @@
   PEER_JOB_CANCEL,
   PEER_KEEP,
   PEER_ROOM,
+  PEER_PING, /* asks for a sign of life; the connection itself answers */
+  PEER_PONG,
   PEER_MESSAGE_TYPES
 };
 
@@ -310,6 +312,12 @@
   struct slice text; /* packed: service, free, total, backlog */
 };
 
+/* PEER_PING and PEER_PONG carry nothing.  */
+struct peer_ping
+{
+  uint64_t unused;
+};
+
 struct peer_message
 {
   enum peer_message_type type;
@@ -343,6 +351,7 @@
     struct peer_job_cancel job_cancel;
     struct peer_keep keep;
     struct peer_room room;
+    struct peer_ping ping;
   } u;
 };
 
--- a/src/net/peer_network.c
+++ b/src/net/peer_network.c
@@ -22,6 +22,13 @@
   /* An attempt that has taken so long hangs: a handshake takes a few ms.  */
   HANGING_MS = 100,
 
+  /* A connection on which nothing has come for some time is asked for a sign
+     of life; one without any is closed: bytes may vanish in silence though
+     the transport looks well.  */
+  ASK_MS = 700,
+  DEAD_MS = 2100,
+  CHECK_MS = 350,
+
   /* A connection with bytes unacknowledged for so long is closed.  */
   SILENT_PEER_MS = 2500
 };
@@ -65,6 +72,9 @@
   const struct peer_network_events *events;
   void *arg;
   struct evconnlistener *listener;
+  struct event *check;
+  int64_t checked_ms;
+  int64_t still_until_ms; /* no check before: this process stood still */
   struct link **links;
   uint32_t link_count;
   struct accepted *accepted;
@@ -353,6 +363,33 @@
   peer_conn_start (a->conn);
 }
 
+/* A process that stood still has not read what came meanwhile.  */
+static void
+on_check (evutil_socket_t fd, short what, void *arg)
+{
+  struct peer_network *n = arg;
+  int64_t now = now_ms ();
+  int64_t stood_ms = now - n->checked_ms - CHECK_MS;
+  struct accepted *a;
+  struct accepted *next;
+
+  (void)fd;
+  (void)what;
+  n->checked_ms = now;
+  if (stood_ms > CHECK_MS)
+    n->still_until_ms = now + CHECK_MS;
+  if (now < n->still_until_ms)
+    return;
+  for (uint32_t i = 0; i < n->link_count; i++)
+    if (n->links[i]->conn != NULL)
+      peer_conn_check (n->links[i]->conn, now, ASK_MS, DEAD_MS);
+  for (a = n->accepted; a != NULL; a = next)
+    {
+      next = a->next;
+      peer_conn_check (a->conn, now, ASK_MS, DEAD_MS);
+    }
+}
+
 struct peer_network *
 peer_network_new (struct event_base *base, const struct settings *s,
                   uint64_t boot_id, const struct peer_network_events *ev,
@@ -360,6 +397,7 @@
 {
   struct peer_network *n = calloc (1, sizeof *n);
   struct sockaddr_storage at;
+  struct timeval every = now_timeval (CHECK_MS);
   uint16_t port
       = s->peer_listen_port != 0 ? s->peer_listen_port : s->peer_port;
   int length = fill_address (s->address, port, &at);
@@ -380,6 +418,9 @@
       free (n);
       return NULL;
     }
+  n->checked_ms = now_ms ();
+  n->check = event_new (base, -1, EV_PERSIST, on_check, n);
+  event_add (n->check, &every);
   return n;
 }
 
@@ -399,6 +440,7 @@
 peer_network_free (struct peer_network *n)
 {
   evconnlistener_free (n->listener);
+  event_free (n->check);
   lose_calls (n, NULL);
   for (uint32_t i = 0; i < n->link_count; i++)
     link_free (n->links[i]);
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -24,6 +24,7 @@
 void suite_keepers (void);
 void suite_lending (void);
 void suite_load (void);
+void suite_silence (void);
 void suite_placement (void);
 void suite_scheduler (void);
 void suite_platform (void);
