The log tells when a target is ejected and when it returns

Change: run_scheduler_output.health; TARGET_EJECTED with the faults and the slowness that decided, TARGET_RETURNED with the slowness.

--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -374,7 +374,7 @@
 }
 
 static const struct run_scheduler_output output
-    = { on_start, on_stop, on_finished, on_recall };
+    = { on_start, on_stop, on_finished, on_recall, NULL };
 
 static void
 add_free (struct route_room *r, const struct run_target *t)
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -166,8 +166,23 @@
   d->lending.recall (d->lending.arg, j);
 }
 
+static void
+on_health (void *arg, const struct run_target *t)
+{
+  const struct target_health *h = &t->health;
+
+  (void)arg;
+  if (h->ejected)
+    event_ring_add (EVENT_TARGET_EJECTED, t->spec.id,
+                    "faults=%u slowness=%.2f pause_ms=%" PRId64 " runs=%u",
+                    h->fault_streak, h->slowness, h->pause_ms, t->run_count);
+  else
+    event_ring_add (EVENT_TARGET_RETURNED, t->spec.id, "slowness=%.2f",
+                    h->slowness);
+}
+
 static const struct run_scheduler_output scheduler_output
-    = { on_start, on_stop, on_finished, on_recall };
+    = { on_start, on_stop, on_finished, on_recall, on_health };
 
 /* Ends what ran on a target that is no longer this VM's.  The next owner
    stops the runs, so nobody here can say how they end.  */
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -293,6 +293,24 @@
   }
 }
 
+static void
+tell_health (struct run_scheduler *s, const struct run_target *t)
+{
+  if (s->output->health != NULL)
+    s->output->health (s->arg, t);
+}
+
+/* A run on T has taken RATIO times as long as expected.  */
+static void
+note_success (struct run_scheduler *s, struct run_target *t, double ratio)
+{
+  bool was_ejected = t->health.ejected;
+
+  target_health_success (&t->health, ratio);
+  if (was_ejected)
+    tell_health (s, t);
+}
+
 static void
 note_fault (struct run_scheduler *s, struct run_target *t, int64_t now,
             const struct run_job *j)
@@ -304,7 +322,10 @@
     ejected += s->targets[i]->health.ejected;
   if (target_health_is_bad (&t->health)
       && ejected < target_health_ejected_limit (s->target_count))
-    target_health_eject (&t->health, now);
+    {
+      target_health_eject (&t->health, now);
+      tell_health (s, t);
+    }
 }
 
 static void
@@ -486,7 +507,7 @@
       if (k->expected_ms == k->near_ms)
         work_estimate_add (&s->estimate, j->spec.queue,
                            j->spec.steps[k->step].estimate_ms, elapsed);
-      target_health_success (&t->health, (double)elapsed / expected);
+      note_success (s, t, (double)elapsed / expected);
       task_done (s, j, task);
     }
   else if (j->closed)
--- a/src/coord/run_scheduler.h
+++ b/src/coord/run_scheduler.h
@@ -49,6 +49,8 @@
                     enum refusal_reason reason, int64_t retry_ms);
   /* The lent tasks of J are no longer wanted.  NULL where none is lent.  */
   void (*recall) (void *arg, struct run_job *j);
+  /* T is ejected, or admitted again; may be NULL.  */
+  void (*health) (void *arg, const struct run_target *t);
 };
 
 struct run_scheduler
