--- a/Makefile
+++ b/Makefile
@@ -125,6 +125,7 @@
 	@echo "prove     show that each scenario fails with its mechanism off"
 	@echo "soak      random faults: SEED=n MINUTES=m"
 	@echo "bench     measure; QUICK=1 in under 50 s"
+	@echo "replay    load patterns in the model: build/replay --help"
 	@echo "capacity  measure the slopes of docs/CAPACITY.md again"
 	@echo "lint      formatter and linter"
 
