--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -9,6 +9,7 @@
 #include "base/event_ring.h"
 #include "base/histogram.h"
 #include "base/now.h"
+#include "controller/entry_dispatchers.h"
 #include "controller/entry_view.h"
 
 enum
@@ -16,15 +17,6 @@
   TICK_MS = 25,
   BEAT_MS = 300,
 
-  /* Dispatchers are asked for their room so often; those elsewhere seldom,
-     unless they have jobs of ours and must know that we live.  */
-  POLL_NEAR_MS = 150,
-  POLL_FAR_MS = 300,
-
-  /* A dispatcher that has jobs of ours and says nothing for so long is taken
-     for lost.  */
-  DISPATCHER_SILENT_MS = 900,
-
   /* A tick that comes so much late means that the process stood still.  */
   STALL_MS = 250,
 
@@ -132,48 +124,6 @@
   take_result (j->entry, now_ms (), j, result, reason, retry_ms);
 }
 
-static struct route_dispatcher *
-find_dispatcher (struct job_entry *n, const char *vm)
-{
-  for (uint32_t i = 0; i < n->dispatcher_count; i++)
-    if (strcmp (n->dispatchers[i].vm, vm) == 0)
-      return &n->dispatchers[i];
-  return NULL;
-}
-
-static void
-set_rooms (struct route_dispatcher *d, const struct dispatch_room *rooms,
-           uint32_t count, int64_t now)
-{
-  d->heard_ms = now;
-  d->room_count = count;
-  for (uint32_t i = 0; i < count; i++)
-    {
-      struct route_room *r = &d->rooms[i];
-
-      memset (r, 0, sizeof *r);
-      memcpy (r->service, rooms[i].service, sizeof r->service);
-      r->cpu_milli = rooms[i].cpu_milli;
-      r->free_cpu_milli = rooms[i].free_cpu_milli;
-      r->free_targets = rooms[i].free_targets;
-      r->work_ahead = rooms[i].work_ahead;
-    }
-}
-
-/* What is known of the others is a moment old; of this VM it is not.  */
-static void
-refresh_own_rooms (struct job_entry *n, int64_t now)
-{
-  struct route_dispatcher *d = find_dispatcher (n, n->settings->peer.vm);
-  struct dispatch_room rooms[ROUTE_ROOM_LIMIT];
-
-  if (d == NULL)
-    return;
-  d->reachable = true;
-  set_rooms (d, rooms,
-             dispatcher_rooms (&n->dispatcher, rooms, ROUTE_ROOM_LIMIT), now);
-}
-
 static bool
 send_job (struct job_entry *n, int64_t now, struct entry_job *j,
           const char *vm)
@@ -241,7 +191,7 @@
 static void
 route (struct job_entry *n, int64_t now, struct entry_job *j)
 {
-  refresh_own_rooms (n, now);
+  entry_dispatchers_refresh_own (n, now);
   while (j->tried_count < ROUTE_TRY_LIMIT)
     {
       struct route_dispatcher *d = job_router_choose (
@@ -308,16 +258,6 @@
   return j;
 }
 
-void
-job_entry_ask_room (struct job_entry *n, int64_t now,
-                    const struct route_dispatcher *d)
-{
-  struct peer_message m = { .type = PEER_KEEP };
-
-  m.u.keep.sent_ms = now;
-  peer_network_send (n->network, d->vm, &m);
-}
-
 static void
 send_cancel (struct job_entry *n, const struct entry_job *j)
 {
@@ -373,19 +313,10 @@
   return &n->document;
 }
 
-static bool
-has_dispatcher (const struct job_entry *n)
-{
-  for (uint32_t i = 0; i < n->dispatcher_count; i++)
-    if (n->dispatchers[i].reachable && n->dispatchers[i].room_count != 0)
-      return true;
-  return false;
-}
-
 bool
 job_entry_is_ready (const struct job_entry *n)
 {
-  return !n->leaving && n->document.version != 0 && has_dispatcher (n);
+  return !n->leaving && n->document.version != 0 && entry_dispatchers_any (n);
 }
 
 static struct entry_job *
@@ -410,24 +341,6 @@
                  (enum refusal_reason)m->reason, m->retry_ms);
 }
 
-static void
-receive_room (struct job_entry *n, int64_t now, const char *vm,
-              const struct peer_room *m)
-{
-  struct route_dispatcher *d = find_dispatcher (n, vm);
-  struct dispatch_room rooms[ROUTE_ROOM_LIMIT];
-
-  if (d == NULL)
-    return;
-  d->reachable = true;
-  if (d->retired)
-    d->heard_ms = now;
-  else
-    set_rooms (d, rooms,
-               dispatch_rooms_unpack (rooms, ROUTE_ROOM_LIMIT, m->text), now);
-  lending_controller_room_heard (&n->lending);
-}
-
 static void
 on_message (void *arg, struct peer_conn *from, const struct peer_message *m)
 {
@@ -451,7 +364,7 @@
       receive_end (n, now, from->vm, &m->u.job_end);
       break;
     case PEER_ROOM:
-      receive_room (n, now, from->vm, &m->u.room);
+      entry_dispatchers_receive_room (n, now, from->vm, &m->u.room);
       break;
     default:
       break;
@@ -473,7 +386,7 @@
 on_link (void *arg, const char *vm, bool up)
 {
   struct job_entry *n = arg;
-  struct route_dispatcher *d = find_dispatcher (n, vm);
+  struct route_dispatcher *d = entry_dispatchers_find (n, vm);
 
   if (d != NULL)
     {
@@ -512,32 +425,6 @@
   return false;
 }
 
-/* Asks the dispatchers for their rooms; those that say nothing while they have
-   jobs of ours are given up.  */
-static void
-poll_dispatchers (struct job_entry *n, int64_t now)
-{
-  n->poll_ms = now;
-  for (uint32_t i = 0; i < n->dispatcher_count; i++)
-    {
-      struct route_dispatcher *d = &n->dispatchers[i];
-      bool busy;
-
-      if (strcmp (d->vm, n->settings->peer.vm) == 0)
-        continue;
-      busy = job_entry_has_jobs_at (n, d->vm);
-      if (busy && d->reachable && d->heard_ms != 0
-          && now - d->heard_ms > DISPATCHER_SILENT_MS)
-        {
-          peer_network_reset (n->network, d->vm);
-          continue;
-        }
-      if (busy || strcmp (d->domain, n->settings->peer.domain) == 0
-          || now - d->heard_ms >= POLL_FAR_MS)
-        job_entry_ask_room (n, now, d);
-    }
-}
-
 static void
 expire_jobs (struct job_entry *n, int64_t now)
 {
@@ -566,8 +453,7 @@
                     now - n->tick_ms);
   n->tick_ms = now;
   expire_jobs (n, now);
-  if (now - n->poll_ms >= POLL_NEAR_MS)
-    poll_dispatchers (n, now);
+  entry_dispatchers_poll (n, now);
   if (released != n->released_told)
     {
       n->released_told = released;
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -105,10 +105,6 @@
                                          const char *vm, job_answered answered,
                                          void *arg);
 
-/* Asks D, which is not this VM, for its rooms.  */
-void job_entry_ask_room (struct job_entry *n, int64_t now_ms,
-                         const struct route_dispatcher *d);
-
 /* The caller has gone.  */
 void job_entry_cancel (struct job_entry *n, int64_t now_ms,
                        struct entry_job *j);
--- /dev/null
+++ b/src/controller/keeper_state.c
@@ -0,0 +1,136 @@
+#include "controller/keeper_state.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/counters.h"
+#include "base/event_ring.h"
+#include "base/json_check.h"
+
+static void
+set_document (struct quorum_keeper *k, uint64_t version, const char *text)
+{
+  free (k->document);
+  k->document = strdup (text);
+  k->document_version = version;
+}
+
+static void
+apply_document (struct quorum_keeper *k, uint64_t index, const json_t *o)
+{
+  uint64_t version = (uint64_t)json_get_integer (o, "version", 0);
+
+  if (version <= k->document_version)
+    {
+      event_ring_add (EVENT_CONFIG_REFUSED, k->settings->name,
+                      "version=%" PRIu64 " held=%" PRIu64 " index=%" PRIu64
+                      " why=not_newer",
+                      version, k->document_version, index);
+      return;
+    }
+  set_document (k, version, json_get_text (o, "text", ""));
+  counters_add (COUNTER_CONFIG_ACCEPTED, 1);
+  event_ring_add (EVENT_CONFIG_ACCEPTED, k->settings->name,
+                  "version=%" PRIu64 " index=%" PRIu64 " term=%" PRIu64,
+                  version, index, k->log.term);
+}
+
+static void
+set_applied (json_t **applied, json_t *list)
+{
+  json_incref (list);
+  json_decref (*applied);
+  *applied = list;
+}
+
+static void
+put_targets (struct quorum_keeper *k, const json_t *list)
+{
+  size_t i;
+  json_t *o;
+
+  json_array_foreach (list, i, o)
+      json_object_set (k->applied_targets, json_get_text (o, "id", ""), o);
+}
+
+/* The targets that were known change: "put" and "drop", or all of them in a
+   "list", as earlier versions wrote them.  */
+static void
+apply_targets (struct quorum_keeper *k, const json_t *o)
+{
+  const json_t *list = json_object_get (o, "list");
+  size_t i;
+  json_t *id;
+
+  if (list != NULL)
+    json_object_clear (k->applied_targets);
+  put_targets (k, list);
+  put_targets (k, json_object_get (o, "put"));
+  json_array_foreach (json_object_get (o, "drop"), i, id)
+      json_object_del (k->applied_targets, json_string_value (id));
+}
+
+static json_t *
+targets_list (const struct quorum_keeper *k)
+{
+  json_t *list = json_array ();
+  const char *id;
+  json_t *o;
+
+  json_object_foreach (k->applied_targets, id, o) json_array_append (list, o);
+  return list;
+}
+
+void
+keeper_state_apply (struct quorum_keeper *k, uint64_t index, const json_t *o)
+{
+  const char *type = json_get_text (o, "type", "");
+
+  if (strcmp (type, "document") == 0)
+    apply_document (k, index, o);
+  else if (strcmp (type, "targets") == 0)
+    apply_targets (k, o);
+  else
+    set_applied (&k->applied_voters, json_object_get (o, "list"));
+}
+
+void
+keeper_state_reset (struct quorum_keeper *k)
+{
+  json_decref (k->applied_voters);
+  k->applied_voters = json_array ();
+  json_decref (k->applied_targets);
+  k->applied_targets = json_object ();
+}
+
+char *
+keeper_state_snapshot (void *arg, uint32_t *length)
+{
+  struct quorum_keeper *k = arg;
+  json_t *o = json_pack ("{s:I s:s s:O s:o}", "version",
+                         (json_int_t)k->document_version, "text",
+                         k->document == NULL ? "" : k->document, "voters",
+                         k->applied_voters, "targets", targets_list (k));
+  char *text = json_dumps (o, JSON_COMPACT);
+
+  json_decref (o);
+  *length = (uint32_t)strlen (text);
+  return text;
+}
+
+void
+keeper_state_load (void *arg, uint64_t index, const char *data,
+                   uint32_t length)
+{
+  struct quorum_keeper *k = arg;
+  json_t *o = json_loadb (data, length, 0, NULL);
+  uint64_t version = (uint64_t)json_get_integer (o, "version", 0);
+
+  (void)index;
+  if (version > k->document_version)
+    set_document (k, version, json_get_text (o, "text", ""));
+  set_applied (&k->applied_voters, json_object_get (o, "voters"));
+  json_object_clear (k->applied_targets);
+  put_targets (k, json_object_get (o, "targets"));
+  json_decref (o);
+}
--- a/src/controller/lending_controller.c
+++ b/src/controller/lending_controller.c
@@ -3,11 +3,11 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 #include <utlist.h>
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "base/now.h"
+#include "controller/entry_dispatchers.h"
 #include "controller/job_entry.h"
 #include "coord/task_lending.h"
 
@@ -27,9 +27,10 @@
 static void
 note_refusal (struct job_entry *n, const char *taker)
 {
-  for (uint32_t i = 0; i < n->dispatcher_count; i++)
-    if (strcmp (n->dispatchers[i].vm, taker) == 0)
-      task_lending_refused (&n->dispatchers[i], now_ms ());
+  struct route_dispatcher *d = entry_dispatchers_find (n, taker);
+
+  if (d != NULL)
+    task_lending_refused (d, now_ms ());
 }
 
 static void
@@ -99,7 +100,7 @@
   count = task_lending_ask (n->dispatchers, n->dispatcher_count, self, domain,
                             now, asked);
   for (uint32_t i = 0; i < count; i++)
-    job_entry_ask_room (n, now, asked[i]);
+    entry_dispatchers_ask (n, now, asked[i]);
 }
 
 static void
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -12,6 +12,7 @@
 #include "base/json_check.h"
 #include "base/now.h"
 #include "controller/entry_links.h"
+#include "controller/keeper_state.h"
 #include "controller/quorum_members.h"
 
 enum
@@ -72,34 +73,6 @@
   peer_network_send (k->network, k->peers[to].member.address, m);
 }
 
-static void
-set_document (struct quorum_keeper *k, uint64_t version, const char *text)
-{
-  free (k->document);
-  k->document = strdup (text);
-  k->document_version = version;
-}
-
-static void
-apply_document (struct quorum_keeper *k, uint64_t index, const json_t *o)
-{
-  uint64_t version = (uint64_t)json_get_integer (o, "version", 0);
-
-  if (version <= k->document_version)
-    {
-      event_ring_add (EVENT_CONFIG_REFUSED, k->settings->name,
-                      "version=%" PRIu64 " held=%" PRIu64 " index=%" PRIu64
-                      " why=not_newer",
-                      version, k->document_version, index);
-      return;
-    }
-  set_document (k, version, json_get_text (o, "text", ""));
-  counters_add (COUNTER_CONFIG_ACCEPTED, 1);
-  event_ring_add (EVENT_CONFIG_ACCEPTED, k->settings->name,
-                  "version=%" PRIu64 " index=%" PRIu64 " term=%" PRIu64,
-                  version, index, k->log.term);
-}
-
 static void
 call_end (struct quorum_keeper *k, struct keeper_call *c,
           enum document_result result)
@@ -127,52 +100,6 @@
     call_end (k, c, DOCUMENT_TAKEN);
 }
 
-static void
-set_applied (json_t **applied, json_t *list)
-{
-  json_incref (list);
-  json_decref (*applied);
-  *applied = list;
-}
-
-static void
-put_targets (struct quorum_keeper *k, const json_t *list)
-{
-  size_t i;
-  json_t *o;
-
-  json_array_foreach (list, i, o)
-      json_object_set (k->applied_targets, json_get_text (o, "id", ""), o);
-}
-
-/* The targets that were known change: "put" and "drop", or all of them in a
-   "list", as earlier versions wrote them.  */
-static void
-apply_targets (struct quorum_keeper *k, const json_t *o)
-{
-  const json_t *list = json_object_get (o, "list");
-  size_t i;
-  json_t *id;
-
-  if (list != NULL)
-    json_object_clear (k->applied_targets);
-  put_targets (k, list);
-  put_targets (k, json_object_get (o, "put"));
-  json_array_foreach (json_object_get (o, "drop"), i, id)
-      json_object_del (k->applied_targets, json_string_value (id));
-}
-
-static json_t *
-targets_list (const struct quorum_keeper *k)
-{
-  json_t *list = json_array ();
-  const char *id;
-  json_t *o;
-
-  json_object_foreach (k->applied_targets, id, o) json_array_append (list, o);
-  return list;
-}
-
 static void
 apply (void *arg, uint64_t index, const struct log_entry *e)
 {
@@ -182,47 +109,11 @@
   if (e->length == 0)
     return;
   o = json_loadb (e->data, e->length, 0, NULL);
-  if (strcmp (json_get_text (o, "type", ""), "document") == 0)
-    apply_document (k, index, o);
-  else if (strcmp (json_get_text (o, "type", ""), "targets") == 0)
-    apply_targets (k, o);
-  else
-    set_applied (&k->applied_voters, json_object_get (o, "list"));
+  keeper_state_apply (k, index, o);
   json_decref (o);
   answer_applied (k, index);
 }
 
-static char *
-take_snapshot (void *arg, uint32_t *length)
-{
-  struct quorum_keeper *k = arg;
-  json_t *o = json_pack ("{s:I s:s s:O s:o}", "version",
-                         (json_int_t)k->document_version, "text",
-                         k->document == NULL ? "" : k->document, "voters",
-                         k->applied_voters, "targets", targets_list (k));
-  char *text = json_dumps (o, JSON_COMPACT);
-
-  json_decref (o);
-  *length = (uint32_t)strlen (text);
-  return text;
-}
-
-static void
-load_snapshot (void *arg, uint64_t index, const char *data, uint32_t length)
-{
-  struct quorum_keeper *k = arg;
-  json_t *o = json_loadb (data, length, 0, NULL);
-  uint64_t version = (uint64_t)json_get_integer (o, "version", 0);
-
-  (void)index;
-  if (version > k->document_version)
-    set_document (k, version, json_get_text (o, "text", ""));
-  set_applied (&k->applied_voters, json_object_get (o, "voters"));
-  json_object_clear (k->applied_targets);
-  put_targets (k, json_object_get (o, "targets"));
-  json_decref (o);
-}
-
 static void
 on_role_changed (void *arg, enum log_role role)
 {
@@ -263,8 +154,8 @@
         .save_snapshot = log_journal_save_snapshot,
         .send = send_to_member,
         .apply = apply,
-        .take_snapshot = take_snapshot,
-        .load_snapshot = load_snapshot,
+        .take_snapshot = keeper_state_snapshot,
+        .load_snapshot = keeper_state_load,
         .role_changed = on_role_changed,
         .stored_changed = quorum_members_stored_changed };
 
@@ -561,10 +452,7 @@
   int status;
 
   init_log (k);
-  json_decref (k->applied_voters);
-  k->applied_voters = json_array ();
-  json_decref (k->applied_targets);
-  k->applied_targets = json_object ();
+  keeper_state_reset (k);
   status = journal_create (s->peer.data_folder, e);
   if (status != STORE_OK && status != STORE_ALREADY_INITIALISED)
     return false;
