--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -25,6 +25,9 @@
   WINDOW_MS = 2000,
   LOOK_MS = 60,
 
+  /* Entries hear of rooms at different moments.  */
+  ROOM_STAGGER_MS = 7,
+
   /* Time for what is open at the end to come to its own end.  */
   TAIL_MS = 6000
 };
@@ -303,7 +306,7 @@
 static struct route_dispatcher *
 views_of (const struct model *m, uint32_t entry)
 {
-  return &m->views[entry * m->owner_count];
+  return &m->views[(size_t)entry * m->owner_count];
 }
 
 static void
@@ -640,7 +643,7 @@
 
   set_lost (m);
   for (uint32_t i = 0; i < m->entry_count; i++)
-    if ((m->now + 7 * i) % m->setup->room_ms == 0)
+    if ((m->now + (int64_t)(ROOM_STAGGER_MS * i)) % m->setup->room_ms == 0)
       for (uint32_t o = 0; o < m->owner_count; o++)
         tell_room (m, i, o);
   while ((e = m->moments[m->now]) != NULL)
@@ -764,7 +767,7 @@
 {
   struct model m;
   struct model_owner *args
-      = calloc (s->domains * (s->owners + 1), sizeof *args);
+      = calloc ((size_t)s->domains * (s->owners + 1), sizeof *args);
 
   model_init (&m, s, r, args);
   for (; m.now < m.horizon; m.now++)
--- a/src/controller/keeper_state.h
+++ b/src/controller/keeper_state.h
@@ -8,9 +8,9 @@
 /* Forgets voters and targets, before the log is read.  */
 void keeper_state_reset (struct quorum_keeper *k);
 
-/* Takes in the command of entry INDEX.  */
+/* Takes in the command O of entry INDEX.  */
 void keeper_state_apply (struct quorum_keeper *k, uint64_t index,
-                         const json_t *command);
+                         const json_t *o);
 
 /* For struct replicated_log_output, with a struct quorum_keeper.  */
 char *keeper_state_snapshot (void *arg, uint32_t *length);
--- a/tests/unit/test_lending.c
+++ b/tests/unit/test_lending.c
@@ -176,7 +176,6 @@
 
   begin (&s, 1);
   submit (&s, &spec);
-  d.rooms[0].free_cpu_milli = 8 * 700;
   for (int i = 0; i < 8; i++)
     room_free_add (&d.rooms[0].free_targets, 700);
   CU_ASSERT_EQUAL (task_lending_choose (&s, &d, 1, "self", "d0", NOW, offers),
@@ -240,11 +239,14 @@
   CU_ASSERT_EQUAL (part.age_ms, 10);
   begin (&taker, 1);
   p = submit (&taker, &part);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (p);
+  CU_ASSERT_PTR_NOT_NULL (p);
   CU_ASSERT_EQUAL (seen.starts, 2);
-  run_job_task_name (p, 1, name);
-  CU_ASSERT_STRING_EQUAL (name, "a.0.0.6");
-  CU_ASSERT_EQUAL (p->tasks[1].run, 5);
+  if (p != NULL)
+    {
+      run_job_task_name (p, 1, name);
+      CU_ASSERT_STRING_EQUAL (name, "a.0.0.6");
+      CU_ASSERT_EQUAL (p->tasks[1].run, 5);
+    }
   run_scheduler_done (&taker);
   run_scheduler_done (&lender);
 }
@@ -302,7 +304,7 @@
   CU_ASSERT_EQUAL (seen.starts, 0);
   run_scheduler_returned (&s, NOW + 100, j, 0, 2, JOB_REFUSED,
                           REFUSAL_OVERLOAD);
-  CU_ASSERT_EQUAL (j->first_start_ms, -1);
+  CU_ASSERT (j != NULL && j->first_start_ms == -1);
   run_scheduler_pass (&s, NOW + 1000);
   CU_ASSERT_EQUAL (seen.finished, 1);
   CU_ASSERT_EQUAL (seen.result, JOB_REFUSED);
