--- a/tests/check_examples.sh
+++ b/tests/check_examples.sh
@@ -75,7 +75,7 @@
 "$build/ragwortd" "$dir/first.json" > "$dir/first.log" 2>&1 &
 first=$!
 for i in 1 2 3 4 5 6 7 8 9 10; do
-  grep -q PROCESS_STARTED "$dir/first.log" && break
+  grep -qs PROCESS_STARTED "$dir/first.log" && break
   sleep 0.2
 done
 expect "a port in use" 3 'cannot listen on 127.44.0.111 port 7100' \
