--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -145,6 +145,7 @@
                              b->leaving != 0);
   if (e == NULL)
     return;
+  e->fresh = b->fresh != 0;
   if (b->targets.length != 0 && b->view_term == k->log.term)
     take_rows (k, now, e, b->targets);
   else if (!e->reported)
--- a/src/controller/entry_view.c
+++ b/src/controller/entry_view.c
@@ -46,6 +46,7 @@
     .view_number = n->view_number,
     .document_version = n->document.version,
     .leaving = n->leaving,
+    .fresh = !n->had_targets,
     .domain = slice_of (n->settings->peer.domain),
     .targets = slice_of (rows == NULL ? "" : rows),
   };
@@ -189,6 +190,7 @@
     t->release = json_get_boolean (o, "release", false);
     n->target_count++;
   }
+  n->had_targets |= n->target_count != 0;
   dispatcher_set_targets (&n->dispatcher, now, n->targets, n->target_count);
 }
 
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -192,9 +192,13 @@
 static void
 on_link (void *arg, const char *vm, bool up)
 {
+  struct quorum_keeper *k = arg;
+
   (void)vm;
-  if (up)
-    quorum_members_send_beats (arg, now_ms ());
+  if (!up)
+    return;
+  quorum_members_send_beats (k, now_ms ());
+  replicated_log_reached (&k->log, now_ms ());
 }
 
 static void
--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -17,6 +17,10 @@
   REPORT_QUIET_MS = 150,
   REPORT_MOST_MS = 900,
 
+  /* Where all entries that are heard are fresh, everything was lost and nobody
+     has anything to report.  */
+  REPORT_FRESH_MS = 60,
+
   /* A target is given to another failure domain only if its own has had no
      entry for so long.  */
   FOREIGN_AFTER_MS = 2500,
@@ -421,13 +425,22 @@
       i++;
 }
 
-/* Whether what the entries own is known.  */
+static bool
+all_fresh (const struct owner_plan *p)
+{
+  for (uint32_t i = 0; i < p->entry_count; i++)
+    if (!p->entries[i]->fresh)
+      return false;
+  return p->entry_count != 0;
+}
+
+/* Whether what the entries own is known by now.  */
 static bool
 has_reports (const struct owner_plan *p, int64_t now)
 {
   int64_t led = now - p->leading_since_ms;
 
-  if (led >= REPORT_MOST_MS)
+  if (led >= REPORT_MOST_MS || (led >= REPORT_FRESH_MS && all_fresh (p)))
     return true;
   if (led < REPORT_LEAST_MS || p->entry_count == 0
       || now - p->entry_joined_ms < REPORT_QUIET_MS)
@@ -468,7 +481,8 @@
 {
   drop_dead_entries (p, now);
   forget_silent_targets (p, now);
-  if (!has_reports (p, now))
+  p->reports_known |= has_reports (p, now);
+  if (!p->reports_known)
     return;
   for (uint32_t i = 0; i < p->target_count; i++)
     {
--- a/src/coord/owner_plan.h
+++ b/src/coord/owner_plan.h
@@ -39,6 +39,7 @@
   bool alive;
   bool leaving;
   bool reported; /* has told what it owns, under this leader */
+  bool fresh;    /* was told of no target since its start */
   uint32_t owned;
   bool dirty;      /* its view has changed */
   bool told_alive; /* what was last logged */
@@ -62,6 +63,7 @@
   uint64_t term;
   uint64_t fence_counter;
   int64_t leading_since_ms;
+  bool reports_known; /* what the entries own, as far as it can be had */
   int64_t
       entry_joined_ms; /* when an entry was last heard for the first time */
   struct plan_entry **entries;
--- a/src/coord/replicated_log.c
+++ b/src/coord/replicated_log.c
@@ -7,7 +7,15 @@
 {
   APPEND_BYTES_MAXIMUM = 1 << 20,
   COMPACT_ENTRIES_DEFAULT = 256,
-  COMPACT_BYTES = 2 << 20
+  COMPACT_BYTES = 2 << 20,
+
+  /* Members that reach each other at the same moment spread their elections
+     over this part of an election timeout.  */
+  REACHED_SPREAD = 4,
+
+  /* A pre-vote disturbs nobody and is tried again after this part of an
+     election timeout, and as much again at random.  */
+  PRE_VOTE_AGAIN = 3
 };
 
 static void broadcast_append (struct replicated_log *l, int64_t now);
@@ -126,6 +134,17 @@
   l->election_at_ms = now + (l->election_at_ms - now) / 2;
 }
 
+void
+replicated_log_reached (struct replicated_log *l, int64_t now)
+{
+  int64_t soon = now + 1
+                 + (int64_t)(next_random (l)
+                             % (uint64_t)(l->election_ms / REACHED_SPREAD));
+
+  if (l->leader == LOG_NO_MEMBER && soon < l->election_at_ms)
+    l->election_at_ms = soon;
+}
+
 static void
 change_role (struct replicated_log *l, enum log_role role)
 {
@@ -256,9 +275,12 @@
 static void
 become_pre_candidate (struct replicated_log *l, int64_t now)
 {
+  int64_t again_ms = l->election_ms / PRE_VOTE_AGAIN;
+
   change_role (l, LOG_PRE_CANDIDATE);
   l->leader = LOG_NO_MEMBER;
-  reset_election (l, now);
+  l->election_at_ms
+      = now + again_ms + (int64_t)(next_random (l) % (uint64_t)again_ms);
   ask_for_votes (l, true);
   if (count_granted (l) >= majority (l))
     become_candidate (l, now);
--- a/src/coord/replicated_log.h
+++ b/src/coord/replicated_log.h
@@ -137,6 +137,10 @@
 
 void replicated_log_start (struct replicated_log *l, int64_t now_ms);
 
+/* Another member can be reached again.  Where no leader is known an election
+   comes soon: it may have failed for want of this one.  */
+void replicated_log_reached (struct replicated_log *l, int64_t now_ms);
+
 void replicated_log_tick (struct replicated_log *l, int64_t now_ms);
 
 /* Takes message M of member FROM.  */
--- a/src/net/peer_message.c
+++ b/src/net/peer_message.c
@@ -121,7 +121,7 @@
   = { true,
       { U (entry_beat.boot_id), U (entry_beat.view_term),
         U (entry_beat.view_number), U (entry_beat.document_version),
-        U (entry_beat.leaving), B (entry_beat.domain),
+        U (entry_beat.leaving), U (entry_beat.fresh), B (entry_beat.domain),
         B (entry_beat.targets) } },
   [PEER_ENTRY_VIEW]
   = { true,
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -11,7 +11,7 @@
 
 enum
 {
-  PEER_PROTOCOL_VERSION = 3
+  PEER_PROTOCOL_VERSION = 4
 };
 
 enum peer_message_type
@@ -239,6 +239,7 @@
   uint64_t view_number;
   uint64_t document_version;
   uint64_t leaving;
+  uint64_t fresh; /* was told of no target since its start */
   struct slice domain;
   struct slice targets; /* JSON: what it owns, with fences */
 };
--- a/src/net/peer_network.c
+++ b/src/net/peer_network.c
@@ -17,7 +17,11 @@
 
   /* An opening packet to a VM without power is lost, and sent again after a
      second; a new attempt is quicker.  The limit grows with the delay. */
-  HANDSHAKE_TIMEOUT_DELAYS = 5,
+  HANDSHAKE_TIMEOUT_DELAYS = 3,
+
+  /* The delay doubles once so many attempts have failed: VMs that start
+     together are there within a second, one after the other.  */
+  ATTEMPTS_A_DELAY = 4,
 
   /* An attempt that has taken so long hangs: a handshake takes a few ms.  */
   HANGING_MS = 100,
@@ -53,7 +57,8 @@
   struct peer_conn *conn;
   struct event *timer; /* reconnect, or the handshake's deadline */
   int64_t delay_ms;
-  int64_t began_ms; /* the present attempt */
+  uint32_t attempts; /* failed with this delay */
+  int64_t began_ms;  /* the present attempt */
   bool was_up;
 };
 
@@ -154,6 +159,9 @@
   struct timeval t = now_timeval (jitter);
 
   evtimer_add (l->timer, &t);
+  if (++l->attempts < ATTEMPTS_A_DELAY)
+    return;
+  l->attempts = 0;
   l->delay_ms *= 2;
   if (l->delay_ms > RECONNECT_LAST_MS)
     l->delay_ms = RECONNECT_LAST_MS;
@@ -206,6 +214,7 @@
     }
   evtimer_del (l->timer);
   l->delay_ms = RECONNECT_FIRST_MS;
+  l->attempts = 0;
   l->was_up = true;
   event_ring_add (EVENT_PEER_UP, l->vm.name, "%s", "");
   l->network->events->link (l->network->arg, l->vm.name, true);
@@ -336,6 +345,7 @@
       l->conn = NULL;
     }
   l->delay_ms = RECONNECT_FIRST_MS;
+  l->attempts = 0;
   evtimer_del (l->timer);
   link_connect (l);
 }
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -16,7 +16,8 @@
   ELECTION_MS = 100,
   HEARTBEAT_MS = 30,
   STEP_DOWN_MS = 2 * ELECTION_MS,
-  SETTLE_MS = 10 * ELECTION_MS
+  SETTLE_MS = 10 * ELECTION_MS,
+  APART_MS = 7 * ELECTION_MS
 };
 
 /* What a member has on its disk, and its state machine.  */
@@ -60,6 +61,7 @@
   uint64_t sequence_count;
   int leader_of[COMMANDS]; /* by term */
   bool cut[MEMBERS][MEMBERS];
+  bool lossless; /* and quick, as links are as a rule */
   const char *broken;
 };
 
@@ -140,13 +142,14 @@
   struct cluster *c = from->cluster;
   struct mail *mail;
 
-  if (c->cut[from->self][to] || sequence_next (&c->q, 20) == 0
-      || c->mail_count == MAILS)
+  if (c->cut[from->self][to] || c->mail_count == MAILS
+      || (!c->lossless && sequence_next (&c->q, 20) == 0))
     return;
   mail = &c->mails[c->mail_count++];
   *mail = (struct mail){ .from = from->self,
                          .to = to,
-                         .at_ms = c->now + 1 + sequence_next (&c->q, 15),
+                         .at_ms = c->now + 1
+                                  + sequence_next (&c->q, c->lossless ? 3 : 15),
                          .m = *m };
   if (m->type == PEER_APPEND)
     own_slice (&mail->m.u.append.entries, &mail->bytes);
@@ -356,11 +359,8 @@
 }
 
 static void
-run_seed (uint64_t seed, int members)
+start_world (uint64_t seed, int members)
 {
-  uint64_t command = 1;
-  bool settled;
-
   world = calloc (1, sizeof *world);
   world->count = members;
   sequence_init (&world->q, seed);
@@ -371,6 +371,15 @@
       world->members[i].voted_for = LOG_NO_MEMBER;
       boot (&world->members[i]);
     }
+}
+
+static void
+run_seed (uint64_t seed, int members)
+{
+  uint64_t command = 1;
+  bool settled;
+
+  start_world (seed, members);
   for (int i = 0; i < STEPS && world->broken == NULL; i++)
     {
       disturb (world);
@@ -396,30 +405,67 @@
     run_seed (seed, seed % 2 == 0 ? 3 : 5);
 }
 
+static int
+find_leader (void)
+{
+  for (int i = 0; i < world->count; i++)
+    if (world->members[i].log.role == LOG_LEADER)
+      return i;
+  return LOG_NO_MEMBER;
+}
+
+/* How long it takes from the moment when two of three members that started
+   apart reach each other until one leads.  */
+static int64_t
+first_leader_ms (uint64_t seed)
+{
+  uint64_t none = COMMANDS;
+  int64_t reached_ms;
+  int64_t took_ms;
+
+  start_world (seed, 3);
+  world->lossless = true;
+  crash (&world->members[2]);
+  memset (world->cut, true, sizeof world->cut);
+  while (world->now < APART_MS)
+    step (world, &none);
+  memset (world->cut, false, sizeof world->cut);
+  reached_ms = world->now;
+  for (int i = 0; i < 2; i++)
+    replicated_log_reached (&world->members[i].log, world->now);
+  while (find_leader () == LOG_NO_MEMBER
+         && world->now - reached_ms < SETTLE_MS)
+    step (world, &none);
+  took_ms = world->now - reached_ms;
+  free_world ();
+  return took_ms;
+}
+
+/* After all lost power they start one after the other: nobody waits out an
+   election timeout once a majority is there.  */
+static void
+test_first_leader_soon (void)
+{
+  int64_t sum_ms = 0;
+
+  for (uint64_t seed = 1; seed <= RANDOM_SEEDS; seed++)
+    sum_ms += first_leader_ms (seed);
+  CU_ASSERT (sum_ms / RANDOM_SEEDS < ELECTION_MS * 6 / 10);
+}
+
 /* A leader that hears nobody steps down within its election time.  */
 static void
 test_isolated_leader (void)
 {
   uint64_t none = COMMANDS;
-  int leader = -1;
+  int leader = LOG_NO_MEMBER;
   int64_t cut_at;
 
-  world = calloc (1, sizeof *world);
-  world->count = 3;
-  sequence_init (&world->q, 5);
-  for (int i = 0; i < 3; i++)
-    {
-      world->members[i].cluster = world;
-      world->members[i].self = i;
-      world->members[i].voted_for = LOG_NO_MEMBER;
-      boot (&world->members[i]);
-    }
-  for (int i = 0; i < 1000 && leader < 0; i++)
+  start_world (5, 3);
+  for (int i = 0; i < 1000 && leader == LOG_NO_MEMBER; i++)
     {
       step (world, &none);
-      for (int j = 0; j < 3; j++)
-        if (world->members[j].log.role == LOG_LEADER)
-          leader = j;
+      leader = find_leader ();
     }
   CU_ASSERT_FATAL (leader >= 0);
   for (int j = 0; j < 3; j++)
@@ -438,5 +484,6 @@
   CU_pSuite s = CU_add_suite ("replicated log", NULL, NULL);
 
   CU_add_test (s, "random loss, cuts and crashes", test_random);
+  CU_add_test (s, "a first leader soon", test_first_leader_soon);
   CU_add_test (s, "an isolated leader steps down", test_isolated_leader);
 }
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -249,6 +249,34 @@
   owner_plan_done (&p);
 }
 
+/* The owner of S1, and how long a new leader takes to give it one, where an
+   entry that is FRESH reports at once.  */
+static int64_t
+first_owner_ms (bool fresh)
+{
+  struct run_target_spec s1 = make_target ("s1", "shop");
+  struct owner_plan p;
+  int64_t now = 1000;
+
+  owner_plan_init (&p);
+  owner_plan_lead (&p, TERM, now);
+  hear_entry (&p, now, "shop-1", "shop")->fresh = fresh;
+  owner_plan_hear_target (&p, now, &s1);
+  while (strcmp (owner_of (&p, "s1"), "") == 0 && now < 1000 + SETTLED_MS)
+    owner_plan_step (&p, ++now);
+  owner_plan_done (&p);
+  return now - 1000;
+}
+
+/* After all was lost nobody has targets to report, and nothing is waited
+   for.  */
+static void
+test_all_fresh (void)
+{
+  CU_ASSERT (first_owner_ms (true) < 100);
+  CU_ASSERT (first_owner_ms (false) >= 200);
+}
+
 void
 suite_plan (void)
 {
@@ -256,6 +284,7 @@
 
   CU_add_test (s, "targets are owned in their domain", test_home_domain);
   CU_add_test (s, "a new leader waits for reports", test_reports_first);
+  CU_add_test (s, "nothing is waited for after all was lost", test_all_fresh);
   CU_add_test (s, "a dead entry's targets go on", test_dead_entry);
   CU_add_test (s, "a healed cut changes no owner", test_healed_cut);
   CU_add_test (s, "a foreign owner hands back", test_foreign_and_back);
