--- a/src/controller/entry_view.c
+++ b/src/controller/entry_view.c
@@ -46,7 +46,7 @@
     .view_number = n->view_number,
     .document_version = n->document.version,
     .leaving = n->leaving,
-    .fresh = !n->had_targets,
+    .fresh = !n->had_view,
     .domain = slice_of (n->settings->peer.domain),
     .targets = slice_of (rows == NULL ? "" : rows),
   };
@@ -190,7 +190,6 @@
     t->release = json_get_boolean (o, "release", false);
     n->target_count++;
   }
-  n->had_targets |= n->target_count != 0;
   dispatcher_set_targets (&n->dispatcher, now, n->targets, n->target_count);
 }
 
@@ -229,6 +228,7 @@
     }
   n->view_term = v->term;
   n->view_number = v->number;
+  n->had_view = true;
   if (json_object_get (view, "dispatchers") != NULL)
     take_dispatchers (n, view);
   take_targets (n, now, view);
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -56,7 +56,7 @@
   int64_t view_heard_ms;
   struct owned_target *targets;
   uint32_t target_count;
-  bool had_targets; /* since the process started */
+  bool had_view; /* since the process started */
   struct route_dispatcher dispatchers[ENTRY_DISPATCHER_LIMIT];
   uint32_t dispatcher_count;
   char keepers[ENTRY_KEEPER_LIMIT][NAME_BYTES];
--- a/src/coord/owner_plan.h
+++ b/src/coord/owner_plan.h
@@ -39,7 +39,7 @@
   bool alive;
   bool leaving;
   bool reported; /* has told what it owns, under this leader */
-  bool fresh;    /* was told of no target since its start */
+  bool fresh;    /* had no view since its start */
   uint32_t owned;
   bool dirty;      /* its view has changed */
   bool told_alive; /* what was last logged */
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -239,7 +239,7 @@
   uint64_t view_number;
   uint64_t document_version;
   uint64_t leaving;
-  uint64_t fresh; /* was told of no target since its start */
+  uint64_t fresh; /* had no view since its start */
   struct slice domain;
   struct slice targets; /* JSON: what it owns, with fences */
 };
--- a/tests/unit/test_keepers.c
+++ b/tests/unit/test_keepers.c
@@ -92,6 +92,35 @@
   deployment_done (&d);
 }
 
+/* An entry that owns nothing but has lived for long does not pass for one that
+   has just started: a leader that hears it alone must wait for the owners.  */
+static void
+test_old_entries_are_not_fresh (void)
+{
+  struct deployment d;
+  const struct owner_plan *p;
+  int64_t end = now_ms () + WAIT_MS;
+  uint32_t fresh = ENTRIES;
+
+  deployment_init (&d);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&d, i);
+  for (int i = 0; i < ENTRIES; i++)
+    deployment_start_entry (&d, i);
+  deployment_run_until_owned (&d);
+  p = &deployment_leader (&d)->plan;
+  while (fresh != 0 && now_ms () < end)
+    {
+      deployment_run_step (&d);
+      fresh = 0;
+      for (uint32_t i = 0; i < p->entry_count; i++)
+        fresh += p->entries[i]->fresh;
+    }
+  CU_ASSERT_EQUAL (p->entry_count, ENTRIES);
+  CU_ASSERT_EQUAL (fresh, 0);
+  deployment_done (&d);
+}
+
 /* 300 entries of three domains, 120 of them dispatchers: each entry knows few,
    its own domain's first, and each dispatcher is known to enough.  */
 static void
@@ -174,6 +203,7 @@
 {
   CU_pSuite s = CU_add_suite ("keepers", NULL, NULL);
 
+  CU_add_test (s, "old entries are not fresh", test_old_entries_are_not_fresh);
   CU_add_test (s, "a spare keeper finds the leader", test_spare_finds_leader);
   CU_add_test (s, "targets are logged by change",
                test_targets_logged_by_change);
