Targets speak to any keeper, which tells the leading one what is new

Ways weighed: heartbeats at the owning entries (they serve callers only, targets may not call them); the redirect as before with a quicker leader (still a connection each).

Change: coord/target_reports decides what the leader must be told: a new life or a target that starts to leave at once, acknowledged once the leader has it; repeats are acknowledged by the keeper and told in batches of 0.1 s; a new leader is told everything. controller/target_relay carries it. The plan looks at what has come in once a turn of the loop, no longer at each new target.

Found on the way: that a target leaves was not in the log, so after a start of all VMs it was used again until its next heartbeat (a test saw it: leaving outlasts a restart).

--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -47,6 +47,9 @@
   ROW (310, TARGET_LAPSED_RUNS, WARN,                                         \
        "runs on a silent target have ended by their leases", "nothing")       \
   ROW (311, TARGET_RELEASED, INFO, "target handed over", "nothing")           \
+  ROW (312, TARGET_NOT_RELAYED, WARN,                                         \
+       "leading keeper was not told what a target said",                      \
+       "look at the keepers and the network between them")                    \
   ROW (320, RUN_NOT_STARTED, INFO, "order to start was not accepted",         \
        "read the outcome; look at the target if it repeats")                  \
   ROW (321, RUN_ENDED, DEBUG, "run ended", "nothing")                         \
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -245,13 +245,14 @@
       owner_plan_recall_target (&k->plan, now, &spec);
 }
 
-/* Whether the log knows the life of a target that T is.  */
+/* Whether the log knows the life of a target that T is, and that it leaves.  */
 static bool
 is_logged (const struct quorum_keeper *k, const struct run_target_spec *t)
 {
   const json_t *o = json_object_get (k->applied_targets, t->id);
 
   return json_get_integer (o, "born", 0) == t->born_ms
+         && json_get_boolean (o, "draining", false) == t->draining
          && strcmp (json_get_text (o, "address", ""), t->address) == 0;
 }
 
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -177,6 +177,10 @@
     case PEER_ENTRY_BEAT:
       entry_links_receive_beat (k, from, &m->u.entry_beat);
       return;
+    case PEER_CALL:
+      if (m->u.call.method == METHOD_TARGETS)
+        target_relay_receive (&k->relay, now_ms (), from, &m->u.call);
+      return;
     case PEER_KEEPER_BEAT:
       quorum_members_receive_beat (k, from, &m->u.keeper_beat);
       return;
@@ -303,28 +307,44 @@
   c->round = replicated_log_confirm (&k->log, now);
 }
 
+static void
+on_pass (evutil_socket_t fd, short what, void *arg)
+{
+  struct quorum_keeper *k = arg;
+
+  (void)fd;
+  (void)what;
+  if (quorum_keeper_leads (k))
+    entry_links_lead (k, now_ms ());
+}
+
+/* Has the plan looked at once for all that has just come in.  */
+static void
+want_pass (struct quorum_keeper *k)
+{
+  event_active (k->pass, EV_TIMEOUT, 0);
+}
+
 void
-quorum_keeper_hear_target (struct quorum_keeper *k, int64_t now,
+quorum_keeper_hear_target (struct quorum_keeper *k, int64_t heard,
                            const struct run_target_spec *spec)
 {
-  counters_add (COUNTER_HEARTBEATS, 1);
-  if (!owner_plan_hear_target (&k->plan, now, spec))
+  if (!owner_plan_hear_target (&k->plan, heard, spec))
     return;
   event_ring_add (
       spec->draining ? EVENT_TARGET_LEAVING : EVENT_TARGET_JOINED, spec->id,
       "address=%s service=%s domain=%s born=%" PRId64 " cpu=%" PRIu64,
       spec->address, spec->service, spec->domain, spec->born_ms,
       spec->cpu_milli);
-  entry_links_lead (k, now);
+  want_pass (k);
 }
 
 void
-quorum_keeper_forget_target (struct quorum_keeper *k, int64_t now,
-                             const char *id)
+quorum_keeper_forget_target (struct quorum_keeper *k, const char *id)
 {
   event_ring_add (EVENT_TARGET_LEAVING, id, "why=deregistered");
   owner_plan_forget_target (&k->plan, id);
-  entry_links_lead (k, now);
+  want_pass (k);
 }
 
 static bool open_log (struct quorum_keeper *k, struct error *e);
@@ -379,6 +399,8 @@
       entry_links_log_targets (k, now);
       quorum_members_manage (k, now);
     }
+  else
+    target_relay_tick (&k->relay, now);
   tend_calls (k, now);
   if (now - k->beat_ms >= quorum_members_beat_ms (k))
     quorum_members_send_beats (k, now);
@@ -509,6 +531,7 @@
   k->tick_ms = now_ms ();
   k->listening_ms = k->tick_ms;
   owner_plan_init (&k->plan);
+  target_relay_init (&k->relay, k);
   k->network
       = peer_network_new (base, &s->peer, boot_id, &network_events, k, e);
   if (k->network == NULL)
@@ -520,6 +543,7 @@
       k->failed_ms = k->tick_ms;
     }
   quorum_keeper_reach_seeds (k);
+  k->pass = event_new (base, -1, 0, on_pass, k);
   k->tick = event_new (base, -1, EV_PERSIST, on_tick, k);
   event_add (k->tick, &tick);
   return true;
@@ -544,6 +568,7 @@
   if (k->network == NULL)
     return;
   event_free (k->tick);
+  event_free (k->pass);
   end_calls (k, DOCUMENT_UNSURE);
   for (uint32_t i = 0; i < k->link_count; i++)
     if (k->links[i].conn != NULL)
@@ -552,6 +577,7 @@
   log_journal_close (&k->journal);
   replicated_log_done (&k->log);
   owner_plan_done (&k->plan);
+  target_relay_done (&k->relay);
   json_decref (k->applied_voters);
   json_decref (k->applied_targets);
   free (k->document);
--- a/src/controller/quorum_keeper.h
+++ b/src/controller/quorum_keeper.h
@@ -15,6 +15,7 @@
 #include "base/error.h"
 #include "base/node_settings.h"
 #include "controller/log_journal.h"
+#include "controller/target_relay.h"
 #include "coord/owner_plan.h"
 #include "coord/quorum_plan.h"
 #include "coord/replicated_log.h"
@@ -67,6 +68,7 @@
   uint64_t boot_id;
   struct peer_network *network;
   struct event *tick;
+  struct event *pass; /* of the plan, as soon as the loop turns */
 
   struct log_journal journal;
   struct replicated_log log;
@@ -97,6 +99,8 @@
   int64_t targets_checked_ms;
   struct keeper_call *calls;
 
+  struct target_relay relay;
+
   int64_t tick_ms;
   int64_t beat_ms;
   int64_t listening_ms; /* hears the other keepers without a gap since */
@@ -118,7 +122,11 @@
 
 bool quorum_keeper_leads (const struct quorum_keeper *k);
 
-/* The leader's control address, or NULL if none is known.  */
+/* Another keeper that leads, or NULL if none is known.  */
+const struct keeper_peer *
+quorum_keeper_leading_peer (const struct quorum_keeper *k);
+
+/* Its control address, or NULL.  */
 const char *quorum_keeper_leader (const struct quorum_keeper *k);
 
 /* Proposes COMMAND, which it releases, to the log.  Sets *INDEX as
@@ -129,11 +137,11 @@
 /* Whether all that earlier leaders committed is known here.  */
 bool quorum_keeper_knows_committed (const struct quorum_keeper *k);
 
-/* Target SPEC has sent a heartbeat here, to the leader.  */
-void quorum_keeper_hear_target (struct quorum_keeper *k, int64_t now_ms,
+/* For the leader: target SPEC was heard at HEARD_MS, and target ID has left
+   (see target_relay).  */
+void quorum_keeper_hear_target (struct quorum_keeper *k, int64_t heard_ms,
                                 const struct run_target_spec *spec);
-void quorum_keeper_forget_target (struct quorum_keeper *k, int64_t now_ms,
-                                  const char *id);
+void quorum_keeper_forget_target (struct quorum_keeper *k, const char *id);
 
 /* Puts a checked document into force if VERSION is the highest.  DONE is
    called exactly once, perhaps before return.  */
--- a/src/controller/quorum_members.c
+++ b/src/controller/quorum_members.c
@@ -364,8 +364,8 @@
       now, &k->change_index);
 }
 
-const char *
-quorum_keeper_leader (const struct quorum_keeper *k)
+const struct keeper_peer *
+quorum_keeper_leading_peer (const struct quorum_keeper *k)
 {
   const struct keeper_peer *best = NULL;
 
@@ -378,5 +378,13 @@
           && (best == NULL || p->term > best->term))
         best = p;
     }
-  return best == NULL ? NULL : best->control;
+  return best;
+}
+
+const char *
+quorum_keeper_leader (const struct quorum_keeper *k)
+{
+  const struct keeper_peer *p = quorum_keeper_leading_peer (k);
+
+  return p == NULL ? NULL : p->control;
 }
--- /dev/null
+++ b/src/controller/target_relay.c
@@ -0,0 +1,319 @@
+#include "controller/target_relay.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/counters.h"
+#include "base/event_ring.h"
+#include "base/json_check.h"
+#include "base/now.h"
+#include "controller/quorum_keeper.h"
+#include "coord/target_rows.h"
+
+enum
+{
+  BATCH_MS = 100,
+
+  /* Descriptions in one batch: a new leader gets them in several.  */
+  BATCH_WHOLE_MOST = 128,
+
+  /* A target takes its heartbeat for lost after a second.  */
+  CALL_MS = 700,
+
+  STATUS_OK = 200,
+  STATUS_UNAVAILABLE = 503
+};
+
+/* A target's word on its way to the leader.  */
+struct relay_call
+{
+  struct target_relay *relay;
+  uint64_t term;
+  bool leaves;
+  struct run_target_spec spec;
+  relay_done done;
+  void *arg;
+};
+
+/* Descriptions on their way to the leader.  */
+struct relay_batch
+{
+  struct target_relay *relay;
+  uint64_t term;
+  uint32_t count;
+  struct run_target_spec specs[BATCH_WHOLE_MOST];
+};
+
+void
+target_relay_init (struct target_relay *r, struct quorum_keeper *k)
+{
+  memset (r, 0, sizeof *r);
+  r->keeper = k;
+  target_reports_init (&r->reports);
+}
+
+void
+target_relay_done (struct target_relay *r)
+{
+  target_reports_done (&r->reports);
+}
+
+static void
+call_leader (struct target_relay *r, const char *leader, const json_t *body,
+             call_done done, void *arg)
+{
+  struct peer_message m = { .type = PEER_CALL };
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  m.u.call = (struct peer_call){ .method = METHOD_TARGETS,
+                                 .team = slice_of (""),
+                                 .key = slice_of (""),
+                                 .timeout_ms = CALL_MS,
+                                 .body = slice_of (text) };
+  peer_network_call (r->keeper->network, leader, &m, CALL_MS, done, arg);
+  free (text);
+}
+
+static bool
+is_taken (enum call_outcome outcome, const struct peer_reply *reply)
+{
+  return outcome == CALL_REPLIED && reply->status == STATUS_OK;
+}
+
+static void
+on_told (void *arg, enum call_outcome outcome, const struct peer_reply *reply)
+{
+  struct relay_call *c = arg;
+  bool taken = is_taken (outcome, reply);
+
+  if (taken && c->leaves)
+    target_reports_forget (&c->relay->reports, c->spec.id);
+  else if (taken)
+    target_reports_told (&c->relay->reports, &c->spec, c->term);
+  else
+    event_ring_add (EVENT_TARGET_NOT_RELAYED, c->spec.id,
+                    "outcome=%d leaves=%d term=%" PRIu64, (int)outcome,
+                    c->leaves, c->term);
+  c->done (c->arg, taken);
+  free (c);
+}
+
+/* Tells LEADER, of TERM, what one target has just said.  */
+static void
+tell_one (struct target_relay *r, const struct keeper_peer *leader,
+          const struct run_target_spec *spec, bool leaves, relay_done done,
+          void *arg)
+{
+  struct relay_call *c = calloc (1, sizeof *c);
+  json_t *body = leaves ? json_pack ("{s:[s]}", "left", spec->id)
+                        : json_pack ("{s:[o]}", "whole",
+                                     run_target_spec_to_json (spec));
+
+  *c = (struct relay_call){ r, leader->term, leaves, *spec, done, arg };
+  call_leader (r, leader->member.address, body, on_told, c);
+  json_decref (body);
+}
+
+void
+target_relay_hear (struct target_relay *r, int64_t now,
+                   const struct run_target_spec *spec, relay_done done,
+                   void *arg)
+{
+  const struct keeper_peer *leader;
+
+  counters_add (COUNTER_HEARTBEATS, 1);
+  if (quorum_keeper_leads (r->keeper))
+    {
+      quorum_keeper_hear_target (r->keeper, now, spec);
+      done (arg, true);
+      return;
+    }
+  leader = quorum_keeper_leading_peer (r->keeper);
+  if (leader == NULL || r->keeper->stopping)
+    done (arg, false);
+  else if (target_reports_hear (&r->reports, now, spec, leader->term))
+    done (arg, true);
+  else
+    tell_one (r, leader, spec, false, done, arg);
+}
+
+void
+target_relay_forget (struct target_relay *r, const char *id, relay_done done,
+                     void *arg)
+{
+  const struct keeper_peer *leader;
+  struct run_target_spec spec = { .id = "" };
+
+  if (quorum_keeper_leads (r->keeper))
+    {
+      quorum_keeper_forget_target (r->keeper, id);
+      done (arg, true);
+      return;
+    }
+  leader = quorum_keeper_leading_peer (r->keeper);
+  if (leader == NULL || strlen (id) >= sizeof spec.id)
+    {
+      done (arg, false);
+      return;
+    }
+  memcpy (spec.id, id, strlen (id) + 1);
+  tell_one (r, leader, &spec, true, done, arg);
+}
+
+/* Takes the ids that the leader says it does not know.  */
+static void
+take_unknown (struct target_relay *r, struct slice text)
+{
+  json_t *array = json_loadb (text.data, text.length, 0, NULL);
+  size_t i;
+  json_t *o;
+
+  json_array_foreach (array, i, o) if (json_is_string (o))
+      target_reports_unknown (&r->reports, json_string_value (o));
+  json_decref (array);
+}
+
+static void
+on_batch_told (void *arg, enum call_outcome outcome,
+               const struct peer_reply *reply)
+{
+  struct relay_batch *b = arg;
+  struct target_relay *r = b->relay;
+
+  r->batch_open = false;
+  if (is_taken (outcome, reply))
+    {
+      for (uint32_t i = 0; i < b->count; i++)
+        target_reports_told (&r->reports, &b->specs[i], b->term);
+      take_unknown (r, reply->body);
+    }
+  else if (outcome != CALL_NOT_SENT)
+    event_ring_add (EVENT_TARGET_NOT_RELAYED, "",
+                    "outcome=%d batch=%u term=%" PRIu64, (int)outcome,
+                    b->count, b->term);
+  free (b);
+}
+
+/* Puts what B's leader is to be told of T into B, WHOLE and HEARD.  */
+static void
+add_to_batch (struct relay_batch *b, struct target_report *t, json_t *whole,
+              json_t *heard, int64_t now)
+{
+  json_t *o;
+
+  switch (target_reports_part (t, b->term))
+    {
+    case REPORT_NOTHING:
+      return;
+    case REPORT_HEARD:
+      json_array_append_new (heard, json_string (t->spec.id));
+      json_array_append_new (heard, json_integer (now - t->heard_ms));
+      break;
+    case REPORT_WHOLE:
+      if (b->count == BATCH_WHOLE_MOST)
+        return;
+      o = run_target_spec_to_json (&t->spec);
+      json_object_set_new (o, "age", json_integer (now - t->heard_ms));
+      json_array_append_new (whole, o);
+      b->specs[b->count++] = t->spec;
+      break;
+    }
+  t->heard_since = false;
+}
+
+static void
+send_batch (struct target_relay *r, const struct keeper_peer *leader,
+            int64_t now)
+{
+  struct relay_batch *b = malloc (sizeof *b);
+  json_t *whole = json_array ();
+  json_t *heard = json_array ();
+  json_t *body = json_pack ("{s:o s:o}", "whole", whole, "heard", heard);
+  struct target_report *t;
+  struct target_report *next;
+
+  b->relay = r;
+  b->term = leader->term;
+  b->count = 0;
+  HASH_ITER (hh, r->reports.by_id, t, next)
+  add_to_batch (b, t, whole, heard, now);
+  if (b->count != 0 || json_array_size (heard) != 0)
+    {
+      r->batch_open = true;
+      call_leader (r, leader->member.address, body, on_batch_told, b);
+    }
+  else
+    free (b);
+  json_decref (body);
+}
+
+void
+target_relay_tick (struct target_relay *r, int64_t now)
+{
+  const struct keeper_peer *leader;
+
+  if (r->batch_open || now - r->batch_ms < BATCH_MS)
+    return;
+  r->batch_ms = now;
+  target_reports_drop_silent (&r->reports, now);
+  leader = quorum_keeper_leading_peer (r->keeper);
+  if (leader != NULL)
+    send_batch (r, leader, now);
+}
+
+/* Takes the ids and ages HEARD.  Returns those that are not known here.  */
+static json_t *
+take_heard (struct quorum_keeper *k, int64_t now, const json_t *heard)
+{
+  json_t *unknown = json_array ();
+
+  for (size_t i = 0; i + 1 < json_array_size (heard); i += 2)
+    {
+      const char *id = json_string_value (json_array_get (heard, i));
+      int64_t age = json_integer_value (json_array_get (heard, i + 1));
+
+      if (id != NULL && !owner_plan_hear_again (&k->plan, now - age, id))
+        json_array_append_new (unknown, json_string (id));
+    }
+  return unknown;
+}
+
+static char *
+take_body (struct quorum_keeper *k, int64_t now, const json_t *body)
+{
+  struct run_target_spec spec;
+  json_t *unknown;
+  char *text;
+  size_t i;
+  json_t *o;
+
+  json_array_foreach (json_object_get (body, "whole"), i,
+                      o) if (run_target_spec_from_json (&spec, o))
+      quorum_keeper_hear_target (k, now - json_get_integer (o, "age", 0),
+                                 &spec);
+  json_array_foreach (json_object_get (body, "left"), i,
+                      o) if (json_is_string (o))
+      quorum_keeper_forget_target (k, json_string_value (o));
+  unknown = take_heard (k, now, json_object_get (body, "heard"));
+  text = json_dumps (unknown, JSON_COMPACT);
+  json_decref (unknown);
+  return text;
+}
+
+void
+target_relay_receive (struct target_relay *r, int64_t now,
+                      struct peer_conn *from, const struct peer_call *c)
+{
+  struct peer_message m = { .type = PEER_REPLY };
+  bool leads = quorum_keeper_leads (r->keeper);
+  json_t *body = json_loadb (c->body.data, c->body.length, 0, NULL);
+  char *text = leads ? take_body (r->keeper, now, body) : NULL;
+
+  m.u.reply.id = c->id;
+  m.u.reply.status = leads ? STATUS_OK : STATUS_UNAVAILABLE;
+  m.u.reply.body = slice_of (text == NULL ? "" : text);
+  peer_conn_send (from, &m);
+  free (text);
+  json_decref (body);
+}
--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -230,6 +230,26 @@
     set_owner (p, t, "");
 }
 
+/* T was heard, perhaps by another keeper that has just told so.  */
+static void
+note_heard (struct plan_target *t, int64_t heard)
+{
+  if (heard - t->heard_ms > HEARTBEAT_GAP_MS)
+    t->since_ms = heard;
+  if (heard > t->heard_ms)
+    t->heard_ms = heard;
+}
+
+bool
+owner_plan_hear_again (struct owner_plan *p, int64_t heard, const char *id)
+{
+  struct plan_target *t = owner_plan_target (p, id);
+
+  if (t != NULL)
+    note_heard (t, heard);
+  return t != NULL;
+}
+
 bool
 owner_plan_hear_target (struct owner_plan *p, int64_t now,
                         const struct run_target_spec *spec)
@@ -247,9 +267,7 @@
       || (spec->born_ms == t->spec.born_ms
           && spec->sequence < t->spec.sequence))
     return false;
-  if (now - t->heard_ms > HEARTBEAT_GAP_MS)
-    t->since_ms = now;
-  t->heard_ms = now;
+  note_heard (t, now);
   if (!run_target_spec_is_same (&t->spec, spec))
     {
       /* A new life: nothing of the old one runs, and it has seen no fence. */
@@ -472,7 +490,8 @@
   for (uint32_t i = 0; i < p->target_count; i++)
     digest += rendezvous_weight (p->targets[i]->spec.id,
                                  p->targets[i]->spec.address)
-              + (uint64_t)p->targets[i]->spec.born_ms;
+              + (uint64_t)p->targets[i]->spec.born_ms
+              + p->targets[i]->spec.draining;
   return digest;
 }
 
--- a/src/coord/owner_plan.h
+++ b/src/coord/owner_plan.h
@@ -97,11 +97,16 @@
 bool owner_plan_hear_target (struct owner_plan *p, int64_t now_ms,
                              const struct run_target_spec *spec);
 
+/* The target called ID has said again what it had said.  Returns false if it
+   is not known.  */
+bool owner_plan_hear_again (struct owner_plan *p, int64_t heard_ms,
+                            const char *id);
+
 /* Target SPEC was there when an earlier leader last told.  */
 void owner_plan_recall_target (struct owner_plan *p, int64_t now_ms,
                                const struct run_target_spec *spec);
 
-/* A number that changes with the set of targets.  */
+/* A number that changes with the set of targets, and when one leaves.  */
 uint64_t owner_plan_digest (const struct owner_plan *p);
 
 /* Target ID has left.  */
--- /dev/null
+++ b/src/coord/target_reports.c
@@ -0,0 +1,132 @@
+#include "coord/target_reports.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  /* Targets speak every 1.5 s, and somewhere else after one failure.  */
+  SILENT_MS = 5000
+};
+
+void
+target_reports_init (struct target_reports *r)
+{
+  r->by_id = NULL;
+}
+
+static void
+remove_report (struct target_reports *r, struct target_report *t)
+{
+  HASH_DEL (r->by_id, t);
+  free (t);
+}
+
+void
+target_reports_done (struct target_reports *r)
+{
+  while (r->by_id != NULL)
+    remove_report (r, r->by_id);
+}
+
+static struct target_report *
+find (const struct target_reports *r, const char *id)
+{
+  struct target_report *t;
+
+  HASH_FIND (hh, r->by_id, id, strlen (id), t);
+  return t;
+}
+
+static struct target_report *
+add (struct target_reports *r, const struct run_target_spec *spec)
+{
+  struct target_report *t = calloc (1, sizeof *t);
+
+  t->spec = *spec;
+  HASH_ADD_STR (r->by_id, spec.id, t);
+  return t;
+}
+
+static bool
+is_older (const struct run_target_spec *spec,
+          const struct run_target_spec *known)
+{
+  return spec->born_ms < known->born_ms
+         || (spec->born_ms == known->born_ms
+             && spec->sequence < known->sequence);
+}
+
+/* Whether the leader need not be told of ONE where it has OTHER.  */
+static bool
+says_the_same (const struct run_target_spec *one,
+               const struct run_target_spec *other)
+{
+  return run_target_spec_is_same (one, other)
+         && one->draining == other->draining;
+}
+
+bool
+target_reports_hear (struct target_reports *r, int64_t now,
+                     const struct run_target_spec *spec, uint64_t term)
+{
+  struct target_report *t = find (r, spec->id);
+
+  if (t == NULL)
+    t = add (r, spec);
+  else if (is_older (spec, &t->spec))
+    return true;
+  if (!says_the_same (spec, &t->spec))
+    t->told_term = 0;
+  t->spec = *spec;
+  t->heard_ms = now;
+  t->heard_since = true;
+  return t->told_term == term;
+}
+
+void
+target_reports_told (struct target_reports *r,
+                     const struct run_target_spec *spec, uint64_t term)
+{
+  struct target_report *t = find (r, spec->id);
+
+  if (t != NULL && says_the_same (spec, &t->spec))
+    t->told_term = term;
+}
+
+void
+target_reports_unknown (struct target_reports *r, const char *id)
+{
+  struct target_report *t = find (r, id);
+
+  if (t != NULL)
+    t->told_term = 0;
+}
+
+void
+target_reports_forget (struct target_reports *r, const char *id)
+{
+  struct target_report *t = find (r, id);
+
+  if (t != NULL)
+    remove_report (r, t);
+}
+
+void
+target_reports_drop_silent (struct target_reports *r, int64_t now)
+{
+  struct target_report *t;
+  struct target_report *next;
+
+  HASH_ITER (hh, r->by_id, t, next)
+  if (now - t->heard_ms > SILENT_MS)
+    remove_report (r, t);
+}
+
+enum report_part
+target_reports_part (const struct target_report *t, uint64_t term)
+{
+  if (t->told_term != term)
+    return REPORT_WHOLE;
+  return t->heard_since ? REPORT_HEARD : REPORT_NOTHING;
+}
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -59,7 +59,8 @@
   METHOD_CANCEL,      /* key, team */
   METHOD_LOOKUP,      /* key, team: answer of a job, without waiting */
   METHOD_PROPOSE,     /* body: a control command for the keepers' leader */
-  METHOD_CONFIG_FETCH /* the document in force */
+  METHOD_CONFIG_FETCH, /* the document in force */
+  METHOD_TARGETS       /* body: what targets said to another keeper */
 };
 
 struct peer_hello
--- a/tests/unit/deployment.c
+++ b/tests/unit/deployment.c
@@ -137,17 +137,36 @@
   return NULL;
 }
 
-/* Targets speak to the leading keeper, as their heartbeats would.  */
+struct quorum_keeper *
+deployment_follower (const struct deployment *d)
+{
+  for (int i = 0; i < KEEPERS; i++)
+    if (d->keepers[i] != NULL && !quorum_keeper_leads (d->keepers[i]))
+      return d->keepers[i];
+  return NULL;
+}
+
+static void
+on_heard (void *arg, bool taken)
+{
+  struct deployment *d = arg;
+
+  d->heard += taken;
+}
+
+/* Targets speak to a keeper, as their heartbeats would.  */
 static void
 send_heartbeats (struct deployment *d)
 {
-  struct quorum_keeper *k = deployment_leader (d);
+  struct quorum_keeper *k
+      = d->any_keeper ? deployment_follower (d) : deployment_leader (d);
   struct run_target_spec t;
 
   if (k == NULL || d->targets_silent
       || now_ms () - d->heartbeat_ms < HEARTBEAT_MS)
     return;
   d->heartbeat_ms = now_ms ();
+  d->sequence++;
   for (int i = 0; i < TARGETS; i++)
     {
       memset (&t, 0, sizeof t);
@@ -160,7 +179,9 @@
       t.cpu_milli = 4000;
       t.memory_mb = 1000;
       t.slots = 8;
-      quorum_keeper_hear_target (k, now_ms (), &t);
+      t.sequence = d->sequence;
+      t.draining = d->targets_leave;
+      target_relay_hear (&k->relay, now_ms (), &t, on_heard, d);
     }
 }
 
--- a/tests/unit/deployment.h
+++ b/tests/unit/deployment.h
@@ -25,6 +25,10 @@
   struct quorum_keeper *keepers[KEEPERS]; /* NULL while down */
   struct job_entry *entries[ENTRIES];
   int64_t heartbeat_ms;
+  bool any_keeper;        /* targets speak to one that does not lead */
+  bool targets_leave;     /* they say that they are draining */
+  uint32_t heard;         /* heartbeats that were acknowledged */
+  uint64_t sequence;      /* of the last heartbeats */
   bool targets_silent;
   bool two_domains; /* the second entry and every second target in another */
 };
@@ -38,8 +42,9 @@
 void deployment_start_entry (struct deployment *d, int i);
 void deployment_stop_entry (struct deployment *d, int i);
 
-/* The keeper that leads, or NULL.  */
+/* The keeper that leads, and one that does not, or NULL.  */
 struct quorum_keeper *deployment_leader (const struct deployment *d);
+struct quorum_keeper *deployment_follower (const struct deployment *d);
 
 /* Runs the loop for a moment, and the targets' heartbeats.  */
 void deployment_run_step (struct deployment *d);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -70,6 +70,7 @@
   suite_dispatch ();
   suite_plan ();
   suite_quorum ();
+  suite_relay ();
   suite_open ();
   suite_keepers ();
   suite_lending ();
--- /dev/null
+++ b/tests/unit/test_relay.c
@@ -0,0 +1,221 @@
+/* Targets that speak to keepers that do not lead.  */
+#include <stdio.h>
+#include <string.h>
+#include "base/now.h"
+#include "coord/target_reports.h"
+#include "tests/unit/deployment.h"
+#include "tests/unit/suites.h"
+
+enum
+{
+  TERM = 4,
+  SILENT_MS = 6000
+};
+
+static struct run_target_spec
+make_target (uint64_t sequence, bool draining)
+{
+  struct run_target_spec t;
+
+  memset (&t, 0, sizeof t);
+  snprintf (t.id, sizeof t.id, "t1");
+  snprintf (t.address, sizeof t.address, "10.0.0.1:1");
+  t.born_ms = 1;
+  t.sequence = sequence;
+  t.draining = draining;
+  return t;
+}
+
+/* A repeat is acknowledged without the leader; what is new is not until the
+   leader has it, under each new leader, and when the target starts to leave.  */
+static void
+test_what_is_told (void)
+{
+  struct run_target_spec ready = make_target (1, false);
+  struct run_target_spec again = make_target (2, false);
+  struct run_target_spec leaving = make_target (3, true);
+  struct target_reports r;
+
+  target_reports_init (&r);
+  CU_ASSERT_FALSE (target_reports_hear (&r, 0, &ready, TERM));
+  CU_ASSERT_FALSE (target_reports_hear (&r, 10, &again, TERM));
+  target_reports_told (&r, &ready, TERM);
+  CU_ASSERT (target_reports_hear (&r, 20, &again, TERM));
+  CU_ASSERT_EQUAL (target_reports_part (r.by_id, TERM), REPORT_HEARD);
+  CU_ASSERT_EQUAL (target_reports_part (r.by_id, TERM + 1), REPORT_WHOLE);
+  CU_ASSERT_FALSE (target_reports_hear (&r, 30, &again, TERM + 1));
+  target_reports_told (&r, &again, TERM + 1);
+  CU_ASSERT_FALSE (target_reports_hear (&r, 40, &leaving, TERM + 1));
+  /* The answer to what it said before does not stand for its leaving.  */
+  target_reports_told (&r, &again, TERM + 1);
+  CU_ASSERT_FALSE (target_reports_hear (&r, 50, &leaving, TERM + 1));
+  target_reports_told (&r, &leaving, TERM + 1);
+  CU_ASSERT (target_reports_hear (&r, 60, &leaving, TERM + 1));
+  target_reports_unknown (&r, "t1");
+  CU_ASSERT_EQUAL (target_reports_part (r.by_id, TERM + 1), REPORT_WHOLE);
+  target_reports_done (&r);
+}
+
+/* An old message that comes late changes nothing, and who has gone silent or
+   has left is not told of again.  */
+static void
+test_what_is_forgotten (void)
+{
+  struct run_target_spec leaving = make_target (3, true);
+  struct run_target_spec late = make_target (2, false);
+  struct target_reports r;
+
+  target_reports_init (&r);
+  target_reports_hear (&r, 0, &leaving, TERM);
+  CU_ASSERT (target_reports_hear (&r, 10, &late, TERM));
+  CU_ASSERT (r.by_id->spec.draining);
+  target_reports_drop_silent (&r, SILENT_MS);
+  CU_ASSERT_PTR_NULL (r.by_id);
+  target_reports_hear (&r, SILENT_MS, &leaving, TERM);
+  target_reports_forget (&r, "t1");
+  CU_ASSERT_PTR_NULL (r.by_id);
+  target_reports_done (&r);
+}
+
+static void
+start_all (struct deployment *d)
+{
+  deployment_init (d);
+  d->any_keeper = true;
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (d, i);
+  for (int i = 0; i < ENTRIES; i++)
+    deployment_start_entry (d, i);
+  deployment_run_until_owned (d);
+}
+
+static void
+run_for (struct deployment *d, int64_t ms)
+{
+  int64_t end = now_ms () + ms;
+
+  while (now_ms () < end)
+    deployment_run_step (d);
+}
+
+/* Targets that never speak to the leader get owners, keep them while they
+   repeat themselves, and a new leader knows them at once.  */
+static void
+test_relayed (void)
+{
+  struct deployment d;
+  struct quorum_keeper *k;
+  int led = 0;
+
+  start_all (&d);
+  run_for (&d, 1000);
+  k = deployment_leader (&d);
+  CU_ASSERT_PTR_NULL (k->relay.reports.by_id);
+  for (uint32_t i = 0; i < k->plan.target_count; i++)
+    CU_ASSERT (now_ms () - k->plan.targets[i]->heard_ms < 800);
+  CU_ASSERT (d.heard >= 2 * TARGETS);
+  while (d.keepers[led] != k)
+    led++;
+  d.targets_silent = true;
+  deployment_stop_keeper (&d, led);
+  deployment_run_until_led (&d);
+  run_for (&d, 600);
+  CU_ASSERT_EQUAL (deployment_leader (&d)->plan.target_count, TARGETS);
+  deployment_done (&d);
+}
+
+static uint32_t
+count_draining (const struct quorum_keeper *k)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < k->plan.target_count; i++)
+    n += k->plan.targets[i]->spec.draining;
+  return n;
+}
+
+/* That a target leaves is known to the leader when it is acknowledged, and
+   after all keepers and entries have started again.  */
+static void
+test_leaving_is_kept (void)
+{
+  struct deployment d;
+  int64_t end = now_ms () + WAIT_MS;
+  uint32_t heard;
+
+  start_all (&d);
+  heard = d.heard;
+  d.targets_leave = true;
+  while (d.heard < heard + 2 * TARGETS && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (count_draining (deployment_leader (&d)), TARGETS);
+  run_for (&d, 2500);
+  d.targets_silent = true;
+  for (int i = 0; i < ENTRIES; i++)
+    deployment_stop_entry (&d, i);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_stop_keeper (&d, i);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&d, i);
+  deployment_run_until_led (&d);
+  run_for (&d, 500);
+  CU_ASSERT_EQUAL (count_draining (deployment_leader (&d)), TARGETS);
+  deployment_done (&d);
+}
+
+static void
+on_forgotten (void *arg, bool taken)
+{
+  int *state = arg;
+
+  *state = taken ? 1 : -1;
+}
+
+static void
+test_relayed_leave (void)
+{
+  struct deployment d;
+  int64_t end = now_ms () + WAIT_MS;
+  int state = 0;
+
+  start_all (&d);
+  d.targets_silent = true;
+  target_relay_forget (&deployment_follower (&d)->relay, "t1", on_forgotten,
+                       &state);
+  while (state == 0 && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (state, 1);
+  run_for (&d, 500);
+  CU_ASSERT_PTR_NULL (
+      owner_plan_target (&deployment_leader (&d)->plan, "t1"));
+  deployment_done (&d);
+}
+
+/* A keeper that knows no leader does not acknowledge.  */
+static void
+test_no_leader (void)
+{
+  struct deployment d;
+  struct run_target_spec t = make_target (1, false);
+  int state = 0;
+
+  deployment_init (&d);
+  deployment_start_keeper (&d, 0);
+  target_relay_hear (&d.keepers[0]->relay, now_ms (), &t, on_forgotten,
+                     &state);
+  CU_ASSERT_EQUAL (state, -1);
+  deployment_done (&d);
+}
+
+void
+suite_relay (void)
+{
+  CU_pSuite s = CU_add_suite ("relay", NULL, NULL);
+
+  CU_add_test (s, "what the leader is told of a target", test_what_is_told);
+  CU_add_test (s, "who is not told of again", test_what_is_forgotten);
+  CU_add_test (s, "targets at a keeper that does not lead", test_relayed);
+  CU_add_test (s, "leaving outlasts a restart", test_leaving_is_kept);
+  CU_add_test (s, "a relayed leave", test_relayed_leave);
+  CU_add_test (s, "no leader, no acknowledgement", test_no_leader);
+}
