--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -141,11 +141,12 @@
     }
   if (!quorum_keeper_leads (k))
     return;
-  e = owner_plan_hear_entry (&k->plan, now, from->vm, domain, b->boot_id,
-                             b->leaving != 0);
+  e = owner_plan_hear_entry (&k->plan, now,
+                             &(struct entry_word){ from->vm, domain,
+                                                   b->boot_id, b->leaving != 0,
+                                                   b->fresh != 0 });
   if (e == NULL)
     return;
-  e->fresh = b->fresh != 0;
   if (b->targets.length != 0 && b->view_term == k->log.term)
     take_rows (k, now, e, b->targets);
   else if (!e->reported)
--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -156,24 +156,26 @@
 }
 
 struct plan_entry *
-owner_plan_hear_entry (struct owner_plan *p, int64_t now, const char *vm,
-                       const char *domain, uint64_t boot_id, bool leaving)
+owner_plan_hear_entry (struct owner_plan *p, int64_t now,
+                       const struct entry_word *w)
 {
-  struct plan_entry *e = owner_plan_entry (p, vm);
+  struct plan_entry *e = owner_plan_entry (p, w->vm);
 
   if (e == NULL)
     {
       if (p->entry_count == PLAN_ENTRY_LIMIT)
         return NULL;
-      e = add_entry (p, vm);
-      e->boot_id = boot_id;
+      e = add_entry (p, w->vm);
+      e->boot_id = w->boot_id;
+      e->fresh = w->fresh;
       e->dirty = true;
       p->entry_joined_ms = now;
     }
-  if (e->boot_id != boot_id)
+  if (e->boot_id != w->boot_id)
     {
-      orphan_targets (p, vm);
-      e->boot_id = boot_id;
+      orphan_targets (p, w->vm);
+      e->boot_id = w->boot_id;
+      e->fresh = w->fresh;
       e->alive = false;
       e->dirty = true;
       e->reported = false;
@@ -183,9 +185,9 @@
       e->since_ms = now;
       e->dirty = true;
     }
-  snprintf (e->domain, sizeof e->domain, "%s", domain);
+  snprintf (e->domain, sizeof e->domain, "%s", w->domain);
   e->alive = true;
-  e->leaving = leaving;
+  e->leaving = w->leaving;
   e->heard_ms = now;
   return e;
 }
--- a/src/coord/owner_plan.h
+++ b/src/coord/owner_plan.h
@@ -39,7 +39,7 @@
   bool alive;
   bool leaving;
   bool reported; /* has told what it owns, under this leader */
-  bool fresh;    /* had no view since its start */
+  bool fresh;    /* had no view when it was first heard */
   uint32_t owned;
   bool dirty;      /* its view has changed */
   bool told_alive; /* what was last logged */
@@ -82,10 +82,19 @@
 /* Begins to lead TERM, with nothing known.  */
 void owner_plan_lead (struct owner_plan *p, uint64_t term, int64_t now_ms);
 
-/* Entry VM has been heard.  */
+/* What an entry says of itself.  */
+struct entry_word
+{
+  const char *vm;
+  const char *domain;
+  uint64_t boot_id;
+  bool leaving;
+  bool fresh; /* had no view since its start */
+};
+
+/* An entry has been heard.  Returns NULL beyond the limit.  */
 struct plan_entry *owner_plan_hear_entry (struct owner_plan *p, int64_t now_ms,
-                                          const char *vm, const char *domain,
-                                          uint64_t boot_id, bool leaving);
+                                          const struct entry_word *w);
 
 /* Entry E reports that it was given the target SPEC with FENCE.  */
 void owner_plan_hear_owned (struct owner_plan *p, int64_t now_ms,
--- a/src/coord/replicated_log.c
+++ b/src/coord/replicated_log.c
@@ -42,7 +42,12 @@
 void
 replicated_log_set_voter (struct replicated_log *l, int member, bool voter)
 {
-  l->members[member].voter = voter;
+  struct log_member *m = &l->members[member];
+
+  /* It may not have been spoken to before: its silence begins now.  */
+  if (voter && !m->voter && m->heard_ms < l->ticked_ms)
+    m->heard_ms = l->ticked_ms;
+  m->voter = voter;
 }
 
 static uint64_t
@@ -775,6 +780,7 @@
 void
 replicated_log_tick (struct replicated_log *l, int64_t now)
 {
+  l->ticked_ms = now;
   if (l->failed)
     return;
   if (l->role == LOG_LEADER)
--- a/src/coord/replicated_log.h
+++ b/src/coord/replicated_log.h
@@ -89,6 +89,7 @@
   uint64_t round;
   int64_t leader_heard_ms;
   int64_t election_at_ms;
+  int64_t ticked_ms;
   bool failed; /* storage failed; says and does nothing more */
 
   /* timing */
--- a/tests/unit/test_keepers.c
+++ b/tests/unit/test_keepers.c
@@ -100,7 +100,7 @@
   struct deployment d;
   const struct owner_plan *p;
   int64_t end = now_ms () + WAIT_MS;
-  uint32_t fresh = ENTRIES;
+  int led = 0;
 
   deployment_init (&d);
   for (int i = 0; i < SEEDS; i++)
@@ -108,16 +108,16 @@
   for (int i = 0; i < ENTRIES; i++)
     deployment_start_entry (&d, i);
   deployment_run_until_owned (&d);
+  while (d.keepers[led] != deployment_leader (&d))
+    led++;
+  deployment_stop_keeper (&d, led);
+  deployment_run_until_led (&d);
   p = &deployment_leader (&d)->plan;
-  while (fresh != 0 && now_ms () < end)
-    {
-      deployment_run_step (&d);
-      fresh = 0;
-      for (uint32_t i = 0; i < p->entry_count; i++)
-        fresh += p->entries[i]->fresh;
-    }
+  while (p->entry_count != ENTRIES && now_ms () < end)
+    deployment_run_step (&d);
   CU_ASSERT_EQUAL (p->entry_count, ENTRIES);
-  CU_ASSERT_EQUAL (fresh, 0);
+  for (uint32_t i = 0; i < p->entry_count; i++)
+    CU_ASSERT_FALSE (p->entries[i]->fresh);
   deployment_done (&d);
 }
 
@@ -139,7 +139,11 @@
 
       snprintf (vm, sizeof vm, "10.0.%d.%d", i / 100, i % 100);
       snprintf (domain, sizeof domain, "d%d", i % MANY_DOMAINS);
-      owner_plan_hear_entry (&p, 1, vm, domain, 1, false)->owned
+      owner_plan_hear_entry (&p, 1,
+                             &(struct entry_word){ .vm = vm,
+                                                   .domain = domain,
+                                                   .boot_id = 1 })
+          ->owned
           = i < MANY_DISPATCHERS;
     }
   for (int i = 0; i < MANY_ENTRIES; i++)
@@ -184,7 +188,10 @@
       char vm[NAME_BYTES];
 
       snprintf (vm, sizeof vm, "vm%d", i);
-      owner_plan_hear_entry (&p, 1, vm, i % 2 == 0 ? "a" : "b", 1, false)
+      owner_plan_hear_entry (
+          &p, 1,
+          &(struct entry_word){
+              .vm = vm, .domain = i % 2 == 0 ? "a" : "b", .boot_id = 1 })
           ->owned
           = 1;
     }
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -453,6 +453,49 @@
   CU_ASSERT (sum_ms / RANDOM_SEEDS < ELECTION_MS * 6 / 10);
 }
 
+static void
+set_voter_everywhere (int member, bool voter)
+{
+  for (int i = 0; i < world->count; i++)
+    if (world->members[i].up)
+      replicated_log_set_voter (&world->members[i].log, member, voter);
+}
+
+static void
+run_for (int64_t ms)
+{
+  uint64_t none = COMMANDS;
+  int64_t end = world->now + ms;
+
+  while (world->now < end)
+    step (world, &none);
+}
+
+/* A voter is dead and another one is added in its stead: the leader waits for
+   the new one's first answer instead of counting it as silent.  */
+static void
+test_added_voter (void)
+{
+  int leader;
+  uint64_t term;
+
+  start_world (7, 4);
+  world->lossless = true;
+  set_voter_everywhere (3, false);
+  run_for (SETTLE_MS);
+  leader = find_leader ();
+  CU_ASSERT_FATAL (leader != LOG_NO_MEMBER);
+  term = world->members[leader].log.term;
+  crash (&world->members[(leader + 1) % 3]);
+  run_for (SETTLE_MS);
+  CU_ASSERT_EQUAL (find_leader (), leader);
+  set_voter_everywhere (3, true);
+  run_for (SETTLE_MS);
+  CU_ASSERT_EQUAL (find_leader (), leader);
+  CU_ASSERT_EQUAL (world->members[leader].log.term, term);
+  free_world ();
+}
+
 /* A leader that hears nobody steps down within its election time.  */
 static void
 test_isolated_leader (void)
@@ -485,5 +528,6 @@
 
   CU_add_test (s, "random loss, cuts and crashes", test_random);
   CU_add_test (s, "a first leader soon", test_first_leader_soon);
+  CU_add_test (s, "an added voter is waited for", test_added_voter);
   CU_add_test (s, "an isolated leader steps down", test_isolated_leader);
 }
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -31,7 +31,9 @@
 hear_entry (struct owner_plan *p, int64_t now, const char *vm,
             const char *domain)
 {
-  struct plan_entry *e = owner_plan_hear_entry (p, now, vm, domain, 1, false);
+  struct plan_entry *e = owner_plan_hear_entry (
+      p, now,
+      &(struct entry_word){ .vm = vm, .domain = domain, .boot_id = 1 });
 
   e->reported = true;
   return e;
@@ -260,7 +262,13 @@
 
   owner_plan_init (&p);
   owner_plan_lead (&p, TERM, now);
-  hear_entry (&p, now, "shop-1", "shop")->fresh = fresh;
+  owner_plan_hear_entry (&p, now,
+                         &(struct entry_word){ .vm = "shop-1",
+                                               .domain = "shop",
+                                               .boot_id = 1,
+                                               .fresh = fresh });
+  /* It speaks again once it has the first view of this leader.  */
+  hear_entry (&p, now, "shop-1", "shop");
   owner_plan_hear_target (&p, now, &s1);
   while (strcmp (owner_of (&p, "s1"), "") == 0 && now < 1000 + SETTLED_MS)
     owner_plan_step (&p, ++now);
