Silent targets lose their lease; calls that are held when a server ends belong to nobody

A lease is now asked for only where the target answers, so what a silent target ran is started elsewhere once it must have ended there. - a keeper ended with SIGSEGV at its stop: http_server_free left connections behind, and a heartbeat that waited for the leader was answered on one. The server now closes its connections, and the holders of their calls are told. Tests seen failing: a silent target's tasks go on elsewhere (the test's targets honour leases now); a call that is held at the end. New beside them: malformed requests to a keeper.

--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -438,7 +438,7 @@
   if (r->lost || r->looking)
     return;
   if (r->target->run_count != 0 && r->clock.known
-      && r->target->phase != TARGET_SYNCING)
+      && r->target->phase == TARGET_READY)
     o.lease_end_ms = lease_end (r, now, r->setup->lease_limit_ms);
   evtimer_del (r->timer);
   r->looking = true;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -205,9 +205,16 @@
   return s;
 }
 
+/* Calls that are still held belong to nobody after this: evhtp leaves open
+   connections behind, with requests that point to it.  */
 void
 http_server_free (struct http_server *s)
 {
+  struct connection *c;
+  struct connection *next;
+
+  DL_FOREACH_SAFE (s->open, c, next)
+  evhtp_connection_free (c->conn);
   evhtp_free (s->htp);
   free (s);
 }
--- a/tests/unit/fake_port.c
+++ b/tests/unit/fake_port.c
@@ -57,6 +57,20 @@
   return &targets[target_count++];
 }
 
+/* A lease is never shortened.  */
+static void
+take_lease (struct fake_target *t, int64_t end_ms)
+{
+  if (end_ms > t->lease_end_ms)
+    t->lease_end_ms = end_ms;
+}
+
+static bool
+holds_lease (const struct fake_target *t)
+{
+  return now_ms () <= t->lease_end_ms;
+}
+
 uint32_t
 fake_port_running (const char *task)
 {
@@ -64,7 +78,7 @@
 
   for (uint32_t i = 0; i < target_count; i++)
     for (uint32_t r = 0; r < targets[i].run_count; r++)
-      n += targets[i].runs[r].running
+      n += targets[i].runs[r].running && holds_lease (&targets[i])
            && strcmp (targets[i].runs[r].task, task) == 0;
   return n;
 }
@@ -224,6 +238,7 @@
   t->runs[t->run_count].running = true;
   t->run_count++;
   t->starts++;
+  take_lease (t, s->lease_end_ms);
   running = fake_port_running (s->task);
   if (running > t->most_at_once)
     t->most_at_once = running;
@@ -260,6 +275,8 @@
 
   c->order = *o;
   c->looked = looked;
+  if (c->outcome == PORT_DONE)
+    take_lease (p->target, o->lease_end_ms);
 }
 
 const struct target_port_ops fake_port_ops
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -71,6 +71,7 @@
   suite_plan ();
   suite_quorum ();
   suite_relay ();
+  suite_http ();
   suite_open ();
   suite_keepers ();
   suite_lending ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -22,6 +22,7 @@
 void suite_plan (void);
 void suite_quorum (void);
 void suite_relay (void);
+void suite_http (void);
 void suite_open (void);
 void suite_keepers (void);
 void suite_lending (void);
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -234,6 +234,41 @@
   bench_done (&b);
 }
 
+/* A target falls silent with a task on it, dead or cut off: its lease is not
+   asked to go on, and the task is started elsewhere once it must have ended
+   there, but not before.  */
+static void
+test_silent_target (void)
+{
+  struct owned_target rows[2]
+      = { make_target ("t1", 1), make_target ("t2", 2) };
+  struct fake_target *dark;
+  struct fake_target *other;
+  struct bench b;
+  struct told told;
+
+  bench_init (&b);
+  dispatcher_set_targets (&b.dispatcher, now_ms (), rows, 2);
+  run_until_ready (&b, 2);
+  submit (&b, "a", 1, &told);
+  run_until_started (&b, 1);
+  run_for (&b, 50);
+  dark = fake_port_target ("t1");
+  other = fake_port_target ("t2");
+  if (dark->starts == 0)
+    {
+      dark = other;
+      other = fake_port_target ("t1");
+    }
+  dark->silent = true;
+  run_until (&b, &other->starts, 1);
+  CU_ASSERT_EQUAL (other->most_at_once, 1);
+  fake_port_end (other, "a.0.0.0", RUN_END_DONE);
+  run_until (&b, &told.count, 1);
+  CU_ASSERT_EQUAL (told.result, JOB_DONE);
+  bench_done (&b);
+}
+
 void
 suite_dispatch (void)
 {
@@ -241,5 +276,7 @@
 
   CU_add_test (s, "a job ends with its last task", test_done);
   CU_add_test (s, "jobs on a lost target are given up", test_target_lost);
+  CU_add_test (s, "a silent target's tasks go on elsewhere",
+               test_silent_target);
   CU_add_test (s, "lost orders are made again", test_lost_orders);
 }
--- /dev/null
+++ b/tests/unit/test_http.c
@@ -0,0 +1,216 @@
+/* The HTTP server: calls that are held while it ends, and requests that make
+   no sense.  */
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/util.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+#include "base/now.h"
+#include "net/http_server.h"
+#include "platform/control_api.h"
+#include "tests/unit/deployment.h"
+#include "tests/unit/suites.h"
+
+enum
+{
+  PORT = 17731,
+  STEP_MS = 10,
+  ANSWER_MS = 2000,
+  ANSWER_BYTES = 512
+};
+
+struct held
+{
+  struct http_call *call;
+  uint32_t gone;
+};
+
+static void
+on_held_gone (void *arg, struct http_call *c)
+{
+  struct held *h = arg;
+
+  (void)c;
+  h->gone++;
+}
+
+static void
+hold (void *arg, struct http_call *c)
+{
+  struct held *h = arg;
+
+  h->call = http_call_hold (c);
+  c->gone = on_held_gone;
+  c->gone_arg = h;
+}
+
+static void
+own_address (char *address, size_t size)
+{
+  snprintf (address, size, "127.%d.51.1", 1 + (int)(getpid () % 250));
+}
+
+static struct bufferevent *
+send_to (struct event_base *base, const char *address, uint16_t port,
+         const char *request, size_t length)
+{
+  struct bufferevent *bev
+      = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
+  struct sockaddr_storage to;
+  int to_length = sizeof to;
+  char text[64];
+
+  snprintf (text, sizeof text, "%s:%u", address, port);
+  evutil_parse_sockaddr_port (text, (struct sockaddr *)&to, &to_length);
+  bufferevent_socket_connect (bev, (struct sockaddr *)&to, to_length);
+  bufferevent_enable (bev, EV_READ | EV_WRITE);
+  bufferevent_write (bev, request, length);
+  return bev;
+}
+
+static void
+run_for (struct event_base *base, int64_t ms)
+{
+  struct timeval t = now_timeval (ms);
+
+  event_base_loopexit (base, &t);
+  event_base_dispatch (base);
+}
+
+/* The server ends while a call is held: its holder is told, and an answer that
+   comes later is dropped.  */
+static void
+test_held_at_the_end (void)
+{
+  static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  struct event_base *base = event_base_new ();
+  struct held h = { NULL, 0 };
+  struct settings s;
+  struct http_server *server;
+  struct bufferevent *bev;
+  struct error e;
+
+  memset (&s, 0, sizeof s);
+  own_address (s.address, sizeof s.address);
+  s.http_port = PORT;
+  s.connections = 100;
+  s.body_bytes = 1000;
+  s.idle_timeout_ms = 1000;
+  server = http_server_new (base, &s, hold, &h, &e);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  bev = send_to (base, s.address, PORT, request, sizeof request - 1);
+  for (int i = 0; i < 100 && h.call == NULL; i++)
+    run_for (base, STEP_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (h.call);
+  http_server_free (server);
+  CU_ASSERT_EQUAL (h.gone, 1);
+  CU_ASSERT_PTR_NULL (h.call->request);
+  http_call_answer (h.call, 200, "{}");
+  http_call_release (h.call);
+  bufferevent_free (bev);
+  event_base_free (base);
+}
+
+static const char *const bodies[]
+    = { "",
+        "{",
+        "[]",
+        "null",
+        "\xff\xfe",
+        "{\"version\":1e400}",
+        "{\"version\":-1,\"routes\":[{}],\"services\":[[]]}",
+        "{\"version\":8,\"routes\":{},\"services\":[{\"name\":5}]}",
+        "{\"service\":5,\"address\":{},\"born\":\"x\"}",
+        "{\"service\":\"s\",\"address\":\"1.2.3.4:99999\",\"born\":1e300}",
+        "{\"service\":\"s\",\"address\":\"\",\"labels\":[[]],\"born\":1}" };
+
+static const char *const lines[]
+    = { "PUT /v1/config HTTP/1.1",
+        "PUT /v1/instances/ HTTP/1.1",
+        "PUT /v1/instances HTTP/1.1",
+        "PUT /v1/instances/%00%ff HTTP/1.1",
+        "PUT /v1/instances/"
+        "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+        " HTTP/1.1",
+        "DELETE /v1/instances/ HTTP/1.1",
+        "DELETE /v1/instances/"
+        "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+        " HTTP/1.1",
+        "POST /v1/wave-start HTTP/1.1",
+        "GET http://host HTTP/1.1",
+        "POST * HTTP/1.1",
+        "CONNECT a:1 HTTP/1.1",
+        "FOO / HTTP/1.1",
+        "GET foo HTTP/1.1",
+        "GET / HTTP/9.9",
+        "" };
+
+/* Sends REQUEST and returns whether anything came back.  */
+static bool
+is_answered (struct deployment *d, const struct node_settings *s,
+             const char *request)
+{
+  struct bufferevent *bev = send_to (d->base, s->control.address,
+                                     s->control.port, request,
+                                     strlen (request));
+  int64_t end = now_ms () + ANSWER_MS;
+  size_t length = 0;
+
+  while (length == 0 && now_ms () < end)
+    {
+      run_for (d->base, 1);
+      length = evbuffer_get_length (bufferevent_get_input (bev));
+      if (strncmp (request, "GET /v1", 7) != 0 && now_ms () > end - ANSWER_MS + 5)
+        break;
+    }
+  bufferevent_free (bev);
+  return length != 0;
+}
+
+/* No request takes a keeper down or changes what it holds.  */
+static void
+test_malformed_requests (void)
+{
+  struct deployment d;
+  struct control_api api;
+  const struct node_settings *s;
+  struct error e;
+  char request[ANSWER_BYTES];
+
+  deployment_init (&d);
+  d.targets_silent = true;
+  for (int i = 0; i < SEEDS; i++)
+    {
+      d.keeper_settings[i].peer.connections = 500;
+      d.keeper_settings[i].peer.idle_timeout_ms = ANSWER_MS;
+      deployment_start_keeper (&d, i);
+    }
+  deployment_run_until_led (&d);
+  s = deployment_leader (&d)->settings;
+  CU_ASSERT_FATAL (
+      control_api_start (&api, d.base, s, deployment_leader (&d), &e));
+  for (size_t l = 0; l < sizeof lines / sizeof lines[0]; l++)
+    for (size_t b = 0; b < sizeof bodies / sizeof bodies[0]; b++)
+      {
+        snprintf (request, sizeof request,
+                  "%s\r\nHost: h\r\nContent-Length: %zu\r\n\r\n%s", lines[l],
+                  strlen (bodies[b]), bodies[b]);
+        is_answered (&d, s, request);
+      }
+  CU_ASSERT_EQUAL (deployment_leader (&d)->document_version, 0);
+  CU_ASSERT_EQUAL (deployment_leader (&d)->plan.target_count, 0);
+  CU_ASSERT (
+      is_answered (&d, s, "GET /v1/config HTTP/1.1\r\nHost: h\r\n\r\n"));
+  control_api_done (&api);
+  deployment_done (&d);
+}
+
+void
+suite_http (void)
+{
+  CU_pSuite s = CU_add_suite ("http", NULL, NULL);
+
+  CU_add_test (s, "a call that is held at the end", test_held_at_the_end);
+  CU_add_test (s, "malformed requests to a keeper", test_malformed_requests);
+}
