--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "base/histogram.h"
@@ -55,6 +56,8 @@
   struct target_runner *runner;
   char task[RUN_NAME_BYTES];
   uint64_t run;
+  struct run_call *prev;
+  struct run_call *next;
 };
 
 static void look (struct target_runner *r, int64_t now);
@@ -67,9 +70,17 @@
   c->runner = r;
   snprintf (c->task, sizeof c->task, "%s", task);
   c->run = run;
+  DL_APPEND (r->calls, c);
   return c;
 }
 
+static void
+run_call_free (struct run_call *c)
+{
+  DL_DELETE (c->runner->calls, c);
+  free (c);
+}
+
 static void
 schedule (struct target_runner *r, int64_t delay_ms)
 {
@@ -230,7 +241,7 @@
     }
   if (!r->lost)
     r->setup->events->changed (r->setup->arg);
-  free (c);
+  run_call_free (c);
 }
 
 void
@@ -274,7 +285,7 @@
       note_silence (r, now, reply->outcome);
       schedule (r, retry_ms (r));
     }
-  free (c);
+  run_call_free (c);
 }
 
 void
@@ -483,5 +494,7 @@
 target_runner_done (struct target_runner *r)
 {
   r->setup->ops->close (r->port);
+  while (r->calls != NULL)
+    run_call_free (r->calls);
   event_free (r->timer);
 }
--- a/src/controller/target_runner.h
+++ b/src/controller/target_runner.h
@@ -12,6 +12,7 @@
 #include "coord/run_scheduler.h"
 #include "coord/target_clock.h"
 
+struct run_call;
 struct target_runner;
 
 struct target_runner_events
@@ -40,6 +41,7 @@
   struct run_target *target;
   struct target_port *port;
   struct event *timer;
+  struct run_call *calls; /* under way */
 
   uint64_t fence;
   struct target_clock clock;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -205,6 +205,15 @@
   return s;
 }
 
+void
+http_server_close (struct http_server *s)
+{
+  if (s->closed)
+    return;
+  s->closed = true;
+  evhtp_unbind_socket (s->htp);
+}
+
 /* Calls that are still held belong to nobody after this: evhtp leaves open
    connections behind, with requests that point to it.  */
 void
@@ -215,19 +224,11 @@
 
   DL_FOREACH_SAFE (s->open, c, next)
   evhtp_connection_free (c->conn);
+  http_server_close (s);
   evhtp_free (s->htp);
   free (s);
 }
 
-void
-http_server_close (struct http_server *s)
-{
-  if (s->closed)
-    return;
-  s->closed = true;
-  evhtp_unbind_socket (s->htp);
-}
-
 void
 http_server_close_idle (struct http_server *s)
 {
