--- /dev/null
+++ b/tests/unit/quorum_model.c
@@ -0,0 +1,786 @@
+#include "tests/unit/quorum_model.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include "coord/quorum_plan.h"
+#include "coord/replicated_log.h"
+#include "tests/unit/suites.h"
+
+enum
+{
+  NODES = 40, /* lives of disks */
+  SEED_NODES = 3,
+  ENTRIES = 2000,
+  MAILS = 4096,
+
+  STEP_MS = 5,
+  RUN_MS = 60000,
+  RECOVER_MS = 15000,
+  CATCH_UP_MS = 4000,
+  SLOW_DEAD_MS = 10000,
+  BEAT_MS = 250,
+  HEARTBEAT_MS = 80,
+  ELECTION_MS = 300,
+  WRITE_MS = 150,
+  FAULT_MS = 900,
+  DELAY_MOST_MS = 6
+};
+
+enum command_kind
+{
+  COMMAND_NONE,
+  COMMAND_VOTERS,
+  COMMAND_WRITE
+};
+
+struct command
+{
+  enum command_kind kind;
+  uint64_t value; /* the voters' bits, or the write's number */
+};
+
+struct stored
+{
+  uint64_t term;
+  uint32_t length;
+  struct command command;
+};
+
+struct model;
+
+/* One life of a disk, at an address.  */
+struct node
+{
+  struct model *model;
+  int self;
+  uint32_t address;
+  bool used;
+  bool up;
+  bool gone; /* for good */
+  int64_t start_ms;   /* when it starts, while it is down */
+  int64_t thaw_ms;    /* stands still until then */
+  int64_t lost_until_ms;
+
+  struct replicated_log log;
+  uint64_t term;
+  int voted_for;
+  struct stored disk[ENTRIES];
+  uint64_t written;
+  uint64_t synced;
+
+  uint64_t voters;  /* in force */
+  uint64_t applied; /* the highest write */
+  uint64_t change_index;
+  int64_t heard_ms[NODES];
+  int64_t listening_ms;
+  int64_t beat_ms;
+
+  uint64_t read_round; /* 0: no read under way */
+  uint64_t read_floor; /* what was acknowledged before it */
+};
+
+struct mail
+{
+  int from;
+  int to;
+  int64_t at_ms;
+  bool is_beat;
+  struct peer_message m;
+  char *bytes;
+};
+
+struct model
+{
+  struct node nodes[NODES];
+  int count;
+  uint32_t addresses;
+  uint32_t lost;
+  enum quorum_defect defect;
+  struct quorum_goal goal;
+  struct sequence q;
+  int64_t now;
+  struct mail mails[MAILS];
+  uint32_t mail_count;
+  bool cut[NODES][NODES]; /* by addresses */
+  int64_t cut_until_ms;
+  uint64_t next_write;
+  uint64_t acknowledged;
+  uint64_t applied_terms[ENTRIES];
+  uint64_t applied_values[ENTRIES];
+  int leaders[ENTRIES]; /* by term, and 1 */
+  struct quorum_run run;
+};
+
+static void
+violate (struct model *w, const char *what)
+{
+  if (w->run.violated == NULL)
+    w->run.violated = what;
+}
+
+static bool
+save_state (void *arg, uint64_t term, int voted_for)
+{
+  struct node *n = arg;
+
+  if (n->model->defect == QUORUM_FORGETS_VOTE)
+    return true;
+  n->term = term;
+  n->voted_for = voted_for;
+  return true;
+}
+
+static bool
+save_entry (void *arg, uint64_t index, const struct log_entry *e)
+{
+  struct node *n = arg;
+  struct stored *s = &n->disk[index];
+
+  s->term = e->term;
+  s->length = e->length;
+  if (e->length != 0)
+    memcpy (&s->command, e->data, sizeof s->command);
+  n->written = index;
+  return index + 1 < ENTRIES;
+}
+
+static bool
+save_truncate (void *arg, uint64_t from)
+{
+  struct node *n = arg;
+
+  n->written = from - 1;
+  if (n->synced > n->written)
+    n->synced = n->written;
+  return true;
+}
+
+static bool
+sync_disk (void *arg)
+{
+  struct node *n = arg;
+
+  if (n->model->defect != QUORUM_NO_SYNC)
+    n->synced = n->written;
+  return true;
+}
+
+static bool
+save_snapshot (void *arg, const struct replicated_log *l)
+{
+  (void)arg;
+  (void)l;
+  return true;
+}
+
+static bool
+is_cut (const struct model *w, int from, int to)
+{
+  return w->cut[w->nodes[from].address][w->nodes[to].address];
+}
+
+static struct mail *
+post (struct model *w, int from, int to)
+{
+  struct mail *mail;
+
+  if (w->mail_count == MAILS || is_cut (w, from, to))
+    return NULL;
+  mail = &w->mails[w->mail_count++];
+  *mail = (struct mail){ .from = from,
+                         .to = to,
+                         .at_ms
+                         = w->now + 1 + sequence_next (&w->q, DELAY_MOST_MS) };
+  return mail;
+}
+
+static void
+send_message (void *arg, int to, struct peer_message *m)
+{
+  struct node *n = arg;
+  struct mail *mail = post (n->model, n->self, to);
+  struct slice *s;
+
+  if (mail == NULL)
+    return;
+  mail->m = *m;
+  if (m->type != PEER_APPEND)
+    return;
+  s = &mail->m.u.append.entries;
+  mail->bytes = malloc (s->length + 1);
+  memcpy (mail->bytes, s->data, s->length);
+  s->data = mail->bytes;
+}
+
+/* The write of a leader's own client is acknowledged as it is applied.  */
+static void
+apply (void *arg, uint64_t index, const struct log_entry *e)
+{
+  struct node *n = arg;
+  struct model *w = n->model;
+  struct command c = { COMMAND_NONE, 0 };
+
+  if (e->length != 0)
+    memcpy (&c, e->data, sizeof c);
+  if (w->applied_terms[index] == 0)
+    {
+      w->applied_terms[index] = e->term;
+      w->applied_values[index] = c.value;
+    }
+  if (w->applied_terms[index] != e->term
+      || w->applied_values[index] != c.value)
+    violate (w, "two keepers applied other entries at one place");
+  if (c.kind != COMMAND_WRITE)
+    return;
+  if (c.value > n->applied)
+    n->applied = c.value;
+  if (n->log.role == LOG_LEADER && c.value > w->acknowledged)
+    {
+      w->acknowledged = c.value;
+      w->run.writes++;
+    }
+}
+
+static char *
+take_snapshot (void *arg, uint32_t *length)
+{
+  (void)arg;
+  *length = 0;
+  return calloc (1, 1);
+}
+
+static void
+load_snapshot (void *arg, uint64_t index, const char *data, uint32_t length)
+{
+  (void)arg;
+  (void)index;
+  (void)data;
+  (void)length;
+}
+
+static void
+role_changed (void *arg, enum log_role role)
+{
+  struct node *n = arg;
+  struct model *w = n->model;
+
+  n->change_index = 0;
+  n->read_round = 0;
+  if (role != LOG_LEADER || n->log.term >= ENTRIES)
+    return;
+  if (w->leaders[n->log.term] != 0 && w->leaders[n->log.term] != n->self + 1)
+    violate (w, "two leaders in one term");
+  w->leaders[n->log.term] = n->self + 1;
+}
+
+static uint64_t
+bit (int node)
+{
+  return (uint64_t)1 << node;
+}
+
+static void
+set_voters (struct node *n, uint64_t voters)
+{
+  n->voters = voters;
+  for (int i = 0; i < NODES; i++)
+    replicated_log_set_voter (&n->log, i, (voters & bit (i)) != 0);
+}
+
+/* The newest stored change is in force, committed or not.  */
+static void
+stored_changed (void *arg, struct replicated_log *l)
+{
+  struct node *n = arg;
+
+  for (uint64_t i = log_entries_last_index (&l->stored); i > 0; i--)
+    {
+      const struct log_entry *e = log_entries_at (&l->stored, i);
+      struct command c = { COMMAND_NONE, 0 };
+
+      if (e->length != 0)
+        memcpy (&c, e->data, sizeof c);
+      if (c.kind != COMMAND_VOTERS)
+        continue;
+      set_voters (n, c.value);
+      return;
+    }
+  set_voters (n, 0);
+}
+
+static const struct replicated_log_output output
+    = { save_state,    save_entry,   save_truncate, sync_disk,
+        save_snapshot, send_message, apply,         take_snapshot,
+        load_snapshot, role_changed, stored_changed };
+
+static void
+boot (struct node *n)
+{
+  struct model *w = n->model;
+
+  n->up = true;
+  n->applied = 0;
+  n->change_index = 0;
+  n->read_round = 0;
+  n->beat_ms = 0;
+  n->listening_ms = w->now;
+  memset (n->heard_ms, 0, sizeof n->heard_ms);
+  replicated_log_init (&n->log, n->self, NODES, HEARTBEAT_MS, ELECTION_MS,
+                       sequence_next (&w->q, 1000000) + 1U, &output, n);
+  n->log.compact_entries = ENTRIES;
+  replicated_log_restore_state (&n->log, n->term, n->voted_for);
+  for (uint64_t i = 1; i <= n->written; i++)
+    replicated_log_restore_entry (&n->log, i, n->disk[i].term,
+                                  (const char *)&n->disk[i].command,
+                                  n->disk[i].length);
+  stored_changed (n, &n->log);
+  replicated_log_start (&n->log, w->now);
+}
+
+static void
+stop (struct node *n)
+{
+  if (n->up)
+    replicated_log_done (&n->log);
+  n->up = false;
+}
+
+static struct node *
+add_node (struct model *w, uint32_t address, int64_t start_ms)
+{
+  struct node *n = &w->nodes[w->count];
+
+  n->model = w;
+  n->self = w->count++;
+  n->address = address;
+  n->used = true;
+  n->voted_for = LOG_NO_MEMBER;
+  n->start_ms = start_ms;
+  return n;
+}
+
+static bool
+runs (const struct model *w, const struct node *n)
+{
+  return n->up && w->now >= n->thaw_ms;
+}
+
+/* A node counts as lost until it has had its time to catch up.  */
+static void
+lose_until (struct node *n, int64_t back_ms)
+{
+  if (back_ms + CATCH_UP_MS > n->lost_until_ms)
+    n->lost_until_ms = back_ms + CATCH_UP_MS;
+}
+
+static uint32_t
+count_lost (const struct model *w)
+{
+  uint32_t lost = 0;
+
+  for (int i = 0; i < w->count; i++)
+    lost += w->nodes[i].lost_until_ms > w->now;
+  return lost;
+}
+
+/* What a power loss leaves of what was not synced: the first part.  */
+static void
+lose_power (struct node *n)
+{
+  uint64_t loose = n->written - n->synced;
+
+  stop (n);
+  n->written = n->synced + sequence_next (&n->model->q, (uint32_t)loose + 1);
+}
+
+static void
+wipe (struct model *w, struct node *n)
+{
+  int64_t back = w->now + 300 + sequence_next (&w->q, 3000);
+
+  stop (n);
+  lose_until (n, back);
+  if (w->defect == QUORUM_OLD_NAME)
+    {
+      n->written = 0;
+      n->synced = 0;
+      n->term = 0;
+      n->voted_for = LOG_NO_MEMBER;
+      n->start_ms = back;
+      return;
+    }
+  n->gone = true;
+  add_node (w, n->address, back);
+}
+
+/* Gone for good; an empty successor starts at another address.  */
+static void
+remove_for_good (struct model *w, struct node *n)
+{
+  int64_t start = w->now + 500 + sequence_next (&w->q, 1500);
+
+  stop (n);
+  n->gone = true;
+  lose_until (n, start);
+  add_node (w, w->addresses++, start);
+}
+
+static void
+cut_off (struct model *w, uint32_t address, bool one_way)
+{
+  for (uint32_t other = 0; other < w->addresses; other++)
+    {
+      w->cut[address][other] = other != address;
+      w->cut[other][address] |= !one_way && other != address;
+    }
+}
+
+static void
+split (struct model *w)
+{
+  bool side[NODES];
+
+  for (uint32_t i = 0; i < w->addresses; i++)
+    side[i] = sequence_next (&w->q, 2) != 0;
+  for (uint32_t a = 0; a < w->addresses; a++)
+    for (uint32_t b = 0; b < w->addresses; b++)
+      w->cut[a][b] = side[a] != side[b];
+  w->cut_until_ms = w->now + 1000 + sequence_next (&w->q, 4000);
+}
+
+static void
+kill_all (struct model *w, bool power)
+{
+  for (int i = 0; i < w->count; i++)
+    if (w->nodes[i].up)
+      {
+        if (power)
+          lose_power (&w->nodes[i]);
+        else
+          stop (&w->nodes[i]);
+        w->nodes[i].start_ms = w->now + sequence_next (&w->q, 900);
+        lose_until (&w->nodes[i], w->nodes[i].start_ms);
+      }
+}
+
+/* One loss, of a node that is not lost, perhaps of the leader.  */
+static struct node *
+choose_victim (struct model *w)
+{
+  int first = (int)sequence_next (&w->q, (uint32_t)w->count);
+
+  if (sequence_next (&w->q, 3) == 0)
+    for (int i = 0; i < w->count; i++)
+      if (w->nodes[i].up && w->nodes[i].log.role == LOG_LEADER)
+        first = i;
+  for (int i = 0; i < w->count; i++)
+    {
+      struct node *n = &w->nodes[(first + i) % w->count];
+
+      if (n->up && n->lost_until_ms <= w->now)
+        return n;
+    }
+  return NULL;
+}
+
+static void
+hurt (struct model *w, struct node *n)
+{
+  int64_t back = w->now + 200 + sequence_next (&w->q, 6000);
+  bool has_room = w->count + 1 < NODES;
+
+  w->run.faults++;
+  switch (sequence_next (&w->q, 6))
+    {
+    case 0:
+      stop (n);
+      n->start_ms = back;
+      break;
+    case 1:
+      lose_power (n);
+      n->start_ms = back;
+      break;
+    case 2:
+      if (has_room)
+        wipe (w, n);
+      return;
+    case 3:
+      if (has_room && w->addresses < NODES)
+        remove_for_good (w, n);
+      return;
+    case 4:
+      n->thaw_ms = back;
+      break;
+    default:
+      if (w->cut_until_ms > w->now)
+        return;
+      cut_off (w, n->address, sequence_next (&w->q, 3) == 0);
+      w->cut_until_ms = back;
+      break;
+    }
+  lose_until (n, back);
+}
+
+static void
+disturb (struct model *w)
+{
+  struct node *n;
+
+  if (sequence_next (&w->q, FAULT_MS / STEP_MS) != 0)
+    return;
+  if (count_lost (w) == 0 && w->cut_until_ms <= w->now
+      && sequence_next (&w->q, 6) == 0)
+    {
+      w->run.faults++;
+      if (sequence_next (&w->q, 2) == 0)
+        split (w);
+      else
+        kill_all (w, sequence_next (&w->q, 2) == 0);
+      return;
+    }
+  n = choose_victim (w);
+  if (n != NULL && count_lost (w) < w->lost)
+    hurt (w, n);
+}
+
+static void
+heal (struct model *w)
+{
+  if (w->cut_until_ms != 0 && w->cut_until_ms <= w->now)
+    {
+      memset (w->cut, 0, sizeof w->cut);
+      w->cut_until_ms = 0;
+    }
+  for (int i = 0; i < w->count; i++)
+    {
+      struct node *n = &w->nodes[i];
+
+      if (!n->up && !n->gone && n->start_ms <= w->now)
+        boot (n);
+      if (n->up && n->thaw_ms != 0 && n->thaw_ms <= w->now)
+        {
+          n->thaw_ms = 0;
+          n->listening_ms = w->now;
+        }
+    }
+}
+
+static void
+deliver (struct model *w)
+{
+  for (uint32_t i = 0; i < w->mail_count; i++)
+    {
+      struct mail mail = w->mails[i];
+      struct node *to = &w->nodes[mail.to];
+
+      /* What waits for one that stands still is read when it goes on.  */
+      if (mail.at_ms > w->now || (to->up && !runs (w, to)))
+        continue;
+      w->mails[i--] = w->mails[--w->mail_count];
+      if (to->up && !is_cut (w, mail.from, mail.to))
+        {
+          if (mail.is_beat)
+            to->heard_ms[mail.from] = w->now;
+          else
+            replicated_log_receive (&to->log, w->now, mail.from, &mail.m);
+        }
+      free (mail.bytes);
+    }
+}
+
+static void
+send_beats (struct model *w, struct node *n)
+{
+  if (w->now - n->beat_ms < BEAT_MS)
+    return;
+  n->beat_ms = w->now;
+  n->heard_ms[n->self] = w->now;
+  for (int i = 0; i < w->count; i++)
+    if (i != n->self && w->nodes[i].up)
+      {
+        struct mail *mail = post (w, n->self, i);
+
+        if (mail != NULL)
+          mail->is_beat = true;
+      }
+}
+
+static uint64_t
+propose (struct model *w, struct node *n, enum command_kind kind,
+         uint64_t value)
+{
+  struct command c;
+
+  memset (&c, 0, sizeof c);
+  c.kind = kind;
+  c.value = value;
+  return replicated_log_propose (&n->log, w->now, (char *)&c, sizeof c);
+}
+
+static bool
+knows_committed (const struct node *n)
+{
+  return log_entries_term_at (&n->log.stored, n->log.commit_index)
+         == n->log.term;
+}
+
+static void
+fill_members (const struct model *w, const struct node *n,
+              struct quorum_member *members)
+{
+  memset (members, 0, (size_t)w->count * sizeof *members);
+  for (int i = 0; i < w->count; i++)
+    {
+      members[i].address[0] = (char)('A' + w->nodes[i].address);
+      members[i].domain[0] = (char)('a' + w->nodes[i].address % 4);
+      members[i].disk_id = (uint64_t)i + 1;
+      members[i].voter = (n->voters & bit (i)) != 0;
+      members[i].heard_ms = n->heard_ms[i];
+    }
+}
+
+static void
+manage (struct model *w, struct node *n)
+{
+  struct quorum_member members[NODES];
+  struct quorum_change c;
+  uint64_t voters = n->voters;
+
+  if (n->change_index > n->log.commit_index || !knows_committed (n))
+    return;
+  n->heard_ms[n->self] = w->now;
+  fill_members (w, n, members);
+  c = quorum_plan_decide (members, (uint32_t)w->count, (uint32_t)n->self,
+                          &w->goal, n->listening_ms, w->now);
+  if (c.kind == QUORUM_KEEP)
+    return;
+  if (c.kind != QUORUM_REMOVE)
+    voters |= bit ((int)c.in);
+  if (c.kind != QUORUM_ADD)
+    voters &= ~bit ((int)c.out);
+  w->run.changes++;
+  n->change_index = propose (w, n, COMMAND_VOTERS, voters);
+}
+
+static void
+read_and_write (struct model *w, struct node *n)
+{
+  if (n->read_round != 0
+      && (w->defect == QUORUM_PLAIN_READ
+          || replicated_log_is_confirmed (&n->log, n->read_round)))
+    {
+      if (n->applied < n->read_floor)
+        violate (w, "a read older than what was acknowledged");
+      n->read_round = 0;
+      w->run.reads++;
+    }
+  if (sequence_next (&w->q, WRITE_MS / STEP_MS) == 0)
+    propose (w, n, COMMAND_WRITE, ++w->next_write);
+  else if (n->read_round == 0 && sequence_next (&w->q, WRITE_MS / STEP_MS) == 0)
+    {
+      n->read_floor = w->acknowledged;
+      n->read_round = replicated_log_confirm (&n->log, w->now);
+    }
+}
+
+static void
+step (struct model *w, bool faults)
+{
+  w->now += STEP_MS;
+  w->run.steps++;
+  if (faults)
+    disturb (w);
+  heal (w);
+  deliver (w);
+  for (int i = 0; i < w->count; i++)
+    {
+      struct node *n = &w->nodes[i];
+
+      if (!runs (w, n))
+        continue;
+      replicated_log_tick (&n->log, w->now);
+      send_beats (w, n);
+      if (n->log.role != LOG_LEADER)
+        continue;
+      manage (w, n);
+      read_and_write (w, n);
+    }
+}
+
+static void
+found (struct model *w, uint32_t keepers)
+{
+  struct command c;
+
+  memset (&c, 0, sizeof c);
+  c.kind = COMMAND_VOTERS;
+  c.value = bit (SEED_NODES) - 1;
+  w->addresses = keepers;
+  for (uint32_t i = 0; i < keepers; i++)
+    {
+      struct node *n = add_node (w, i, 0);
+
+      if (i >= SEED_NODES)
+        continue;
+      n->term = 1;
+      n->disk[1] = (struct stored){ 1, sizeof c, c };
+      n->written = 1;
+      n->synced = 1;
+    }
+}
+
+/* Everything heals; then a write must be taken and all that was acknowledged
+   still be there.  */
+static void
+check_recovery (struct model *w)
+{
+  int64_t end = w->now + RECOVER_MS;
+  uint64_t before = w->acknowledged;
+  bool there = false;
+
+  for (int i = 0; i < w->count; i++)
+    {
+      if (!w->nodes[i].up && w->nodes[i].start_ms > w->now)
+        w->nodes[i].start_ms = w->now;
+      if (w->nodes[i].thaw_ms > w->now)
+        w->nodes[i].thaw_ms = w->now;
+    }
+  if (w->cut_until_ms != 0)
+    w->cut_until_ms = w->now;
+  while (w->now < end && w->run.violated == NULL)
+    step (w, false);
+  if (w->acknowledged == before)
+    violate (w, "no leader took a write after all had healed");
+  for (int i = 0; i < w->count; i++)
+    there |= w->nodes[i].up && w->nodes[i].log.role == LOG_LEADER
+             && w->nodes[i].applied >= before;
+  if (!there)
+    violate (w, "what was acknowledged is lost");
+}
+
+struct quorum_run
+quorum_model_run (uint64_t seed, uint32_t keepers, uint32_t lost,
+                  enum quorum_defect defect)
+{
+  struct model *w = calloc (1, sizeof *w);
+  struct quorum_run run;
+
+  w->lost = lost;
+  w->defect = defect;
+  w->goal = quorum_plan_goal (lost, CATCH_UP_MS);
+  if (defect == QUORUM_SLOW_REPLACE)
+    w->goal.dead_ms = SLOW_DEAD_MS;
+  sequence_init (&w->q, seed);
+  found (w, keepers);
+  while (w->now < RUN_MS && w->run.violated == NULL)
+    step (w, w->now > CATCH_UP_MS);
+  if (w->run.violated == NULL)
+    check_recovery (w);
+  run = w->run;
+  for (int i = 0; i < w->count; i++)
+    stop (&w->nodes[i]);
+  for (uint32_t i = 0; i < w->mail_count; i++)
+    free (w->mails[i].bytes);
+  free (w);
+  return run;
+}
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -1,7 +1,9 @@
 /* Who votes: which keepers the plan has replaced, and how soon.  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include "coord/quorum_plan.h"
+#include "tests/unit/quorum_model.h"
 #include "tests/unit/suites.h"
 
 enum
@@ -168,6 +170,77 @@
   CU_ASSERT_EQUAL (c.kind, QUORUM_ADD);
 }
 
+/* The sizes of the users' deployments: keepers, and losses at once.  */
+static const uint32_t sizes[][2] = { { 3, 1 }, { 4, 1 }, { 6, 2 }, { 8, 2 } };
+
+enum
+{
+  SIZES = sizeof sizes / sizeof sizes[0],
+
+  /* Seeds in which a defect must show.  */
+  DEFECT_SEEDS = 200
+};
+
+/* MODEL_SEEDS in the environment has more seeds than those of CI.  */
+static uint64_t
+model_seeds (void)
+{
+  const char *text = getenv ("MODEL_SEEDS");
+
+  return text == NULL ? 12 : strtoull (text, NULL, 10);
+}
+
+static void
+test_model (void)
+{
+  uint64_t steps = 0;
+  uint32_t changes = 0;
+
+  for (uint64_t seed = 1; seed <= model_seeds (); seed++)
+    for (int i = 0; i < SIZES; i++)
+      {
+        struct quorum_run r = quorum_model_run (seed, sizes[i][0], sizes[i][1],
+                                                QUORUM_SOUND);
+
+        steps += r.steps;
+        changes += r.changes;
+        if (r.violated != NULL)
+          printf ("seed %llu, %u keepers: %s\n", (unsigned long long)seed,
+                  sizes[i][0], r.violated);
+        CU_ASSERT_PTR_NULL (r.violated);
+        CU_ASSERT (r.writes > 20);
+        CU_ASSERT (r.reads > 20);
+        CU_ASSERT (r.faults > 5);
+      }
+  CU_ASSERT (changes > 0);
+  if (getenv ("MODEL_SEEDS") != NULL)
+    printf ("%llu steps, %u changes of the quorum ",
+            (unsigned long long)steps, changes);
+}
+
+/* Each mechanism that is switched off is found.  */
+static void
+test_model_finds (void)
+{
+  for (int defect = QUORUM_SOUND + 1; defect < QUORUM_DEFECTS; defect++)
+    {
+      const char *violated = NULL;
+      uint64_t seed;
+
+      for (seed = 1; seed <= DEFECT_SEEDS && violated == NULL; seed++)
+        violated = quorum_model_run (seed, sizes[seed % SIZES][0],
+                                     sizes[seed % SIZES][1],
+                                     (enum quorum_defect)defect)
+                       .violated;
+      if (violated == NULL)
+        printf ("defect %d is not found\n", defect);
+      else if (getenv ("MODEL_SEEDS") != NULL)
+        printf ("\n  defect %d, seed %llu: %s", defect,
+                (unsigned long long)seed - 1, violated);
+      CU_ASSERT_PTR_NOT_NULL (violated);
+    }
+}
+
 void
 suite_quorum (void)
 {
@@ -179,4 +252,6 @@
                test_replaced_in_time);
   CU_add_test (s, "a leader that did not listen replaces nobody",
                test_deaf_leader);
+  CU_add_test (s, "keepers through the losses that are allowed", test_model);
+  CU_add_test (s, "the model finds each defect", test_model_finds);
 }
