The test of the targets' log no longer races with the leader

Cause: the test proposes a list while the leader may have its own change under way, computed before the list was applied; nothing corrects it within that term, and in the product nobody else writes. The targets are silent now until the list is applied, which is checked; then they speak.

--- a/tests/unit/test_keepers.c
+++ b/tests/unit/test_keepers.c
@@ -76,6 +76,7 @@
   deployment_init (&d);
   for (int i = 0; i < SEEDS; i++)
     deployment_start_keeper (&d, i);
+  d.targets_silent = true;
   deployment_run_until_led (&d);
   k = deployment_leader (&d);
   quorum_keeper_propose (k,
@@ -84,6 +85,10 @@
                                     "127.0.0.1:1", "id", "t0", "address",
                                     "127.0.0.1:9"),
                          now_ms (), &index);
+  while (json_object_size (k->applied_targets) != 2 && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (json_object_size (k->applied_targets), 2);
+  d.targets_silent = false;
   while (json_object_size (k->applied_targets) != TARGETS && now_ms () < end)
     deployment_run_step (&d);
   CU_ASSERT_EQUAL (json_object_size (k->applied_targets), TARGETS);
