--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -12,10 +12,6 @@
 #include "tests/unit/deployment.h"
 #include "tests/unit/suites.h"
 
-/* Longer than an id may be.  */
-#define LONG_ID                                                               \
-  "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
-
 enum
 {
   PORT = 17731,
@@ -173,6 +169,21 @@
   return length != 0;
 }
 
+static void
+send_with_all_bodies (struct deployment *d, const struct node_settings *s,
+                      const char *line)
+{
+  char request[ANSWER_BYTES];
+
+  for (size_t b = 0; b < sizeof bodies / sizeof bodies[0]; b++)
+    {
+      snprintf (request, sizeof request,
+                "%s\r\nHost: h\r\nContent-Length: %zu\r\n\r\n%s", line,
+                strlen (bodies[b]), bodies[b]);
+      is_answered (d, s, request);
+    }
+}
+
 /* No request takes a keeper down or changes what it holds.  */
 static void
 test_malformed_requests (void)
@@ -181,7 +192,7 @@
   struct control_api api;
   const struct node_settings *s;
   struct error e;
-  char request[ANSWER_BYTES];
+  char long_line[ANSWER_BYTES];
 
   deployment_init (&d);
   d.targets_silent = true;
@@ -196,13 +207,13 @@
   CU_ASSERT_FATAL (
       control_api_start (&api, d.base, s, deployment_leader (&d), &e));
   for (size_t l = 0; l < sizeof lines / sizeof lines[0]; l++)
-    for (size_t b = 0; b < sizeof bodies / sizeof bodies[0]; b++)
-      {
-        snprintf (request, sizeof request,
-                  "%s\r\nHost: h\r\nContent-Length: %zu\r\n\r\n%s", lines[l],
-                  strlen (bodies[b]), bodies[b]);
-        is_answered (&d, s, request);
-      }
+    send_with_all_bodies (&d, s, lines[l]);
+  snprintf (long_line, sizeof long_line, "PUT /v1/instances/%0*d HTTP/1.1",
+            2 * TARGET_ID_BYTES, 0);
+  send_with_all_bodies (&d, s, long_line);
+  snprintf (long_line, sizeof long_line, "DELETE /v1/instances/%0*d HTTP/1.1",
+            2 * TARGET_ID_BYTES, 0);
+  send_with_all_bodies (&d, s, long_line);
   CU_ASSERT_EQUAL (deployment_leader (&d)->document_version, 0);
   CU_ASSERT_EQUAL (deployment_leader (&d)->plan.target_count, 0);
   CU_ASSERT (
