--- a/tests/unit/test_keepers.c
+++ b/tests/unit/test_keepers.c
@@ -48,8 +48,6 @@
   deployment_run_until_led (&d);
   while (d.keepers[other] == deployment_leader (&d))
     other++;
-  while (d.keepers[led] != deployment_leader (&d))
-    led++;
   d.keeper_settings[SPARE].seed_count = 1;
   memcpy (d.keeper_settings[SPARE].seeds[0].address,
           d.keeper_settings[other].peer.address, ADDRESS_BYTES);
@@ -57,6 +55,11 @@
   run_until_known (&d, d.keepers[SPARE], NULL);
   CU_ASSERT_EQUAL (d.keepers[SPARE]->told_voter_count, SEEDS);
   snprintf (old, sizeof old, "%s", quorum_keeper_leader (d.keepers[SPARE]));
+  /* Whoever leads by now: on a busy machine leaders change.  */
+  while (strncmp (old, d.keeper_settings[led].control.address,
+                  strlen (d.keeper_settings[led].control.address))
+         != 0)
+    led++;
   deployment_stop_keeper (&d, led);
   run_until_known (&d, d.keepers[SPARE], old);
   CU_ASSERT_STRING_NOT_EQUAL (quorum_keeper_leader (d.keepers[SPARE]), old);
@@ -79,6 +82,9 @@
   d.targets_silent = true;
   deployment_run_until_led (&d);
   k = deployment_leader (&d);
+  /* What it finds in the log as it begins to lead it takes for present.  */
+  while (!k->targets_recalled && now_ms () < end)
+    deployment_run_step (&d);
   quorum_keeper_propose (k,
                          json_pack ("{s:s s:[{s:s s:s} {s:s s:s}]}", "type",
                                     "targets", "list", "id", "old", "address",
