Old news from a keeper that was cut off does not cost a target its owner

Change: the gap after which a target's owner gets time to be heard is between the times when the leader was told, not when the targets spoke.

--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -216,6 +216,7 @@
     {
       t = add_target (p, spec);
       t->heard_ms = now;
+      t->told_ms = now;
       t->since_ms = now;
     }
   if (t->spec.born_ms != spec->born_ms)
@@ -232,12 +233,15 @@
     set_owner (p, t, "");
 }
 
-/* T was heard, perhaps by another keeper that has just told so.  */
+/* T was heard, perhaps by another keeper that tells so only now.  */
 static void
-note_heard (struct plan_target *t, int64_t heard)
+note_heard (const struct owner_plan *p, struct plan_target *t, int64_t heard)
 {
-  if (heard - t->heard_ms > HEARTBEAT_GAP_MS)
-    t->since_ms = heard;
+  int64_t told = heard > p->stepped_ms ? heard : p->stepped_ms;
+
+  if (told - t->told_ms > HEARTBEAT_GAP_MS)
+    t->since_ms = told;
+  t->told_ms = told;
   if (heard > t->heard_ms)
     t->heard_ms = heard;
 }
@@ -248,7 +252,7 @@
   struct plan_target *t = owner_plan_target (p, id);
 
   if (t != NULL)
-    note_heard (t, heard);
+    note_heard (p, t, heard);
   return t != NULL;
 }
 
@@ -262,6 +266,7 @@
     {
       t = add_target (p, spec);
       t->heard_ms = now;
+      t->told_ms = now;
       t->since_ms = now;
       return true;
     }
@@ -269,7 +274,7 @@
       || (spec->born_ms == t->spec.born_ms
           && spec->sequence < t->spec.sequence))
     return false;
-  note_heard (t, now);
+  note_heard (p, t, now);
   if (!run_target_spec_is_same (&t->spec, spec))
     {
       /* A new life: nothing of the old one runs, and it has seen no fence. */
@@ -481,6 +486,7 @@
     return;
   t = add_target (p, spec);
   t->heard_ms = now;
+  t->told_ms = now;
   t->since_ms = now - FOREIGN_AFTER_MS;
 }
 
@@ -500,6 +506,7 @@
 void
 owner_plan_step (struct owner_plan *p, int64_t now)
 {
+  p->stepped_ms = now;
   drop_dead_entries (p, now);
   forget_silent_targets (p, now);
   p->reports_known |= has_reports (p, now);
--- a/src/coord/owner_plan.h
+++ b/src/coord/owner_plan.h
@@ -53,7 +53,8 @@
   uint64_t fence;
   bool release;
   int64_t heard_ms;    /* the target's last heartbeat, or an owner's report */
-  int64_t since_ms;    /* heard without a gap since */
+  int64_t told_ms;     /* when that came here: a keeper may have kept it */
+  int64_t since_ms;    /* told of without a gap since */
   uint64_t told_fence; /* of the owner that was last logged */
   UT_hash_handle hh;
 };
@@ -63,6 +64,7 @@
   uint64_t term;
   uint64_t fence_counter;
   int64_t leading_since_ms;
+  int64_t stepped_ms; /* the present, as it was last told */
   bool reports_known; /* what the entries own, as far as it can be had */
   int64_t
       entry_joined_ms; /* when an entry was last heard for the first time */
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -284,6 +284,33 @@
   CU_ASSERT (first_owner_ms (false) >= 200);
 }
 
+/* A domain is cut off with its keeper, which acknowledges its targets for a
+   moment more.  What that keeper tells after the cut is old news: the targets
+   keep their owner until it had time to be heard too.  */
+static void
+test_healed_cut_with_keeper (void)
+{
+  struct run_target_spec oven = make_target ("o1", "oven");
+  struct owner_plan p;
+  int64_t cut = 1000 + SETTLED_MS;
+  int64_t healed = cut + SETTLED_MS;
+  uint64_t fence;
+
+  start (&p);
+  fence = fence_of (&p, "o1");
+  live (&p, cut, healed, false);
+  owner_plan_hear_again (&p, cut + 1300, "o1");
+  owner_plan_step (&p, healed + 20);
+  owner_plan_hear_target (&p, healed + 40, &oven);
+  owner_plan_step (&p, healed + 60);
+  CU_ASSERT_EQUAL (fence_of (&p, "o1"), fence);
+  hear_entry (&p, healed + 300, "oven-1", "oven");
+  owner_plan_step (&p, healed + 320);
+  CU_ASSERT_STRING_EQUAL (owner_of (&p, "o1"), "oven-1");
+  CU_ASSERT_EQUAL (fence_of (&p, "o1"), fence);
+  owner_plan_done (&p);
+}
+
 void
 suite_plan (void)
 {
@@ -294,6 +321,8 @@
   CU_add_test (s, "nothing is waited for after all was lost", test_all_fresh);
   CU_add_test (s, "a dead entry's targets go on", test_dead_entry);
   CU_add_test (s, "a healed cut changes no owner", test_healed_cut);
+  CU_add_test (s, "nor does one of a domain with its keeper",
+               test_healed_cut_with_keeper);
   CU_add_test (s, "a foreign owner hands back", test_foreign_and_back);
   CU_add_test (s, "a reborn target is given anew", test_reborn_target);
   CU_add_test (s, "a late report changes nothing", test_late_report);
