A zone that is cut off with the leading keeper keeps its targets

Change: a target that is known from the log only goes to no other domain, and after a domain has come back its targets wait until its entries had time to report what they own; entries without a view since their start have nothing to report. Tests seen failing: nor one with the leader in it; who has no owner after a cut gets one.

--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -125,6 +125,7 @@
     }
   snprintf (t->owner, sizeof t->owner, "%s", vm);
   t->release = false;
+  t->reported |= vm[0] != '\0';
 }
 
 static uint64_t
@@ -242,6 +243,7 @@
   if (told - t->told_ms > HEARTBEAT_GAP_MS)
     t->since_ms = told;
   t->told_ms = told;
+  t->recalled = false;
   if (heard > t->heard_ms)
     t->heard_ms = heard;
 }
@@ -397,12 +399,38 @@
   return now - p->leading_since_ms < FOREIGN_AFTER_MS;
 }
 
+/* Whether DOMAIN has come back lately, after this leader had heard all others,
+   so that an entry there may still have to report targets.  Entries without
+   a view since their start have none.  */
+static bool
+may_still_report (const struct owner_plan *p, const char *domain, int64_t now)
+{
+  int64_t back = INT64_MAX;
+  bool fresh = true;
+
+  for (uint32_t i = 0; i < p->entry_count; i++)
+    {
+      const struct plan_entry *e = p->entries[i];
+
+      if (!e->alive || strcmp (e->domain, domain) != 0)
+        continue;
+      fresh &= e->fresh;
+      if (e->since_ms < back)
+        back = e->since_ms;
+    }
+  return !fresh && back - p->leading_since_ms > REPORT_MOST_MS
+         && now - back < OWNER_RETURN_MS;
+}
+
 static void
 give_owner (struct owner_plan *p, struct plan_target *t, int64_t now)
 {
   struct plan_entry *e = choose_owner (p, t->spec.domain, false);
 
-  if (e == NULL && now - t->since_ms >= FOREIGN_AFTER_MS
+  if (e != NULL && !t->reported && may_still_report (p, t->spec.domain, now))
+    return;
+  /* One that is known from the log only may be cut off with its owner.  */
+  if (e == NULL && !t->recalled && now - t->since_ms >= FOREIGN_AFTER_MS
       && !domain_had_entry (p, t->spec.domain, now))
     e = choose_owner (p, t->spec.domain, true);
   if (e == NULL)
@@ -487,6 +515,7 @@
   t = add_target (p, spec);
   t->heard_ms = now;
   t->told_ms = now;
+  t->recalled = true;
   t->since_ms = now - FOREIGN_AFTER_MS;
 }
 
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -311,6 +311,54 @@
   owner_plan_done (&p);
 }
 
+/* The leader was in the domain that is cut off, and a new one knows its
+   targets from the log alone: they go to no other domain, and after the cut
+   not to the first entry that is heard there, but stay with the one that has
+   them.  */
+static void
+test_new_leader_in_a_cut (void)
+{
+  struct run_target_spec oven = make_target ("o1", "oven");
+  struct owner_plan p;
+  int64_t now = 1000;
+
+  owner_plan_init (&p);
+  owner_plan_lead (&p, TERM, now);
+  owner_plan_recall_target (&p, now, &oven);
+  live (&p, now, now + SETTLED_MS, false);
+  now += SETTLED_MS;
+  CU_ASSERT_STRING_EQUAL (owner_of (&p, "o1"), "");
+  owner_plan_hear_target (&p, now, &oven);
+  hear_entry (&p, now + 20, "oven-2", "oven");
+  owner_plan_step (&p, now + 40);
+  CU_ASSERT_STRING_EQUAL (owner_of (&p, "o1"), "");
+  owner_plan_hear_owned (&p, now + 250,
+                         hear_entry (&p, now + 250, "oven-1", "oven"), &oven,
+                         77, OWNED_HELD);
+  owner_plan_step (&p, now + 270);
+  CU_ASSERT_STRING_EQUAL (owner_of (&p, "o1"), "oven-1");
+  CU_ASSERT_EQUAL (fence_of (&p, "o1"), 77);
+  owner_plan_done (&p);
+}
+
+/* Where nobody has it, a target of a domain that came back gets an owner once
+   the domain's entries had time to report.  */
+static void
+test_unowned_after_a_cut (void)
+{
+  struct run_target_spec oven = make_target ("o1", "oven");
+  struct owner_plan p;
+  int64_t now = 1000;
+
+  owner_plan_init (&p);
+  owner_plan_lead (&p, TERM, now);
+  owner_plan_recall_target (&p, now, &oven);
+  live (&p, now, now + SETTLED_MS, false);
+  live (&p, now + SETTLED_MS, now + 2 * SETTLED_MS, true);
+  CU_ASSERT_STRING_EQUAL (owner_of (&p, "o1"), "oven-1");
+  owner_plan_done (&p);
+}
+
 void
 suite_plan (void)
 {
@@ -323,6 +371,9 @@
   CU_add_test (s, "a healed cut changes no owner", test_healed_cut);
   CU_add_test (s, "nor does one of a domain with its keeper",
                test_healed_cut_with_keeper);
+  CU_add_test (s, "nor one with the leader in it", test_new_leader_in_a_cut);
+  CU_add_test (s, "who has no owner after a cut gets one",
+               test_unowned_after_a_cut);
   CU_add_test (s, "a foreign owner hands back", test_foreign_and_back);
   CU_add_test (s, "a reborn target is given anew", test_reborn_target);
   CU_add_test (s, "a late report changes nothing", test_late_report);
