Log who sent a job, when it was last heard, and the leases that remain

After a task ran twice at the same time, the lines at info level did not tell whether a dispatcher kept renewing a lease, a delegate kept its part, a cancellation was lost, or a job or start came late.

DISPATCH_ACCEPTED (now info) and DISPATCH_ENDED name the sender, its job id, the part and the age of its last timely message. New: DISPATCH_STOPPED, TASKS_REVOKED, JOB_GIVEN_UP, DISPATCH_STALE, TARGET_NOT_RENEWED (info), and RUN_STOPPED, RUN_LOST, RUN_STOP_ANSWERED, RUN_STARTED (debug).

--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -53,6 +53,9 @@
   ROW (312, TARGET_NOT_RELAYED, WARN,                                         \
        "target report could not be relayed to the keepers' leader",           \
        "check the keepers and the network to them")                           \
+  ROW (313, TARGET_NOT_RENEWED, INFO,                                         \
+       "lease of the runs on a target could not be renewed",                  \
+       "check the target and the network to it if this recurs")               \
   ROW (320, RUN_NOT_STARTED, INFO, "start request was not accepted",          \
        "read the outcome; check the target if this recurs")                   \
   ROW (321, RUN_ENDED, DEBUG, "run ended", "nothing")                         \
@@ -61,7 +64,13 @@
   ROW (323, RUN_STALLED, WARN,                                                \
        "run makes no progress or is too slow, and is stopped",                \
        "check the target if this recurs")                                     \
-  ROW (330, DISPATCH_ACCEPTED, DEBUG, "job queued for dispatch", "nothing")   \
+  ROW (324, RUN_STOPPED, DEBUG, "stop of a run decided", "nothing")           \
+  ROW (325, RUN_LOST, DEBUG, "run found to be over without a reported end",   \
+       "nothing")                                                             \
+  ROW (326, RUN_STOP_ANSWERED, DEBUG, "target answered a stop, or did not",   \
+       "nothing")                                                             \
+  ROW (327, RUN_STARTED, DEBUG, "target accepted a start", "nothing")         \
+  ROW (330, DISPATCH_ACCEPTED, INFO, "job queued for dispatch", "nothing")    \
   ROW (331, DISPATCH_ENDED, INFO, "job ended at its dispatcher", "nothing")   \
   ROW (332, DISPATCH_REFUSED, INFO, "job refused by its dispatcher",          \
        "read the reason; on overload, add targets")                           \
@@ -82,6 +91,15 @@
        "read the reason")                                                     \
   ROW (336, COORDINATOR_LOST, WARN,                                           \
        "entry that served callers is lost; its jobs are stopped", "nothing")  \
+  ROW (340, DISPATCH_STOPPED, INFO,                                           \
+       "job stopped at its dispatcher before its end", "nothing")             \
+  ROW (341, TASKS_REVOKED, INFO, "delegated tasks revoked", "nothing")        \
+  ROW (342, JOB_GIVEN_UP, INFO,                                               \
+       "entry no longer waits for a job at its dispatcher",                   \
+       "nothing; on cancel_sent=0 the dispatcher stops it by its time-out")   \
+  ROW (343, DISPATCH_STALE, INFO,                                             \
+       "job refused that came too late from its coordinator",                 \
+       "check for a stalled VM or a blocked link")                            \
   ROW (400, CONFIG_IN_FORCE, INFO, "configuration in force on this VM",       \
        "nothing")                                                             \
   ROW (401, CONFIG_ACCEPTED, INFO, "configuration accepted", "nothing")       \
--- a/src/controller/delegation_controller.c
+++ b/src/controller/delegation_controller.c
@@ -45,8 +45,9 @@
                 p->count);
   if (a->result != JOB_DONE)
     event_ring_add (EVENT_TASKS_RETURNED, p->job->spec.key,
-                    "first=%u count=%u result=%s reason=%s", p->first,
-                    p->count, job_result_name (a->result),
+                    "from=%s first=%u count=%u result=%s reason=%s",
+                    p->delegate, p->first, p->count,
+                    job_result_name (a->result),
                     refusal_reason_name (a->reason));
   if (a->result == JOB_REFUSED)
     record_refusal (p->controller->entry, p->delegate);
@@ -74,11 +75,13 @@
   run_scheduler_delegate (&n->dispatcher.scheduler, now, o->job, o->first,
                           o->count);
   counters_add (COUNTER_TASKS_LENT, o->count);
-  event_ring_add (EVENT_TASKS_LENT, o->job->spec.key,
-                  "to=%s first=%u count=%u room_age_ms=%" PRId64, o->to->vm,
-                  o->first, o->count, now - o->to->reported_ms);
   p->remote_job
       = job_entry_submit_part (n, now, &spec, o->to->vm, on_answered, p);
+  event_ring_add (EVENT_TASKS_LENT, o->job->spec.key,
+                  "to=%s id=%" PRIu64
+                  " first=%u count=%u room_age_ms=%" PRId64,
+                  o->to->vm, job_entry_job_id (p->remote_job), o->first,
+                  o->count, now - o->to->reported_ms);
 }
 
 static void
@@ -107,6 +110,20 @@
     entry_dispatchers_request_capacity (n, now, queried[i]);
 }
 
+static void
+revoke_part (struct delegation_controller *c, struct delegated_part *p,
+             int64_t now)
+{
+  uint64_t id = job_entry_job_id (p->remote_job);
+  bool sent = job_entry_cancel (c->entry, now, p->remote_job);
+
+  event_ring_add (EVENT_TASKS_REVOKED, p->job->spec.key,
+                  "to=%s id=%" PRIu64 " first=%u count=%u sent=%d",
+                  p->delegate, id, p->first, p->count, sent);
+  DL_DELETE (c->parts, p);
+  free (p);
+}
+
 static void
 on_revoke (void *arg, struct run_job *j)
 {
@@ -118,9 +135,7 @@
   DL_FOREACH_SAFE (c->parts, p, next)
   if (p->job == j)
     {
-      DL_DELETE (c->parts, p);
-      job_entry_cancel (c->entry, now, p->remote_job);
-      free (p);
+      revoke_part (c, p, now);
     }
 }
 
--- a/src/controller/dispatch_coordinator.c
+++ b/src/controller/dispatch_coordinator.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <utlist.h>
 #include "base/event_ring.h"
+#include "controller/job_events.h"
 
 enum
 {
@@ -49,7 +50,7 @@
       struct dispatch_job *j = c->jobs;
 
       DL_DELETE (c->jobs, j);
-      dispatcher_cancel (d, now, j);
+      dispatcher_cancel (d, now, j, why);
       n++;
     }
   if (n == 0)
@@ -93,6 +94,14 @@
   return NULL;
 }
 
+/* How much longer than the fastest message of C one took that C sent at
+   SENT_MS, on its own clock.  */
+static int64_t
+late_ms (const struct coordinator *c, int64_t now, int64_t sent_ms)
+{
+  return c->has_delay ? now - sent_ms - c->min_delay_ms : 0;
+}
+
 /* Whether a message that C sent at SENT_MS, on its own clock, arrived without
    undue delay.  False until a message of the connection has been recorded,
    since there is no delay to compare with: a job that comes first is
@@ -100,7 +109,7 @@
 static bool
 is_timely (const struct coordinator *c, int64_t now, int64_t sent_ms)
 {
-  return c->has_delay && now - sent_ms - c->min_delay_ms <= MESSAGE_STALE_MS;
+  return c->has_delay && late_ms (c, now, sent_ms) <= MESSAGE_STALE_MS;
 }
 
 /* Records a message that C sent at SENT_MS, on its own clock.  */
@@ -126,6 +135,8 @@
   int64_t retry_ms = 0;
   struct dispatch_job *j = NULL;
   bool timely = is_timely (c, now, m->sent_ms);
+  int64_t heard = now - c->last_seen_ms;
+  int64_t late = late_ms (c, now, m->sent_ms);
 
   record_message (c, now, m->sent_ms);
   memset (&spec, 0, sizeof spec);
@@ -143,6 +154,8 @@
       && slice_copy (m->service, spec.service, sizeof spec.service)
       && job_spec_unpack_steps (&spec, m->steps))
     j = dispatcher_accept (d, now, &spec, &reason, &retry_ms);
+  if (!timely)
+    job_events_stale (c, m, heard, late);
   if (j == NULL)
     {
       dispatch_coordinator_send_result (&refused, JOB_REFUSED, reason,
@@ -152,6 +165,7 @@
   j->coordinator = c;
   j->id = m->id;
   DL_APPEND (c->jobs, j);
+  job_events_accepted (j, heard, late);
 }
 
 static void
@@ -165,7 +179,7 @@
   if (j->id == id)
     {
       DL_DELETE (c->jobs, j);
-      dispatcher_cancel (d, now, j);
+      dispatcher_cancel (d, now, j, "cancelled");
     }
 }
 
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -10,6 +10,7 @@
 #include "base/histogram.h"
 #include "base/now.h"
 #include "controller/dispatch_coordinator.h"
+#include "controller/job_events.h"
 #include "coord/run_admission.h"
 
 enum
@@ -75,18 +76,9 @@
   count_result (result);
   histogram_add (HISTOGRAM_JOB_WAIT, waited);
   histogram_add (HISTOGRAM_JOB_TOTAL, now - run->times.arrived_ms);
-  event_ring_add (
-      EVENT_DISPATCH_ENDED, run->spec.key,
-      "result=%s reason=%s queue=%s tasks=%u waited_ms=%" PRId64
-      " placed_ms=%" PRId64 " total_ms=%" PRId64 " slack_ms=%" PRId64
-      " objective_ms=%" PRId64 " work=%" PRIu64 " part=%d",
-      job_result_name (result), refusal_reason_name (reason), run->spec.queue,
-      run->task_count, waited,
-      run->last_start_ms < 0 ? -1 : run->last_start_ms - run->times.arrived_ms,
-      now - run->times.arrived_ms,
-      run->times.start_by_ms - run->times.arrived_ms,
-      run->times.due_ms - run->times.arrived_ms, run->work / WORK_PER_CORE_MS,
-      run->spec.part.is_part);
+  if (run->active_count != 0)
+    job_events_stopped (j, now, refusal_reason_name (reason));
+  job_events_ended (j, now, result, reason);
   send_result (j, result, reason, retry_ms, waited);
   free (j);
 }
@@ -114,6 +106,7 @@
                     j->tasks[task].run, t->spec.id, j->tasks[task].percent,
                     j->tasks[task].expected_ms,
                     now_ms () - j->tasks[task].began_ms);
+  job_events_run_stopped (t, now_ms (), j, task);
   target_runner_stop (t->user_data, name, j->tasks[task].run);
 }
 
@@ -163,6 +156,7 @@
   r->lost = true;
   if (other_owner)
     abort_runs (d, t, now);
+  job_events_runs_lost (t, now, "owner_changed");
   d->runners[i] = d->runners[--d->runner_count];
   target_runner_done (r);
   free (r);
@@ -315,8 +309,9 @@
       if (owned == NULL)
         {
           event_ring_add (EVENT_TARGET_RELEASED, r->target->spec.id,
-                          "fence=%" PRIu64 " runs=%u", r->fencing_token,
-                          r->target->run_count);
+                          "fence=%" PRIu64 " runs=%u lease_ms=%" PRId64,
+                          r->fencing_token, r->target->run_count,
+                          target_runner_lease_ms (r, now));
           remove_runner (d, i, now, true);
           continue;
         }
@@ -375,24 +370,24 @@
     {
       struct job_backlog b
           = run_scheduler_backlog (&d->scheduler, spec->service, INT64_MAX);
+      char part[JOB_PART_BYTES];
 
+      job_events_part (spec, part);
       counters_add (COUNTER_DISPATCH_REFUSED, 1);
       event_ring_add (
           EVENT_DISPATCH_REFUSED, spec->key,
           "reason=%s queue=%s tasks=%u ahead_ms=%" PRId64 " cpu=%" PRIu64
           " retry_ms=%" PRId64 " fitting=%u work=%" PRIu64 " path_ms=%" PRId64
-          " age_ms=%" PRId64 " part=%d",
+          " age_ms=%" PRId64 " part=%s",
           refusal_reason_name (*reason), spec->queue,
           job_spec_task_count (spec), job_admission_wait_ms (&b), b.cpu_milli,
           *retry_ms, run_admission_fitting (&d->scheduler, spec, now),
           job_spec_work (spec) / WORK_PER_CORE_MS,
-          job_spec_critical_path_ms (spec), spec->age_ms, spec->part.is_part);
+          job_spec_critical_path_ms (spec), spec->age_ms, part);
       free (j);
       return NULL;
     }
   counters_add (COUNTER_DISPATCH_TAKEN, 1);
-  event_ring_add (EVENT_DISPATCH_ACCEPTED, spec->key, "queue=%s tasks=%u",
-                  spec->queue, j->run->task_count);
   request_pass (d);
   return j;
 }
@@ -408,13 +403,16 @@
     {
       j->done = done;
       j->arg = arg;
+      job_events_accepted (j, 0, 0);
     }
   return j;
 }
 
 void
-dispatcher_cancel (struct dispatcher *d, int64_t now, struct dispatch_job *j)
+dispatcher_cancel (struct dispatcher *d, int64_t now, struct dispatch_job *j,
+                   const char *why)
 {
+  job_events_stopped (j, now, why);
   cancel_job (d, j, now);
   request_pass (d);
 }
--- a/src/controller/dispatcher.h
+++ b/src/controller/dispatcher.h
@@ -92,9 +92,10 @@
                                         enum refusal_reason *reason,
                                         int64_t *retry_ms);
 
-/* Cancels J, stops its runs and frees it.  DONE is not called.  */
+/* Cancels J, stops its runs and frees it.  DONE is not called.  WHY is for the
+   event log.  */
 void dispatcher_cancel (struct dispatcher *d, int64_t now_ms,
-                        struct dispatch_job *j);
+                        struct dispatch_job *j, const char *why);
 
 /* Handles a job, a cancellation or a keepalive from an entry.  Returns false
    for any other type of message.  */
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -11,6 +11,7 @@
 #include "base/now.h"
 #include "controller/entry_dispatchers.h"
 #include "controller/entry_assignment.h"
+#include "controller/job_events.h"
 
 enum
 {
@@ -184,6 +185,7 @@
     }
   j->spec.age_ms = now - j->arrived_ms;
   j->spec.deadline_ms = j->deadline_ms - now;
+  j->sent_ms = now;
   j->answer.result = JOB_REFUSED;
   j->local = dispatcher_submit (&n->dispatcher, now, &j->spec, on_local_done,
                                 j, &j->answer.reason, &j->answer.retry_ms);
@@ -254,44 +256,88 @@
 
   j->tried_count = ROUTE_TRY_LIMIT;
   if (send_job (n, now, j, vm))
-    snprintf (j->vm, sizeof j->vm, "%s", vm);
+    {
+      snprintf (j->vm, sizeof j->vm, "%s", vm);
+      j->sent_ms = now;
+    }
   else
     answer (j, JOB_REFUSED, REFUSAL_LOST_PEER, 0);
   return j;
 }
 
-static void
+static bool
 send_cancel (struct job_entry *n, const struct routed_job *j)
 {
   struct peer_message m = { .type = PEER_JOB_CANCEL };
 
   m.u.job_cancel.id = j->id;
-  peer_network_send (n->network, j->vm, &m);
+  return peer_network_send (n->network, j->vm, &m);
 }
 
-static void
+/* Returns false if the cancellation could not be sent.  */
+static bool
 cancel_at_dispatcher (struct job_entry *n, int64_t now, struct routed_job *j)
 {
   if (j->local != NULL)
-    dispatcher_cancel (&n->dispatcher, now, j->local);
+    dispatcher_cancel (&n->dispatcher, now, j->local, "cancelled");
   else if (j->vm[0] != '\0')
-    send_cancel (n, j);
+    return send_cancel (n, j);
+  return true;
 }
 
-void
+static void
+record_given_up (struct job_entry *n, int64_t now, const struct routed_job *j,
+                 const char *why, bool cancel_sent)
+{
+  const char *vm = j->local != NULL ? n->settings->peer.vm : j->vm;
+  const struct route_dispatcher *d = entry_dispatchers_find (n, vm);
+  struct given_up_job g = { .spec = &j->spec,
+                            .id = j->id,
+                            .dispatcher = vm,
+                            .sent_ms = j->sent_ms,
+                            .reported_ms = d == NULL ? 0 : d->reported_ms,
+                            .cancel_sent = cancel_sent };
+
+  job_events_given_up (&g, now, why);
+}
+
+/* Cancels J, if a dispatcher has it.  Returns false if the cancellation could
+   not be sent.  */
+static bool
+give_up (struct job_entry *n, int64_t now, struct routed_job *j,
+         const char *why)
+{
+  bool at_dispatcher = j->local != NULL || j->vm[0] != '\0';
+  bool sent = cancel_at_dispatcher (n, now, j);
+
+  if (at_dispatcher)
+    record_given_up (n, now, j, why, sent);
+  return sent;
+}
+
+bool
 job_entry_cancel (struct job_entry *n, int64_t now, struct routed_job *j)
 {
-  cancel_at_dispatcher (n, now, j);
+  bool sent = j->spec.part.is_part ? cancel_at_dispatcher (n, now, j)
+                                   : give_up (n, now, j, "caller_gone");
+
   job_free (n, j);
+  return sent;
 }
 
 void
 job_entry_withdraw (struct job_entry *n, int64_t now, struct routed_job *j)
 {
-  cancel_at_dispatcher (n, now, j);
+  give_up (n, now, j, "withdrawn");
   answer (j, JOB_UNKNOWN, REFUSAL_NONE, 0);
 }
 
+uint64_t
+job_entry_job_id (const struct routed_job *j)
+{
+  return j->id;
+}
+
 struct routed_job *
 job_entry_find (const struct job_entry *n, const char *key)
 {
@@ -377,13 +423,16 @@
 /* Answers the jobs sent to VM, whose connection has closed, with JOB_UNKNOWN,
    since they may have run.  */
 static void
-fail_jobs_at (struct job_entry *n, const char *vm)
+fail_jobs_at (struct job_entry *n, int64_t now, const char *vm)
 {
   struct routed_job *j;
 
   DL_FOREACH (n->jobs, j)
   if (strcmp (j->vm, vm) == 0)
-    answer (j, JOB_UNKNOWN, REFUSAL_LOST_PEER, 0);
+    {
+      record_given_up (n, now, j, "link_lost", false);
+      answer (j, JOB_UNKNOWN, REFUSAL_LOST_PEER, 0);
+    }
 }
 
 static void
@@ -392,6 +441,8 @@
   struct job_entry *n = arg;
   struct route_dispatcher *d = entry_dispatchers_find (n, vm);
 
+  if (!up)
+    fail_jobs_at (n, now_ms (), vm);
   if (d != NULL)
     {
       d->reachable = up;
@@ -403,8 +454,6 @@
       n->last_heartbeat_ms = 0;
       n->last_poll_ms = 0;
     }
-  else
-    fail_jobs_at (n, vm);
 }
 
 static void
@@ -437,7 +486,7 @@
   DL_FOREACH (n->jobs, j)
   if (now > j->deadline_ms && (j->local != NULL || j->vm[0] != '\0'))
     {
-      cancel_at_dispatcher (n, now, j);
+      give_up (n, now, j, "expired");
       answer (j, JOB_UNKNOWN, REFUSAL_EXPIRED, 0);
     }
 }
@@ -534,7 +583,7 @@
   DL_FOREACH (n->jobs, j)
   if (j->local != NULL || j->vm[0] != '\0')
     {
-      cancel_at_dispatcher (n, now, j);
+      give_up (n, now, j, "leaving");
       answer (j, JOB_UNKNOWN, REFUSAL_LEAVING, 0);
     }
 }
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -109,9 +109,13 @@
                                           const char *vm,
                                           job_answered answered, void *arg);
 
+/* The number of J among the jobs that N has sent.  */
+uint64_t job_entry_job_id (const struct routed_job *j);
+
 /* Cancels J, whose answer nobody waits for any more, and frees it.  ANSWERED
-   is not called.  */
-void job_entry_cancel (struct job_entry *n, int64_t now_ms,
+   is not called.  Returns false if a dispatcher may still have J and could not
+   be sent the cancellation.  */
+bool job_entry_cancel (struct job_entry *n, int64_t now_ms,
                        struct routed_job *j);
 
 /* Cancels J at its caller's request.  The answer is JOB_UNKNOWN, since it may
--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -9,6 +9,7 @@
 #include "base/event_ring.h"
 #include "base/histogram.h"
 #include "base/now.h"
+#include "controller/job_events.h"
 
 enum
 {
@@ -97,6 +98,14 @@
   evtimer_add (r->timer, &t);
 }
 
+int64_t
+target_runner_lease_ms (const struct target_runner *r, int64_t now)
+{
+  int64_t left = r->lease_end_ms - target_clock_min_ms (&r->clock, now);
+
+  return r->clock.known && left > 0 ? left : 0;
+}
+
 static void
 mark_lost (struct target_runner *r, const char *why)
 {
@@ -104,8 +113,9 @@
     return;
   r->lost = true;
   event_ring_add (EVENT_TARGET_LOST, r->target->spec.id,
-                  "why=%s fence=%" PRIu64 " runs=%u", why, r->fencing_token,
-                  r->target->run_count);
+                  "why=%s fence=%" PRIu64 " runs=%u lease_ms=%" PRId64, why,
+                  r->fencing_token, r->target->run_count,
+                  target_runner_lease_ms (r, now_ms ()));
   r->setup->events->lost (r->setup->arg, r);
 }
 
@@ -137,8 +147,9 @@
     return;
   r->target->phase = TARGET_UNREACHABLE;
   event_ring_add (EVENT_TARGET_SILENT, r->target->spec.id,
-                  "outcome=%s runs=%u", port_outcome_name (outcome),
-                  r->target->run_count);
+                  "outcome=%s runs=%u fence=%" PRIu64 " lease_ms=%" PRId64,
+                  port_outcome_name (outcome), r->target->run_count,
+                  r->fencing_token, target_runner_lease_ms (r, now));
 }
 
 static int64_t
@@ -165,8 +176,10 @@
       || !are_leases_expired (r, now))
     return;
   event_ring_add (EVENT_TARGET_LAPSED_RUNS, r->target->spec.id,
-                  "runs=%u silent_ms=%" PRId64, r->target->run_count,
+                  "runs=%u fence=%" PRIu64 " silent_ms=%" PRId64,
+                  r->target->run_count, r->fencing_token,
                   now - r->unanswered_since_ms);
+  job_events_runs_lost (r->target, now, "lease_expired");
   run_scheduler_runs_lost (r->setup->scheduler, now, r->target);
   r->setup->events->changed (r->setup->arg);
 }
@@ -210,6 +223,24 @@
     poll_target (r, now);
 }
 
+static void
+record_start (const struct run_call *c, int64_t now,
+              const struct port_reply *reply)
+{
+  const struct target_runner *r = c->runner;
+  bool accepted = reply->outcome == PORT_DONE;
+
+  histogram_add (HISTOGRAM_RUN_START, now - reply->sent_ms);
+  if (!accepted)
+    counters_add (COUNTER_STARTS_REFUSED, 1);
+  event_ring_add (
+      accepted ? EVENT_RUN_STARTED : EVENT_RUN_NOT_STARTED, c->task,
+      "run=%" PRIu64 " target=%s outcome=%s fence=%" PRIu64 " took_ms=%" PRId64
+      " lease_ms=%" PRId64,
+      c->run, r->target->spec.id, port_outcome_name (reply->outcome),
+      r->fencing_token, now - reply->sent_ms, target_runner_lease_ms (r, now));
+}
+
 static void
 on_started (void *arg, const struct port_reply *reply)
 {
@@ -217,14 +248,7 @@
   struct target_runner *r = c->runner;
   int64_t now = now_ms ();
 
-  histogram_add (HISTOGRAM_RUN_START, now - reply->sent_ms);
-  if (reply->outcome != PORT_DONE)
-    {
-      counters_add (COUNTER_STARTS_REFUSED, 1);
-      event_ring_add (EVENT_RUN_NOT_STARTED, c->task,
-                      "run=%" PRIu64 " target=%s outcome=%s", c->run,
-                      r->target->spec.id, port_outcome_name (reply->outcome));
-    }
+  record_start (c, now, reply);
   switch (reply->outcome)
     {
     case PORT_NO_ANSWER:
@@ -268,8 +292,10 @@
   run_job_task_name (j, task, name);
   s.lease_end_ms = request_lease (r, now, START_LEASE_MS);
   counters_add (COUNTER_TASK_STARTS, 1);
-  event_ring_add_task (EVENT_TASK_STARTED, j->spec.key, task, "start",
-                       r->target->spec.id);
+  event_ring_add (
+      EVENT_TASK_STARTED, name,
+      "run=%" PRIu64 " target=%s fence=%" PRIu64 " lease_ms=%" PRId64, s.run,
+      r->target->spec.id, r->fencing_token, (int64_t)START_LEASE_MS);
   r->setup->ops->start (r->port, &s, on_started,
                         run_call_new (r, name, s.run));
 }
@@ -281,6 +307,12 @@
   struct target_runner *r = c->runner;
   int64_t now = now_ms ();
 
+  event_ring_add (EVENT_RUN_STOP_ANSWERED, c->task,
+                  "run=%" PRIu64 " target=%s outcome=%s fence=%" PRIu64
+                  " took_ms=%" PRId64,
+                  c->run, r->target->spec.id,
+                  port_outcome_name (reply->outcome), r->fencing_token,
+                  now - reply->sent_ms);
   switch (reply->outcome)
     {
     case PORT_DONE:
@@ -345,8 +377,10 @@
       if (run_scheduler_ended (r->setup->scheduler, now, r->target, e->task,
                                e->run, e->how))
         event_ring_add (EVENT_RUN_ENDED, e->task,
-                        "run=%" PRIu64 " target=%s how=%d", e->run,
-                        r->target->spec.id, (int)e->how);
+                        "run=%" PRIu64 " target=%s how=%d fence=%" PRIu64
+                        " lease_ms=%" PRId64,
+                        e->run, r->target->spec.id, (int)e->how,
+                        r->fencing_token, target_runner_lease_ms (r, now));
     }
 }
 
@@ -366,13 +400,28 @@
                                  p->run, p->percent))
         continue;
       unknown++;
-      event_ring_add (EVENT_RUN_FOREIGN, p->task, "run=%" PRIu64 " target=%s",
-                      p->run, r->target->spec.id);
+      event_ring_add (EVENT_RUN_FOREIGN, p->task,
+                      "run=%" PRIu64 " target=%s fence=%" PRIu64, p->run,
+                      r->target->spec.id, r->fencing_token);
       target_runner_stop (r, p->task, p->run);
     }
   return unknown;
 }
 
+/* Records the runs that run_scheduler_drop_unlisted will drop.  */
+static void
+record_unlisted (const struct target_runner *r, int64_t now)
+{
+  for (uint32_t i = 0; i < r->target->run_count; i++)
+    {
+      const struct run_ref *ref = &r->target->runs[i];
+
+      if (run_task_is_unlisted (&ref->job->tasks[ref->task], now,
+                                r->poll_sent_ms))
+        job_events_run_lost (r->target, now, ref, "unlisted");
+    }
+}
+
 static void
 handle_poll_reply (struct target_runner *r, const struct port_poll_reply *poll,
                    int64_t now)
@@ -382,6 +431,7 @@
   record_answer (r, &poll->reply);
   handle_ends (r, poll, now);
   unknown = handle_running (r, poll, now);
+  record_unlisted (r, now);
   run_scheduler_drop_unlisted (r->setup->scheduler, now, r->target,
                                r->poll_sent_ms);
   resend_stops (r, now);
@@ -406,6 +456,22 @@
                                                       : IDLE_POLL_MS);
 }
 
+/* Records a poll that should have renewed leases and got no answer, if it is
+   the first in a row.  */
+static void
+record_not_renewed (const struct target_runner *r, int64_t now,
+                    enum port_outcome outcome)
+{
+  if (r->unanswered_calls != 0 || r->target->run_count == 0)
+    return;
+  event_ring_add (EVENT_TARGET_NOT_RENEWED, r->target->spec.id,
+                  "outcome=%s runs=%u fence=%" PRIu64 " lease_ms=%" PRId64
+                  " took_ms=%" PRId64,
+                  port_outcome_name (outcome), r->target->run_count,
+                  r->fencing_token, target_runner_lease_ms (r, now),
+                  now - r->poll_sent_ms);
+}
+
 static void
 on_polled (void *arg, const struct port_poll_reply *poll)
 {
@@ -423,6 +489,7 @@
       mark_lost (r, port_outcome_name (poll->reply.outcome));
       return;
     default:
+      record_not_renewed (r, now, poll->reply.outcome);
       record_no_answer (r, now, poll->reply.outcome);
       check_lease_expiry (r, now);
       schedule (r, retry_ms (r));
--- a/src/controller/target_runner.h
+++ b/src/controller/target_runner.h
@@ -66,6 +66,10 @@
                          struct run_target *t, uint64_t fencing_token);
 void target_runner_done (struct target_runner *r);
 
+/* The time until the latest lease requested from R's target has expired, by
+   the slowest that its clock may run; 0 if it has.  */
+int64_t target_runner_lease_ms (const struct target_runner *r, int64_t now_ms);
+
 /* Sends the start of task TASK of J.  */
 void target_runner_start (struct target_runner *r, int64_t now_ms,
                           struct run_job *j, uint32_t task);
--- a/src/coord/run_job.c
+++ b/src/coord/run_job.c
@@ -28,6 +28,13 @@
             j->spec.part.first + j->tasks[task].index);
 }
 
+bool
+run_task_is_unlisted (const struct run_task *k, int64_t now, int64_t polled_ms)
+{
+  return k->answered_ms != 0 && k->answered_ms < polled_ms
+         && k->listed_ms != now;
+}
+
 void
 run_job_note_start (struct run_job *j, int64_t now)
 {
--- a/src/coord/run_job.h
+++ b/src/coord/run_job.h
@@ -89,6 +89,12 @@
 
 const struct job_step *run_job_step (const struct run_job *j, uint32_t task);
 
+/* Whether the run of K was not listed in an answer, received at NOW_MS, to a
+   status poll that was sent at POLLED_MS, although the target had answered its
+   start or stop before.  */
+bool run_task_is_unlisted (const struct run_task *k, int64_t now_ms,
+                           int64_t polled_ms);
+
 /* Records that a task of J is started or delegated.  */
 void run_job_note_start (struct run_job *j, int64_t now_ms);
 
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -623,8 +623,7 @@
       uint32_t task = t->runs[i].task;
       const struct run_task *k = &j->tasks[task];
 
-      if (k->answered_ms == 0 || k->answered_ms >= polled_ms
-          || k->listed_ms == now)
+      if (!run_task_is_unlisted (k, now, polled_ms))
         {
           i++;
           continue;
--- a/tools/day_log.py
+++ b/tools/day_log.py
@@ -96,7 +96,7 @@
     at_s = float(at)
     fields = dict(PAIR.findall(rest))
     key = key.split(".")[0].rsplit("/", 1)[-1]
-    if name in ("DISPATCH_ENDED", "DISPATCH_REFUSED") and fields["part"] == "1":
+    if name in ("DISPATCH_ENDED", "DISPATCH_REFUSED") and fields["part"] not in ("0", "-"):
         return
     job = jobs.setdefault(key, Job(key))
     if name in ("CALLER_ANSWERED", "CALLER_REFUSED"):
