--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -11,6 +11,7 @@
 #include "base/now.h"
 #include "controller/dispatch_coordinator.h"
 #include "controller/job_events.h"
+#include "controller/run_events.h"
 #include "coord/run_admission.h"
 
 enum
@@ -106,7 +107,7 @@
                     j->tasks[task].run, t->spec.id, j->tasks[task].percent,
                     j->tasks[task].expected_ms,
                     now_ms () - j->tasks[task].began_ms);
-  job_events_run_stopped (t, now_ms (), j, task);
+  run_events_stopped (t, now_ms (), j, task);
   target_runner_stop (t->user_data, name, j->tasks[task].run);
 }
 
@@ -156,7 +157,7 @@
   r->lost = true;
   if (other_owner)
     abort_runs (d, t, now);
-  job_events_runs_lost (t, now, "owner_changed");
+  run_events_all_lost (t, now, "owner_changed");
   d->runners[i] = d->runners[--d->runner_count];
   target_runner_done (r);
   free (r);
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -12,6 +12,7 @@
 #include "controller/entry_dispatchers.h"
 #include "controller/entry_assignment.h"
 #include "controller/job_events.h"
+#include "controller/routed_job.h"
 
 enum
 {
@@ -25,33 +26,6 @@
   LEAVE_MIN_MS = 1200
 };
 
-/* A job, or a delegated part of one, that waits for its answer.  */
-struct routed_job
-{
-  struct job_entry *entry;
-  uint64_t id;
-  struct job_spec spec;
-  char *payload;
-  int64_t arrived_ms;
-  int64_t deadline_ms;
-  job_answered answered;
-  void *arg;
-
-  /* the dispatcher that has it */
-  struct dispatch_job *local;
-  char vm[NAME_BYTES]; /* "" unless another VM has it */
-  int64_t sent_ms;
-  char tried[ROUTE_TRY_LIMIT][NAME_BYTES];
-  uint32_t tried_count;
-
-  /* the pending answer, delivered from the event loop */
-  struct event *answer_event;
-  struct job_answer answer;
-
-  struct routed_job *prev;
-  struct routed_job *next;
-};
-
 static void route (struct job_entry *n, int64_t now, struct routed_job *j);
 
 static void
@@ -285,22 +259,6 @@
   return true;
 }
 
-static void
-record_given_up (struct job_entry *n, int64_t now, const struct routed_job *j,
-                 const char *why, bool cancel_sent)
-{
-  const char *vm = j->local != NULL ? n->settings->peer.vm : j->vm;
-  const struct route_dispatcher *d = entry_dispatchers_find (n, vm);
-  struct given_up_job g = { .spec = &j->spec,
-                            .id = j->id,
-                            .dispatcher = vm,
-                            .sent_ms = j->sent_ms,
-                            .reported_ms = d == NULL ? 0 : d->reported_ms,
-                            .cancel_sent = cancel_sent };
-
-  job_events_given_up (&g, now, why);
-}
-
 /* Cancels J, if a dispatcher has it.  Returns false if the cancellation could
    not be sent.  */
 static bool
@@ -311,7 +269,7 @@
   bool sent = cancel_at_dispatcher (n, now, j);
 
   if (at_dispatcher)
-    record_given_up (n, now, j, why, sent);
+    job_events_given_up (j, now, why, sent);
   return sent;
 }
 
@@ -430,7 +388,7 @@
   DL_FOREACH (n->jobs, j)
   if (strcmp (j->vm, vm) == 0)
     {
-      record_given_up (n, now, j, "link_lost", false);
+      job_events_given_up (j, now, "link_lost", false);
       answer (j, JOB_UNKNOWN, REFUSAL_LOST_PEER, 0);
     }
 }
--- a/src/controller/job_events.c
+++ b/src/controller/job_events.c
@@ -3,6 +3,8 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include "base/event_ring.h"
+#include "controller/entry_dispatchers.h"
+#include "controller/routed_job.h"
 #include "controller/target_runner.h"
 
 enum
@@ -127,61 +129,19 @@
 }
 
 void
-job_events_given_up (const struct given_up_job *g, int64_t now,
-                     const char *why)
+job_events_given_up (const struct routed_job *j, int64_t now, const char *why,
+                     bool cancel_sent)
 {
+  const char *vm = j->local != NULL ? j->entry->settings->peer.vm : j->vm;
+  const struct route_dispatcher *d = entry_dispatchers_find (j->entry, vm);
   char part[JOB_PART_BYTES];
 
-  job_events_part (g->spec, part);
-  event_ring_add (EVENT_JOB_GIVEN_UP, g->spec->key,
+  job_events_part (&j->spec, part);
+  event_ring_add (EVENT_JOB_GIVEN_UP, j->spec.key,
                   "why=%s at=%s id=%" PRIu64 " part=%s sent_ms_ago=%" PRId64
                   " report_ms_ago=%" PRId64 " cancel_sent=%d",
-                  why, g->dispatcher, g->id, part, now - g->sent_ms,
-                  g->reported_ms == 0 ? -1 : now - g->reported_ms,
-                  g->cancel_sent);
-}
-
-static void
-add_run (enum event_number number, const struct run_target *t, int64_t now,
-         const struct run_ref *ref, const char *why)
-{
-  const struct target_runner *r = t->user_data;
-  const struct run_task *k = &ref->job->tasks[ref->task];
-  char name[TASK_NAME_BYTES];
-
-  run_job_task_name (ref->job, ref->task, name);
-  event_ring_add (number, name,
-                  "run=%" PRIu64 " target=%s fence=%" PRIu64
-                  " lease_ms=%" PRId64 " ran_ms=%" PRId64 " why=%s",
-                  k->run, t->spec.id, r->fencing_token,
-                  target_runner_lease_ms (r, now), now - k->start_sent_ms,
-                  why);
-}
-
-void
-job_events_run_stopped (const struct run_target *t, int64_t now,
-                        const struct run_job *j, uint32_t task)
-{
-  const struct run_ref ref = { (struct run_job *)j, task };
-  const char *why = "stalled";
-
-  if (j->closed)
-    why = "job_closed";
-  else if (j->tasks[task].answered_ms == 0)
-    why = "start_unanswered";
-  add_run (EVENT_RUN_STOPPED, t, now, &ref, why);
-}
-
-void
-job_events_run_lost (const struct run_target *t, int64_t now,
-                     const struct run_ref *ref, const char *why)
-{
-  add_run (EVENT_RUN_LOST, t, now, ref, why);
-}
-
-void
-job_events_runs_lost (const struct run_target *t, int64_t now, const char *why)
-{
-  for (uint32_t i = 0; i < t->run_count; i++)
-    job_events_run_lost (t, now, &t->runs[i], why);
+                  why, j->local != NULL ? own_vm : vm, j->id, part,
+                  now - j->sent_ms,
+                  d == NULL || d->reported_ms == 0 ? -1 : now - d->reported_ms,
+                  cancel_sent);
 }
--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -9,7 +9,7 @@
 #include "base/event_ring.h"
 #include "base/histogram.h"
 #include "base/now.h"
-#include "controller/job_events.h"
+#include "controller/run_events.h"
 
 enum
 {
@@ -179,7 +179,7 @@
                   "runs=%u fence=%" PRIu64 " silent_ms=%" PRId64,
                   r->target->run_count, r->fencing_token,
                   now - r->unanswered_since_ms);
-  job_events_runs_lost (r->target, now, "lease_expired");
+  run_events_all_lost (r->target, now, "lease_expired");
   run_scheduler_runs_lost (r->setup->scheduler, now, r->target);
   r->setup->events->changed (r->setup->arg);
 }
@@ -223,24 +223,6 @@
     poll_target (r, now);
 }
 
-static void
-record_start (const struct run_call *c, int64_t now,
-              const struct port_reply *reply)
-{
-  const struct target_runner *r = c->runner;
-  bool accepted = reply->outcome == PORT_DONE;
-
-  histogram_add (HISTOGRAM_RUN_START, now - reply->sent_ms);
-  if (!accepted)
-    counters_add (COUNTER_STARTS_REFUSED, 1);
-  event_ring_add (
-      accepted ? EVENT_RUN_STARTED : EVENT_RUN_NOT_STARTED, c->task,
-      "run=%" PRIu64 " target=%s outcome=%s fence=%" PRIu64 " took_ms=%" PRId64
-      " lease_ms=%" PRId64,
-      c->run, r->target->spec.id, port_outcome_name (reply->outcome),
-      r->fencing_token, now - reply->sent_ms, target_runner_lease_ms (r, now));
-}
-
 static void
 on_started (void *arg, const struct port_reply *reply)
 {
@@ -248,7 +230,10 @@
   struct target_runner *r = c->runner;
   int64_t now = now_ms ();
 
-  record_start (c, now, reply);
+  histogram_add (HISTOGRAM_RUN_START, now - reply->sent_ms);
+  if (reply->outcome != PORT_DONE)
+    counters_add (COUNTER_STARTS_REFUSED, 1);
+  run_events_start_answered (r, now, c->task, c->run, reply);
   switch (reply->outcome)
     {
     case PORT_NO_ANSWER:
@@ -307,12 +292,7 @@
   struct target_runner *r = c->runner;
   int64_t now = now_ms ();
 
-  event_ring_add (EVENT_RUN_STOP_ANSWERED, c->task,
-                  "run=%" PRIu64 " target=%s outcome=%s fence=%" PRIu64
-                  " took_ms=%" PRId64,
-                  c->run, r->target->spec.id,
-                  port_outcome_name (reply->outcome), r->fencing_token,
-                  now - reply->sent_ms);
+  run_events_stop_answered (r, now, c->task, c->run, reply);
   switch (reply->outcome)
     {
     case PORT_DONE:
@@ -408,20 +388,6 @@
   return unknown;
 }
 
-/* Records the runs that run_scheduler_drop_unlisted will drop.  */
-static void
-record_unlisted (const struct target_runner *r, int64_t now)
-{
-  for (uint32_t i = 0; i < r->target->run_count; i++)
-    {
-      const struct run_ref *ref = &r->target->runs[i];
-
-      if (run_task_is_unlisted (&ref->job->tasks[ref->task], now,
-                                r->poll_sent_ms))
-        job_events_run_lost (r->target, now, ref, "unlisted");
-    }
-}
-
 static void
 handle_poll_reply (struct target_runner *r, const struct port_poll_reply *poll,
                    int64_t now)
@@ -431,7 +397,7 @@
   record_answer (r, &poll->reply);
   handle_ends (r, poll, now);
   unknown = handle_running (r, poll, now);
-  record_unlisted (r, now);
+  run_events_unlisted (r, now);
   run_scheduler_drop_unlisted (r->setup->scheduler, now, r->target,
                                r->poll_sent_ms);
   resend_stops (r, now);
@@ -456,22 +422,6 @@
                                                       : IDLE_POLL_MS);
 }
 
-/* Records a poll that should have renewed leases and got no answer, if it is
-   the first in a row.  */
-static void
-record_not_renewed (const struct target_runner *r, int64_t now,
-                    enum port_outcome outcome)
-{
-  if (r->unanswered_calls != 0 || r->target->run_count == 0)
-    return;
-  event_ring_add (EVENT_TARGET_NOT_RENEWED, r->target->spec.id,
-                  "outcome=%s runs=%u fence=%" PRIu64 " lease_ms=%" PRId64
-                  " took_ms=%" PRId64,
-                  port_outcome_name (outcome), r->target->run_count,
-                  r->fencing_token, target_runner_lease_ms (r, now),
-                  now - r->poll_sent_ms);
-}
-
 static void
 on_polled (void *arg, const struct port_poll_reply *poll)
 {
@@ -489,7 +439,7 @@
       mark_lost (r, port_outcome_name (poll->reply.outcome));
       return;
     default:
-      record_not_renewed (r, now, poll->reply.outcome);
+      run_events_not_renewed (r, now, poll->reply.outcome);
       record_no_answer (r, now, poll->reply.outcome);
       check_lease_expiry (r, now);
       schedule (r, retry_ms (r));
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -68,6 +68,7 @@
   suite_store ();
   suite_net ();
   suite_dispatch ();
+  suite_job_events ();
   suite_plan ();
   suite_quorum ();
   suite_relay ();
--- a/tests/unit/test_deployment.c
+++ b/tests/unit/test_deployment.c
@@ -5,8 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 #include "base/counters.h"
+#include "base/event_ring.h"
 #include "base/now.h"
 #include "tests/unit/deployment.h"
+#include "tests/unit/event_lines.h"
 #include "tests/unit/fake_port.h"
 #include "tests/unit/suites.h"
 
@@ -405,6 +407,63 @@
   deployment_done (&d);
 }
 
+/* The lines about a delegated part have the same job id at the dispatcher, at
+   its delegate and when the part is revoked, and tell whether the cancellation
+   could be sent.  */
+static void
+test_delegation_lines (void)
+{
+  static const char key[] = "0123456789abcdef";
+  struct deployment d;
+  struct caller c;
+  struct routed_job *j;
+  int64_t id;
+
+  event_ring_init ("test", EVENT_ERROR);
+  j = start_delegation (&d, &c);
+  id = event_lines_number ("TASKS_LENT", key, "id");
+  CU_ASSERT (id > 0);
+  CU_ASSERT_EQUAL (event_lines_number ("DISPATCH_ACCEPTED", key, "id"), id);
+  CU_ASSERT (event_lines_is ("DISPATCH_ACCEPTED", key, "from",
+                             d.entry_settings[0].peer.vm));
+  CU_ASSERT_FALSE (event_lines_is ("DISPATCH_ACCEPTED", key, "part", "-"));
+  job_entry_cancel (d.entries[0], now_ms (), j);
+  CU_ASSERT_EQUAL (event_lines_number ("TASKS_REVOKED", key, "id"), id);
+  CU_ASSERT_EQUAL (event_lines_number ("TASKS_REVOKED", key, "sent"), 1);
+  CU_ASSERT (event_lines_is ("TASKS_REVOKED", key, "to",
+                             d.entry_settings[1].peer.vm));
+  CU_ASSERT (event_lines_is ("DISPATCH_STOPPED", key, "from", "self"));
+  CU_ASSERT (event_lines_is ("JOB_GIVEN_UP", key, "why", "caller_gone"));
+  CU_ASSERT (event_lines_is ("JOB_GIVEN_UP", key, "at", "self"));
+  CU_ASSERT_EQUAL (event_lines_number ("JOB_GIVEN_UP", key, "cancel_sent"), 1);
+  deployment_done (&d);
+  event_ring_done ();
+}
+
+/* The line about a part whose delegate crashed tells that no cancellation was
+   sent, and how old the delegate's last report was.  */
+static void
+test_lost_link_lines (void)
+{
+  static const char key[] = "0123456789abcdef";
+  struct deployment d;
+  struct caller c;
+  int64_t end = now_ms () + LONG_WAIT_MS;
+
+  event_ring_init ("test", EVENT_ERROR);
+  start_delegation (&d, &c);
+  deployment_stop_entry (&d, 1);
+  while (c.answers == 0 && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT (event_lines_is ("JOB_GIVEN_UP", key, "why", "link_lost"));
+  CU_ASSERT (
+      event_lines_is ("JOB_GIVEN_UP", key, "at", d.entry_settings[1].peer.vm));
+  CU_ASSERT_EQUAL (event_lines_number ("JOB_GIVEN_UP", key, "cancel_sent"), 0);
+  CU_ASSERT (event_lines_number ("JOB_GIVEN_UP", key, "report_ms_ago") >= 0);
+  deployment_done (&d);
+  event_ring_done ();
+}
+
 void
 suite_deployment (void)
 {
@@ -425,4 +484,6 @@
   CU_add_test (s, "delegated tasks are revoked", test_delegated_tasks_revoked);
   CU_add_test (s, "a job ends as unknown if its delegate crashes",
                test_delegate_crash);
+  CU_add_test (s, "lines of a revoked delegation", test_delegation_lines);
+  CU_add_test (s, "lines of a delegate that crashed", test_lost_link_lines);
 }
