--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -68,6 +68,12 @@
         self.assertEqual((job.queue, job.tasks, job.work, job.objective_ms), ("q", 2, 2000, 220))
         self.assertFalse(day_log.is_late(job, KIND))
 
+    def test_delegated_part_is_no_job(self):
+        ended = line("ended", 1.1, key="k", waited=0, placed=10)
+        self.assertEqual(self.jobs(ended.replace("part=0", "part=1.4+2")), {})
+        self.assertEqual(self.jobs(ended.replace("part=0", "part=1")), {})
+        self.assertIn("k", self.jobs(ended.replace("part=0", "part=-")))
+
     def test_late(self):
         job = self.jobs(line("ended", 1.5, key="k", waited=0, placed=400),
                         line("answered", 1.5, key="k", status=200, why="done", total=500))["k"]
