--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -11,6 +11,8 @@
 #include "base/now.h"
 #include "controller/entry_dispatchers.h"
 #include "controller/entry_assignment.h"
+#include "controller/job_events.h"
+#include "controller/routed_job.h"
 
 enum
 {
@@ -24,33 +26,6 @@
   LEAVE_MIN_MS = 1200
 };
 
-/* A job, or a delegated part of one, that waits for its answer.  */
-struct routed_job
-{
-  struct job_entry *entry;
-  uint64_t id;
-  struct job_spec spec;
-  char *payload;
-  int64_t arrived_ms;
-  int64_t deadline_ms;
-  job_answered answered;
-  void *arg;
-
-  /* the dispatcher that has it */
-  struct dispatch_job *local;
-  char vm[NAME_BYTES]; /* "" unless another VM has it */
-  int64_t sent_ms;
-  char tried[ROUTE_TRY_LIMIT][NAME_BYTES];
-  uint32_t tried_count;
-
-  /* the pending answer, delivered from the event loop */
-  struct event *answer_event;
-  struct job_answer answer;
-
-  struct routed_job *prev;
-  struct routed_job *next;
-};
-
 static void route (struct job_entry *n, int64_t now, struct routed_job *j);
 
 static void
@@ -184,6 +159,7 @@
     }
   j->spec.age_ms = now - j->arrived_ms;
   j->spec.deadline_ms = j->deadline_ms - now;
+  j->sent_ms = now;
   j->answer.result = JOB_REFUSED;
   j->local = dispatcher_submit (&n->dispatcher, now, &j->spec, on_local_done,
                                 j, &j->answer.reason, &j->answer.retry_ms);
@@ -254,44 +230,72 @@
 
   j->tried_count = ROUTE_TRY_LIMIT;
   if (send_job (n, now, j, vm))
-    snprintf (j->vm, sizeof j->vm, "%s", vm);
+    {
+      snprintf (j->vm, sizeof j->vm, "%s", vm);
+      j->sent_ms = now;
+    }
   else
     answer (j, JOB_REFUSED, REFUSAL_LOST_PEER, 0);
   return j;
 }
 
-static void
+static bool
 send_cancel (struct job_entry *n, const struct routed_job *j)
 {
   struct peer_message m = { .type = PEER_JOB_CANCEL };
 
   m.u.job_cancel.id = j->id;
-  peer_network_send (n->network, j->vm, &m);
+  return peer_network_send (n->network, j->vm, &m);
 }
 
-static void
+/* Returns false if the cancellation could not be sent.  */
+static bool
 cancel_at_dispatcher (struct job_entry *n, int64_t now, struct routed_job *j)
 {
   if (j->local != NULL)
-    dispatcher_cancel (&n->dispatcher, now, j->local);
+    dispatcher_cancel (&n->dispatcher, now, j->local, "cancelled");
   else if (j->vm[0] != '\0')
-    send_cancel (n, j);
+    return send_cancel (n, j);
+  return true;
 }
 
-void
+/* Cancels J, if a dispatcher has it.  Returns false if the cancellation could
+   not be sent.  */
+static bool
+give_up (struct job_entry *n, int64_t now, struct routed_job *j,
+         const char *why)
+{
+  bool at_dispatcher = j->local != NULL || j->vm[0] != '\0';
+  bool sent = cancel_at_dispatcher (n, now, j);
+
+  if (at_dispatcher)
+    job_events_given_up (j, now, why, sent);
+  return sent;
+}
+
+bool
 job_entry_cancel (struct job_entry *n, int64_t now, struct routed_job *j)
 {
-  cancel_at_dispatcher (n, now, j);
+  bool sent = j->spec.part.is_part ? cancel_at_dispatcher (n, now, j)
+                                   : give_up (n, now, j, "caller_gone");
+
   job_free (n, j);
+  return sent;
 }
 
 void
 job_entry_withdraw (struct job_entry *n, int64_t now, struct routed_job *j)
 {
-  cancel_at_dispatcher (n, now, j);
+  give_up (n, now, j, "withdrawn");
   answer (j, JOB_UNKNOWN, REFUSAL_NONE, 0);
 }
 
+uint64_t
+job_entry_job_id (const struct routed_job *j)
+{
+  return j->id;
+}
+
 struct routed_job *
 job_entry_find (const struct job_entry *n, const char *key)
 {
@@ -377,13 +381,16 @@
 /* Answers the jobs sent to VM, whose connection has closed, with JOB_UNKNOWN,
    since they may have run.  */
 static void
-fail_jobs_at (struct job_entry *n, const char *vm)
+fail_jobs_at (struct job_entry *n, int64_t now, const char *vm)
 {
   struct routed_job *j;
 
   DL_FOREACH (n->jobs, j)
   if (strcmp (j->vm, vm) == 0)
-    answer (j, JOB_UNKNOWN, REFUSAL_LOST_PEER, 0);
+    {
+      job_events_given_up (j, now, "link_lost", false);
+      answer (j, JOB_UNKNOWN, REFUSAL_LOST_PEER, 0);
+    }
 }
 
 static void
@@ -392,6 +399,8 @@
   struct job_entry *n = arg;
   struct route_dispatcher *d = entry_dispatchers_find (n, vm);
 
+  if (!up)
+    fail_jobs_at (n, now_ms (), vm);
   if (d != NULL)
     {
       d->reachable = up;
@@ -403,8 +412,6 @@
       n->last_heartbeat_ms = 0;
       n->last_poll_ms = 0;
     }
-  else
-    fail_jobs_at (n, vm);
 }
 
 static void
@@ -437,7 +444,7 @@
   DL_FOREACH (n->jobs, j)
   if (now > j->deadline_ms && (j->local != NULL || j->vm[0] != '\0'))
     {
-      cancel_at_dispatcher (n, now, j);
+      give_up (n, now, j, "expired");
       answer (j, JOB_UNKNOWN, REFUSAL_EXPIRED, 0);
     }
 }
@@ -534,7 +541,7 @@
   DL_FOREACH (n->jobs, j)
   if (j->local != NULL || j->vm[0] != '\0')
     {
-      cancel_at_dispatcher (n, now, j);
+      give_up (n, now, j, "leaving");
       answer (j, JOB_UNKNOWN, REFUSAL_LEAVING, 0);
     }
 }
