--- a/tests/unit/fake_port.c
+++ b/tests/unit/fake_port.c
@@ -65,10 +65,27 @@
     t->lease_end_ms = end_ms;
 }
 
+/* The present time on the clock of T.  */
+static int64_t
+clock_of (const struct fake_target *t)
+{
+  int64_t now = now_ms ();
+
+  return now - (now - t->slow_since_ms) * t->slow_percent / 100;
+}
+
+int64_t
+fake_port_lease_end_ms (const struct fake_target *t)
+{
+  return t->slow_since_ms
+         + (t->lease_end_ms - t->slow_since_ms) * 100
+               / (100 - t->slow_percent);
+}
+
 static bool
 holds_lease (const struct fake_target *t)
 {
-  return now_ms () <= t->lease_end_ms;
+  return clock_of (t) <= t->lease_end_ms;
 }
 
 uint32_t
@@ -109,6 +126,16 @@
       end_run (t, &t->runs[i], how);
 }
 
+void
+fake_port_check_lease (struct fake_target *t)
+{
+  if (holds_lease (t))
+    return;
+  for (uint32_t i = 0; i < t->run_count; i++)
+    if (t->runs[i].running)
+      end_run (t, &t->runs[i], RUN_END_LAPSED);
+}
+
 static struct target_port *
 port_open (struct event_base *base, const struct run_target_spec *t)
 {
@@ -175,7 +202,7 @@
   struct fake_call c = *(struct fake_call *)arg;
   struct port_reply reply = { .outcome = c.outcome,
                               .has_clock = true,
-                              .clock_ms = now_ms (),
+                              .clock_ms = clock_of (c.port->target),
                               .sent_ms = c.sent_ms,
                               .received_ms = now_ms () };
 
--- a/tests/unit/fake_port.h
+++ b/tests/unit/fake_port.h
@@ -31,6 +31,8 @@
   uint32_t run_count;
   uint32_t starts;              /* starts carried out */
   int64_t lease_end_ms;         /* no run counts as running after it */
+  int64_t slow_since_ms;        /* its clock was right then */
+  int64_t slow_percent;         /* by which its clock runs slow since then */
   uint32_t max_concurrent_runs; /* most runs of one task at a time, over all
                                    targets */
   bool unresponsive;            /* carries out calls but does not answer */
@@ -50,6 +52,12 @@
 void fake_port_end_run (struct fake_target *t, const char *task,
                         enum run_end how);
 
+/* When T's lease ends, on the clock of the VMs.  */
+int64_t fake_port_lease_end_ms (const struct fake_target *t);
+
+/* Ends the runs of T if its lease has expired, as a target does by itself.  */
+void fake_port_check_lease (struct fake_target *t);
+
 /* The number of runs of TASK that are in progress, on all targets.  */
 uint32_t fake_port_running (const char *task);
 
