--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -70,6 +70,7 @@
   suite_store ();
   suite_net ();
   suite_dispatch ();
+  suite_lease ();
   suite_plan ();
   suite_quorum ();
   suite_relay ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -20,6 +20,7 @@
 void suite_store (void);
 void suite_net (void);
 void suite_dispatch (void);
+void suite_lease (void);
 void suite_plan (void);
 void suite_quorum (void);
 void suite_relay (void);
--- /dev/null
+++ b/tests/unit/test_lease.c
@@ -0,0 +1,323 @@
+/* Leases of the targets' runs against the caller's retry: a caller sends its
+   job again RETRY_MS after its channel has broken, and what began for the
+   first attempt must have ended by then, whoever has failed meanwhile.  The
+   caller's channel breaks at the earliest when its entry sends its last
+   message.  Time is simulated (fake_clock).  */
+#include <stdio.h>
+#include <string.h>
+#include "base/now.h"
+#include "controller/dispatcher.h"
+#include "coord/task_delegation.h"
+#include "tests/unit/fake_clock.h"
+#include "tests/unit/fake_port.h"
+#include "tests/unit/suites.h"
+
+enum
+{
+  RETRY_MS = 1300,
+  LEASE_LIMIT_MS = 1000,
+  CLOCK_SLOW_PERCENT = 2,
+  KEEPALIVE_MS = 100,
+  ESTIMATE_MS = 20000,
+  DEADLINE_MS = 60000,
+  BEFORE_LOSS_MS = 200,
+  SETTLE_MS = 100,
+  LOST = 1000000 /* so many calls are lost: all */
+};
+
+/* Another VM that sends jobs or parts of jobs to a dispatcher, and its
+   connection there.  */
+struct sender
+{
+  struct dispatcher *to;
+  struct peer_conn conn;
+  bool silent;
+  int64_t sent_ms; /* time of its last message */
+};
+
+/* A dispatcher, whose jobs come from FIRST and SECOND, and the target t1 that
+   it owns; and its delegate, with the target t2.  */
+struct fixture
+{
+  struct event_base *base;
+  struct dispatcher dispatcher;
+  struct dispatcher delegate;
+  struct sender first;
+  struct sender second;
+  struct sender delegating;
+  bool delegated;
+};
+
+static void
+sender_init (struct sender *s, struct dispatcher *to, const char *vm)
+{
+  memset (s, 0, sizeof *s);
+  s->to = to;
+  s->conn.references = 1;
+  snprintf (s->conn.vm, sizeof s->conn.vm, "%s", vm);
+}
+
+/* Delivers a keepalive that S sends now.  */
+static void
+send_keepalive (struct sender *s)
+{
+  struct peer_message m = { .type = PEER_KEEPALIVE };
+
+  s->sent_ms = now_ms ();
+  m.u.keepalive.sent_ms = s->sent_ms;
+  dispatcher_receive (s->to, now_ms (), &s->conn, &m);
+}
+
+/* Delivers SPEC, which S sent at SENT_MS.  */
+static void
+send_job (struct sender *s, const struct job_spec *spec, int64_t sent_ms)
+{
+  struct peer_message m = { .type = PEER_JOB };
+  msgpack_sbuffer steps;
+
+  s->sent_ms = sent_ms;
+  msgpack_sbuffer_init (&steps);
+  job_spec_pack_steps (spec, &steps);
+  m.u.job = (struct peer_job){ .id = 1,
+                               .sent_ms = sent_ms,
+                               .key = slice_of (spec->key),
+                               .queue = slice_of (spec->queue),
+                               .service = slice_of (spec->service),
+                               .attempts = spec->attempts,
+                               .deadline_ms = spec->deadline_ms,
+                               .floor_ms = spec->floor_ms,
+                               .stretch_milli = spec->stretch_milli,
+                               .is_part = spec->part.is_part,
+                               .part_step = spec->part.step,
+                               .part_first = spec->part.first,
+                               .part_run = spec->part.run,
+                               .steps = { steps.data, (uint32_t)steps.size },
+                               .payload = spec->payload };
+  dispatcher_receive (s->to, now_ms (), &s->conn, &m);
+  msgpack_sbuffer_destroy (&steps);
+}
+
+/* Lets MS milliseconds pass.  The senders that are not silent send keepalives
+   in the meantime.  */
+static void
+run_for (struct fixture *f, int64_t ms)
+{
+  struct sender *senders[] = { &f->first, &f->second, &f->delegating };
+
+  for (int64_t i = 0; i < ms; i++)
+    {
+      fake_clock_advance (1);
+      fake_port_check_lease (fake_port_target ("t1"));
+      fake_port_check_lease (fake_port_target ("t2"));
+      for (int s = 0; s < 3; s++)
+        if (!senders[s]->silent
+            && now_ms () - senders[s]->sent_ms >= KEEPALIVE_MS)
+          send_keepalive (senders[s]);
+      event_base_loop (f->base, EVLOOP_NONBLOCK);
+    }
+}
+
+static void
+own_target (struct dispatcher *d, const char *id)
+{
+  struct owned_target t;
+
+  memset (&t, 0, sizeof t);
+  snprintf (t.spec.id, sizeof t.spec.id, "%s", id);
+  snprintf (t.spec.address, sizeof t.spec.address, "127.0.0.1:1");
+  snprintf (t.spec.service, sizeof t.spec.service, "svc");
+  snprintf (t.spec.domain, sizeof t.spec.domain, "shop");
+  t.spec.started_ms = 1;
+  t.spec.cpu_milli = 4000;
+  t.spec.memory_mb = 1000;
+  t.spec.slots = 8;
+  t.fencing_token = 1;
+  dispatcher_set_targets (d, now_ms (), &t, 1);
+}
+
+static void
+fixture_init (struct fixture *f)
+{
+  memset (f, 0, sizeof *f);
+  fake_clock_stop ();
+  fake_port_reset ();
+  f->base = event_base_new ();
+  dispatcher_init (&f->dispatcher, f->base, &fake_port_ops, LEASE_LIMIT_MS);
+  dispatcher_init (&f->delegate, f->base, &fake_port_ops, LEASE_LIMIT_MS);
+  own_target (&f->dispatcher, "t1");
+  own_target (&f->delegate, "t2");
+  fake_port_target ("t1")->slow_since_ms = now_ms ();
+  fake_port_target ("t1")->slow_percent = CLOCK_SLOW_PERCENT;
+  fake_port_target ("t2")->slow_since_ms = now_ms ();
+  fake_port_target ("t2")->slow_percent = CLOCK_SLOW_PERCENT;
+  sender_init (&f->first, &f->dispatcher, "entry1");
+  sender_init (&f->second, &f->dispatcher, "entry2");
+  sender_init (&f->delegating, &f->delegate, "dispatcher1");
+  run_for (f, SETTLE_MS);
+}
+
+static void
+fixture_done (struct fixture *f)
+{
+  dispatcher_done (&f->dispatcher);
+  dispatcher_done (&f->delegate);
+  event_base_free (f->base);
+  fake_clock_resume ();
+}
+
+static struct job_spec
+make_job (const char *key)
+{
+  struct job_spec s;
+
+  memset (&s, 0, sizeof s);
+  snprintf (s.key, sizeof s.key, "%s", key);
+  snprintf (s.queue, sizeof s.queue, "queue");
+  snprintf (s.service, sizeof s.service, "svc");
+  s.attempts = 3;
+  s.stretch_milli = 2000;
+  s.floor_ms = 1000;
+  s.deadline_ms = DEADLINE_MS;
+  s.step_count = 1;
+  s.steps[0].count = 1;
+  s.steps[0].cpu_milli = 1000;
+  s.steps[0].memory_mb = 1;
+  s.steps[0].estimate_ms = ESTIMATE_MS;
+  s.payload = slice_of ("");
+  return s;
+}
+
+/* Checks that the lease of target ID ends before a caller of S is back.  */
+static void
+check_lease (const struct sender *s, const char *id)
+{
+  int64_t after = fake_port_lease_end_ms (fake_port_target (id)) - s->sent_ms;
+
+  if (after > RETRY_MS)
+    printf ("\n  %s: the lease ends %lld ms after the last message of %s", id,
+            (long long)after, s->conn.vm);
+  CU_ASSERT (after <= RETRY_MS);
+}
+
+/* An entry loses power: nothing more comes from it, and no end of its
+   connection.  What the dispatcher does 700 ms later no longer reaches the
+   target.  */
+static void
+test_lost_entry (void)
+{
+  struct job_spec job = make_job ("a");
+  struct fixture f;
+
+  fixture_init (&f);
+  send_job (&f.first, &job, now_ms ());
+  run_for (&f, BEFORE_LOSS_MS);
+  f.first.silent = true;
+  run_for (&f, 700);
+  CU_ASSERT_EQUAL (fake_port_starts (), 1);
+  check_lease (&f.first, "t1");
+  fixture_done (&f);
+}
+
+/* The only waiting task of the dispatcher is delegated.  */
+static void
+on_delegate (void *arg, int64_t now)
+{
+  struct fixture *f = arg;
+  struct run_job *j = f->dispatcher.scheduler.waiting;
+  struct job_spec part;
+
+  if (j == NULL || f->delegated)
+    return;
+  f->delegated = true;
+  task_delegation_spec (&(struct delegation_offer){ j, 0, 1, NULL }, now,
+                        &part);
+  run_scheduler_delegate (&f->dispatcher.scheduler, now, j, 0, 1);
+  send_job (&f->delegating, &part, now);
+}
+
+/* The cancellation is lost.  */
+static void
+on_revoke (void *arg, struct run_job *j)
+{
+  struct fixture *f = arg;
+
+  (void)j;
+  f->delegating.silent = true;
+}
+
+/* The entry loses power.  The delegating dispatcher is alive, sends keepalives
+   until it has noticed, and its cancellation is lost.  */
+static void
+test_lost_entry_of_delegated_task (void)
+{
+  struct job_spec job = make_job ("a");
+  struct fixture f;
+
+  fixture_init (&f);
+  f.dispatcher.delegation
+      = (struct dispatch_delegation){ on_delegate, on_revoke, &f };
+  f.dispatcher.scheduler.targets[0]->full_until_ms = INT64_MAX;
+  send_job (&f.first, &job, now_ms ());
+  run_for (&f, BEFORE_LOSS_MS);
+  f.first.silent = true;
+  run_for (&f, RETRY_MS * INT64_C (2));
+  CU_ASSERT_EQUAL (fake_port_target ("t2")->starts, 1);
+  check_lease (&f.first, "t2");
+  fixture_done (&f);
+}
+
+/* The target gets no stop, while the job of another entry runs there.  A
+   target has one lease for all its runs.  */
+static void
+test_unanswered_stop (void)
+{
+  struct job_spec lost = make_job ("a");
+  struct job_spec other = make_job ("b");
+  struct fixture f;
+
+  fixture_init (&f);
+  fake_port_target ("t1")->lose_stops = LOST;
+  send_job (&f.first, &lost, now_ms ());
+  send_job (&f.second, &other, now_ms ());
+  run_for (&f, BEFORE_LOSS_MS);
+  CU_ASSERT_EQUAL (fake_port_starts (), 2);
+  f.first.silent = true;
+  run_for (&f, f.first.sent_ms + RETRY_MS - now_ms () + 1);
+  CU_ASSERT_EQUAL (fake_port_running ("a.0.0.0"), 0);
+  fixture_done (&f);
+}
+
+/* A job arrives late, and nothing more from its entry; the lease of the target
+   reaches further already, for the job of another entry.  */
+static void
+test_start_under_longer_lease (void)
+{
+  struct job_spec other = make_job ("a");
+  struct job_spec late = make_job ("b");
+  struct fixture f;
+
+  fixture_init (&f);
+  send_job (&f.first, &other, now_ms ());
+  run_for (&f, BEFORE_LOSS_MS);
+  CU_ASSERT_EQUAL (fake_port_starts (), 1);
+  f.second.silent = true;
+  send_job (&f.second, &late, now_ms () - 390);
+  run_for (&f, 10);
+  if (fake_port_running ("b.0.0.0") != 0)
+    check_lease (&f.second, "t1");
+  fixture_done (&f);
+}
+
+void
+suite_lease (void)
+{
+  CU_pSuite s = CU_add_suite ("lease", NULL, NULL);
+
+  CU_add_test (s, "a lease outlives the caller's retry", test_lost_entry);
+  CU_add_test (s, "a delegate's lease outlives the caller's retry",
+               test_lost_entry_of_delegated_task);
+  CU_add_test (s, "a lease is renewed while a stop is unanswered",
+               test_unanswered_stop);
+  CU_add_test (s, "a task starts under a lease of another job that is longer",
+               test_start_under_longer_lease);
+}
