--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -68,6 +68,13 @@
         self.assertEqual((job.queue, job.tasks, job.work, job.objective_ms), ("q", 2, 2000, 220))
         self.assertFalse(day_log.is_late(job, KIND))
 
+    def test_delegated_part_is_no_job(self):
+        answered = line("answered", 1.2, key="k", status=200, why="done", total=200)
+        ended = line("ended", 1.1, key="k", waited=0, placed=10)
+        for part, tasks in [("1.4+2", 2), ("1", 2), ("-", 9), ("0", 9)]:
+            other = ended.replace("part=0", f"part={part}").replace("tasks=2", "tasks=9")
+            self.assertEqual(self.jobs(ended, other, answered)["k"].tasks, tasks, part)
+
     def test_late(self):
         job = self.jobs(line("ended", 1.5, key="k", waited=0, placed=400),
                         line("answered", 1.5, key="k", status=200, why="done", total=500))["k"]
