A lost stop is sent again, also for a run whose start was answered

Callers saw a task run twice at the same time: a caller whose connection broke submits its job again after 1.3 s; the first run had not been stopped, went on under a lease that was renewed to its full second, and ended 'done'.

Cause: stop_task left answered_ms, which the accepted start had set, and resend_stops takes a run with answered_ms for one whose stop was answered. So a run whose start was answered got one stop call; if that was lost, none followed, while each status poll renewed the lease of the target.

--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -336,7 +336,7 @@
       const struct run_ref *ref = &r->target->runs[i];
       const struct run_task *task = &ref->job->tasks[ref->task];
 
-      if (task->state != RUN_STOPPING || task->answered_ms != 0)
+      if (!run_task_needs_stop (task))
         continue;
       run_job_task_name (ref->job, ref->task, name);
       target_runner_stop (r, name, task->run);
@@ -463,7 +463,7 @@
 
       if (due < POLL_WAIT_MIN_MS)
         due = POLL_WAIT_OVERDUE_MS;
-      if (task->state == RUN_STOPPING && task->answered_ms == 0)
+      if (run_task_needs_stop (task))
         due = STOP_RETRY_MS;
       if (due < wait)
         wait = due;
--- a/src/coord/run_job.c
+++ b/src/coord/run_job.c
@@ -35,6 +35,12 @@
          && k->listed_ms != now;
 }
 
+bool
+run_task_needs_stop (const struct run_task *k)
+{
+  return k->state == RUN_STOPPING && k->stop_answered_ms == 0;
+}
+
 void
 run_job_note_start (struct run_job *j, int64_t now)
 {
--- a/src/coord/run_job.h
+++ b/src/coord/run_job.h
@@ -41,7 +41,8 @@
   int64_t expected_ms;   /* expected run time on its target */
   int64_t progressed_ms; /* when its reported progress last rose */
   int64_t answered_ms;   /* start accepted or stop answered; 0 before */
-  int64_t listed_ms;     /* last listed by the target as running; 0 before */
+  int64_t stop_answered_ms; /* 0 before */
+  int64_t listed_ms; /* last listed by the target as running; 0 before */
   uint32_t percent;
   uint32_t failures;
   uint32_t stops; /* because it stalled or was too slow */
@@ -95,6 +96,9 @@
 bool run_task_is_unlisted (const struct run_task *k, int64_t now_ms,
                            int64_t polled_ms);
 
+/* Whether the run of K must be sent a stop, since none was answered.  */
+bool run_task_needs_stop (const struct run_task *k);
+
 /* Records that a task of J is started or delegated.  */
 void run_job_note_start (struct run_job *j, int64_t now_ms);
 
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -245,6 +245,7 @@
       = run_placement_expected_ms (s, t, run_job_step (j, task), k->local_ms);
   k->percent = 0;
   k->answered_ms = 0;
+  k->stop_answered_ms = 0;
   k->listed_ms = 0;
   run_target_reserve (t, run_job_step (j, task), j, task);
   j->waiting_count--;
@@ -605,9 +606,14 @@
 {
   int64_t at = find_run (t, name, run);
 
+  struct run_task *k;
+
   (void)s;
-  if (at >= 0)
-    t->runs[at].job->tasks[t->runs[at].task].answered_ms = now;
+  if (at < 0)
+    return;
+  k = &t->runs[at].job->tasks[t->runs[at].task];
+  k->answered_ms = now;
+  k->stop_answered_ms = now;
 }
 
 uint32_t
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -11,6 +11,7 @@
 enum
 {
   LEASE_MS = 400,
+  ANSWER_MS = 50, /* until a start is answered */
   WAIT_MS = 3000,
   TARGET_CPU = 4000,
   TASK_CPU = 1000
@@ -240,6 +241,35 @@
   fixture_done (&f);
 }
 
+/* The stop of a run whose start was answered is lost: it is sent again until
+   the target answers.  */
+static void
+test_lost_stop (void)
+{
+  struct owned_target target = make_target ("t1", 1);
+  struct fake_target *t;
+  struct fixture f;
+  struct job_report report;
+  struct dispatch_job *j;
+  int64_t end;
+
+  fixture_init (&f);
+  dispatcher_set_targets (&f.dispatcher, now_ms (), &target, 1);
+  run_until_ready (&f, 1);
+  t = fake_port_target ("t1");
+  j = submit (&f, "a", 1, &report);
+  run_until (&f, &t->starts, 1);
+  run_for (&f, ANSWER_MS);
+  t->lose_stops = 2;
+  dispatcher_cancel (&f.dispatcher, now_ms (), j, "test");
+  end = now_ms () + LEASE_MS / 2;
+  while (fake_port_running ("a.0.0.0") != 0 && now_ms () < end)
+    run_for (&f, 5);
+  CU_ASSERT_EQUAL (t->lose_stops, 0);
+  CU_ASSERT_EQUAL (fake_port_running ("a.0.0.0"), 0);
+  fixture_done (&f);
+}
+
 /* A target stops responding while it runs a task, because it crashed or is cut
    off.  Its lease is no longer renewed; the task is started elsewhere once the
    lease has expired, so that it never runs twice at a time.  */
@@ -286,4 +316,5 @@
   CU_add_test (s, "tasks of an unresponsive target are restarted",
                test_unresponsive_target);
   CU_add_test (s, "lost requests are sent again", test_lost_requests);
+  CU_add_test (s, "a lost stop is not sent again", test_lost_stop);
 }
