--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
+#include "coord/job_lease.h"
 #include "coord/job_router.h"
 #include "coord/run_scheduler.h"
 #include "coord/task_delegation.h"
@@ -479,6 +480,7 @@
 
   j->spec.age_ms = m->now - j->arrived_ms;
   j->spec.deadline_ms = CALLER_TIMEOUT_MS - j->spec.age_ms;
+  j->spec.lease_ms = j->spec.deadline_ms + JOB_LEASE_STOP_MS;
   if (run_scheduler_submit (&m->schedulers[dispatcher], m->now, &j->spec, j,
                             &reason, &retry_ms)
       == NULL)
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -96,9 +96,9 @@
   ROW (341, TASKS_REVOKED, INFO, "delegated tasks revoked", "nothing")        \
   ROW (342, JOB_GIVEN_UP, INFO,                                               \
        "entry no longer waits for a job at its dispatcher",                   \
-       "nothing; on cancel_sent=0 the dispatcher stops it by its time-out")   \
+       "nothing; on cancel_sent=0 its lease is no longer renewed")            \
   ROW (343, DISPATCH_STALE, INFO,                                             \
-       "job refused that came too late from its coordinator",                 \
+       "job refused: too little of its lease was left",                       \
        "check for a stalled VM or a blocked link")                            \
   ROW (400, CONFIG_IN_FORCE, INFO, "configuration in force on this VM",       \
        "nothing")                                                             \
--- a/src/base/node_settings.c
+++ b/src/base/node_settings.c
@@ -21,7 +21,12 @@
   IDLE_TIMEOUT_MS = 60000,
 
   DEFAULT_FAR_FACTOR = 2,
-  DEFAULT_CATCH_UP_S = 4
+  DEFAULT_CATCH_UP_S = 4,
+
+  /* Below the minimum nothing is left of a job's lease (coord/job_lease) when
+     it is renewed.  */
+  CALLER_RETRY_MS_MINIMUM = 750,
+  DEFAULT_CALLER_RETRY_MS = 1300
 };
 
 static const struct json_rule node_rules[] = {
@@ -45,6 +50,8 @@
   { "descriptors", RULE_INTEGER, true, DESCRIPTORS_MINIMUM, 1 << 20, NULL,
     NULL },
   { "lease_limit_ms", RULE_INTEGER, true, 200, 60000, NULL, NULL },
+  { "caller_retry_ms", RULE_INTEGER, false, CALLER_RETRY_MS_MINIMUM, 60000,
+    NULL, NULL },
   { "stop_grace_s", RULE_REAL, true, 1, 600, NULL, NULL },
   { "far_factor", RULE_REAL, false, 1, 100, NULL, NULL },
   { "log_level", RULE_CHOICE, false, 0, 0, NULL, "debug|info|warn|error" },
@@ -163,6 +170,8 @@
       = (int64_t)(json_get_real (root, "catch_up_s", DEFAULT_CATCH_UP_S)
                   * 1000);
   s->lease_limit_ms = json_get_integer (root, "lease_limit_ms", 0);
+  s->caller_retry_ms
+      = json_get_integer (root, "caller_retry_ms", DEFAULT_CALLER_RETRY_MS);
   s->far_factor = json_get_real (root, "far_factor", DEFAULT_FAR_FACTOR);
   s->stop_grace_ms = (int64_t)(json_get_real (root, "stop_grace_s", 0) * 1000);
   if (s->role == ROLE_KEEPER && s->peer.data_folder[0] == '\0')
--- a/src/base/node_settings.h
+++ b/src/base/node_settings.h
@@ -39,13 +39,15 @@
   /* keepers and leases */
   struct endpoint seeds[SEED_LIMIT];
   uint32_t seed_count;
-  bool first_start;       /* of the entire system, with empty disks */
-  uint32_t lost_keepers;  /* simultaneous keeper failures to tolerate */
-  int64_t catch_up_ms;    /* time for a new keeper to replace a failed one */
-  int64_t lease_limit_ms; /* longest lease of a run on a target */
-  int64_t stop_grace_ms;  /* from SIGTERM until it is killed */
-  double far_factor;      /* run time of a task remote from its data, over
-                             that of a local one */
+  bool first_start;        /* of the entire system, with empty disks */
+  uint32_t lost_keepers;   /* simultaneous keeper failures to tolerate */
+  int64_t catch_up_ms;     /* time for a new keeper to replace a failed one */
+  int64_t lease_limit_ms;  /* longest lease of a run on a target */
+  int64_t caller_retry_ms; /* from a lost connection or an unknown outcome
+                              until the caller submits its job again */
+  int64_t stop_grace_ms;   /* from SIGTERM until it is killed */
+  double far_factor;       /* run time of a task remote from its data, over
+                              that of a local one */
 };
 
 /* Reads the file PATH into S.  On SETTINGS_INVALID, the message of E lists
--- a/src/controller/delegation_controller.c
+++ b/src/controller/delegation_controller.c
@@ -76,7 +76,7 @@
                           o->count);
   counters_add (COUNTER_TASKS_LENT, o->count);
   p->remote_job
-      = job_entry_submit_part (n, now, &spec, o->to->vm, on_answered, p);
+      = job_entry_submit_part (n, now, &spec, o->job, o->to, on_answered, p);
   event_ring_add (EVENT_TASKS_LENT, o->job->spec.key,
                   "to=%s id=%" PRIu64
                   " first=%u count=%u room_age_ms=%" PRId64,
--- a/src/controller/dispatch_coordinator.c
+++ b/src/controller/dispatch_coordinator.c
@@ -7,19 +7,11 @@
 #include <utlist.h>
 #include "base/event_ring.h"
 #include "controller/job_events.h"
+#include "controller/job_renewal.h"
+#include "coord/job_lease.h"
 
 enum
 {
-  /* Time without a timely job or keepalive after which a coordinator's jobs
-     are cancelled.  Its callers retry at the earliest 1.3 s after a broken
-     connection; by then its runs must have been stopped or their leases must
-     have expired.  */
-  COORDINATOR_TIMEOUT_MS = 800,
-
-  /* A message whose delay exceeds the lowest one by more than this was held up
-     by a frozen VM or a blocked link: its sender may have given up on it.  */
-  MESSAGE_STALE_MS = 400,
-
   CAPACITY_LIMIT = 16
 };
 
@@ -39,6 +31,7 @@
   peer_conn_send (j->coordinator->conn, &m);
 }
 
+/* Ends the jobs of C whose connection has ended.  */
 static void
 cancel_jobs (struct dispatcher *d, struct coordinator *c, int64_t now,
              const char *why)
@@ -57,7 +50,7 @@
     return;
   event_ring_add (EVENT_COORDINATOR_LOST, c->vm,
                   "why=%s jobs=%u silent_ms=%" PRId64, why, n,
-                  now - c->last_seen_ms);
+                  now - c->heard_ms);
   dispatcher_request_pass (d);
 }
 
@@ -71,16 +64,33 @@
   free (c);
 }
 
-/* A coordinator is removed only when its connection ends: its lowest delay is
-   needed to detect late messages.  */
+/* Ends the jobs of C whose leases are not renewed, and tells C.  */
+static void
+end_unrenewed (struct dispatcher *d, struct coordinator *c, int64_t now)
+{
+  struct dispatch_job *j;
+  struct dispatch_job *next;
+
+  DL_FOREACH_SAFE (c->jobs, j, next)
+  {
+    bool started = j->run->first_start_ms >= 0;
+
+    if (!job_lease_is_ending (j->run->lease_end_ms, now))
+      continue;
+    dispatch_coordinator_send_result (j, started ? JOB_UNKNOWN : JOB_REFUSED,
+                                      REFUSAL_LEASE, 0, -1);
+    DL_DELETE (c->jobs, j);
+    dispatcher_cancel (d, now, j, refusal_reason_name (REFUSAL_LEASE));
+  }
+}
+
 void
 dispatch_coordinators_check (struct dispatcher *d, int64_t now)
 {
   struct coordinator *c;
 
   DL_FOREACH (d->coordinators, c)
-  if (now - c->last_seen_ms > COORDINATOR_TIMEOUT_MS)
-    cancel_jobs (d, c, now, "silent");
+  end_unrenewed (d, c, now);
 }
 
 static struct coordinator *
@@ -94,37 +104,6 @@
   return NULL;
 }
 
-/* How much longer than the fastest message of C one took that C sent at
-   SENT_MS, on its own clock.  */
-static int64_t
-late_ms (const struct coordinator *c, int64_t now, int64_t sent_ms)
-{
-  return c->has_delay ? now - sent_ms - c->min_delay_ms : 0;
-}
-
-/* Whether a message that C sent at SENT_MS, on its own clock, arrived without
-   undue delay.  False until a message of the connection has been recorded,
-   since there is no delay to compare with: a job that comes first is
-   refused.  */
-static bool
-is_timely (const struct coordinator *c, int64_t now, int64_t sent_ms)
-{
-  return c->has_delay && late_ms (c, now, sent_ms) <= MESSAGE_STALE_MS;
-}
-
-/* Records a message that C sent at SENT_MS, on its own clock.  */
-static void
-record_message (struct coordinator *c, int64_t now, int64_t sent_ms)
-{
-  int64_t delay = now - sent_ms;
-
-  if (!c->has_delay || delay < c->min_delay_ms)
-    c->min_delay_ms = delay;
-  c->has_delay = true;
-  if (is_timely (c, now, sent_ms))
-    c->last_seen_ms = now;
-}
-
 static void
 receive_job (struct dispatcher *d, int64_t now, struct coordinator *c,
              const struct peer_job *m)
@@ -134,11 +113,7 @@
   enum refusal_reason reason = REFUSAL_STALE;
   int64_t retry_ms = 0;
   struct dispatch_job *j = NULL;
-  bool timely = is_timely (c, now, m->sent_ms);
-  int64_t heard = now - c->last_seen_ms;
-  int64_t late = late_ms (c, now, m->sent_ms);
 
-  record_message (c, now, m->sent_ms);
   memset (&spec, 0, sizeof spec);
   spec.priority = (uint32_t)m->priority;
   spec.attempts = (uint32_t)m->attempts;
@@ -146,16 +121,19 @@
   spec.floor_ms = m->floor_ms;
   spec.age_ms = m->age_ms;
   spec.deadline_ms = m->deadline_ms;
+  spec.lease_ms = job_lease_left_ms (
+      job_lease_end_ms (m->echo_ms, m->lease_ms, now), now);
   spec.payload = m->payload;
   spec.part = (struct job_part){ m->is_part != 0, (uint32_t)m->part_step,
                                  (uint32_t)m->part_first, m->part_run };
-  if (timely && slice_copy (m->key, spec.key, sizeof spec.key)
+  if (spec.lease_ms >= JOB_LEASE_START_MS
+      && slice_copy (m->key, spec.key, sizeof spec.key)
       && slice_copy (m->queue, spec.queue, sizeof spec.queue)
       && slice_copy (m->service, spec.service, sizeof spec.service)
       && job_spec_unpack_steps (&spec, m->steps))
     j = dispatcher_accept (d, now, &spec, &reason, &retry_ms);
-  if (!timely)
-    job_events_stale (c, m, heard, late);
+  if (spec.lease_ms < JOB_LEASE_START_MS)
+    job_events_stale (c, m, now);
   if (j == NULL)
     {
       dispatch_coordinator_send_result (&refused, JOB_REFUSED, reason,
@@ -165,7 +143,7 @@
   j->coordinator = c;
   j->id = m->id;
   DL_APPEND (c->jobs, j);
-  job_events_accepted (j, heard, late);
+  job_events_accepted (j, now, now - m->echo_ms);
 }
 
 static void
@@ -183,9 +161,41 @@
     }
 }
 
+/* The leases that a keepalive of COORDINATOR renews.  */
+struct renewal
+{
+  struct coordinator *coordinator;
+  int64_t echo_ms;
+  int64_t now_ms;
+};
+
+static void
+renew_job (void *arg, const struct job_renewal *r)
+{
+  const struct renewal *renewal = arg;
+  struct dispatch_job *j;
+
+  DL_FOREACH (renewal->coordinator->jobs, j)
+  if (j->id == r->id)
+    {
+      run_job_extend_lease (
+          j->run,
+          job_lease_end_ms (renewal->echo_ms, r->lease_ms, renewal->now_ms));
+      return;
+    }
+}
+
+static void
+receive_keepalive (struct coordinator *c, int64_t now,
+                   const struct peer_keepalive *m)
+{
+  struct renewal renewal = { c, m->echo_ms, now };
+
+  job_renewal_unpack (m->leases, renew_job, &renewal);
+}
+
 static void
-send_capacity (const struct dispatcher *d, struct coordinator *c,
-               int64_t echo_ms)
+send_capacity (const struct dispatcher *d, struct coordinator *c, int64_t now)
 {
   struct peer_message m = { .type = PEER_CAPACITY };
   struct dispatch_capacity capacities[CAPACITY_LIMIT];
@@ -195,7 +205,7 @@
   dispatch_capacity_pack (capacities,
                           dispatcher_capacity (d, capacities, CAPACITY_LIMIT),
                           &packed);
-  m.u.capacity.echo_ms = echo_ms;
+  m.u.capacity.sent_ms = now;
   m.u.capacity.packed = (struct slice){ packed.data == NULL ? "" : packed.data,
                                         (uint32_t)packed.size };
   peer_conn_send (c->conn, &m);
@@ -216,7 +226,7 @@
     {
       c = calloc (1, sizeof *c);
       c->conn = peer_conn_hold (from);
-      c->last_seen_ms = now;
+      c->heard_ms = now;
       snprintf (c->vm, sizeof c->vm, "%s", from->vm);
       DL_APPEND (d->coordinators, c);
     }
@@ -229,9 +239,10 @@
       receive_cancel (d, now, c, m->u.job_cancel.id);
       break;
     default:
-      record_message (c, now, m->u.keepalive.sent_ms);
-      send_capacity (d, c, m->u.keepalive.sent_ms);
+      receive_keepalive (c, now, &m->u.keepalive);
+      send_capacity (d, c, now);
     }
+  c->heard_ms = now;
   return true;
 }
 
--- a/src/controller/dispatch_coordinator.h
+++ b/src/controller/dispatch_coordinator.h
@@ -1,5 +1,5 @@
 /* The coordinators of a dispatcher: other entries that send it jobs.  Handles
-   their messages, and cancels their jobs when no more messages arrive.  */
+   their messages, and ends their jobs when the leases are not renewed.  */
 #ifndef CONTROLLER_DISPATCH_COORDINATOR_H
 #define CONTROLLER_DISPATCH_COORDINATOR_H
 
@@ -10,9 +10,7 @@
 {
   struct peer_conn *conn;
   char vm[NAME_BYTES];
-  int64_t last_seen_ms; /* arrival of its last timely job or keepalive */
-  bool has_delay;
-  int64_t min_delay_ms; /* lowest delay of a message, plus the clock offset */
+  int64_t heard_ms; /* arrival of its last job, cancellation or keepalive */
   struct dispatch_job *jobs;
   struct coordinator *prev;
   struct coordinator *next;
@@ -40,7 +38,7 @@
                                        enum refusal_reason reason,
                                        int64_t retry_ms, int64_t waited_ms);
 
-/* Cancels the jobs of coordinators that have timed out.  */
+/* Ends the jobs of coordinators whose leases are not renewed.  */
 void dispatch_coordinators_check (struct dispatcher *d, int64_t now_ms);
 
 /* Cancels the jobs of all coordinators and frees the coordinators.  */
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -13,6 +13,7 @@
 #include "controller/job_events.h"
 #include "controller/run_events.h"
 #include "coord/run_admission.h"
+#include "coord/target_lease.h"
 
 enum
 {
@@ -238,10 +239,12 @@
                  const struct target_port_ops *ops, int64_t lease_limit_ms)
 {
   struct timeval tick = now_timeval (TICK_MS);
+  int64_t lease_ms
+      = lease_limit_ms < TARGET_LEASE_MS ? lease_limit_ms : TARGET_LEASE_MS;
 
   memset (d, 0, sizeof *d);
   d->setup = (struct target_runner_setup){ base,           ops,
-                                           &d->scheduler,  lease_limit_ms,
+                                           &d->scheduler,  lease_ms,
                                            &runner_events, d };
   run_scheduler_init (&d->scheduler, &scheduler_output, d);
   d->pass = event_new (base, -1, 0, on_pass, d);
@@ -404,11 +407,17 @@
     {
       j->done = done;
       j->arg = arg;
-      job_events_accepted (j, 0, 0);
+      job_events_accepted (j, now, 0);
     }
   return j;
 }
 
+void
+dispatcher_extend_lease (struct dispatch_job *j, int64_t end_ms)
+{
+  run_job_extend_lease (j->run, end_ms);
+}
+
 void
 dispatcher_cancel (struct dispatcher *d, int64_t now, struct dispatch_job *j,
                    const char *why)
--- a/src/controller/dispatcher.h
+++ b/src/controller/dispatcher.h
@@ -2,10 +2,11 @@
    scheduler's decisions.  The jobs come from callers of this VM and from other
    entries, their coordinators.
 
-   A coordinator's jobs run only while its messages arrive: when its connection
-   ends, or no job or keepalive has arrived in time for COORDINATOR_TIMEOUT_MS,
-   its jobs are stopped, so that they no longer run when the caller retries at
-   another entry.  */
+   A job runs under a lease that the entry of its caller renews
+   (coord/job_lease): the leases of targets end with it, whatever happens to
+   this process, so that nothing of the job runs when its caller retries at
+   another entry.  When a coordinator's connection ends, or a lease is about to
+   end, the runs are stopped at once.  */
 #ifndef CONTROLLER_DISPATCHER_H
 #define CONTROLLER_DISPATCHER_H
 
@@ -64,7 +65,7 @@
   bool leaving;
 };
 
-/* LEASE_LIMIT_MS is the lease that status polls request for running tasks.  */
+/* LEASE_LIMIT_MS is the longest lease that a target accepts.  */
 void dispatcher_init (struct dispatcher *d, struct event_base *base,
                       const struct target_port_ops *ops,
                       int64_t lease_limit_ms);
@@ -92,6 +93,9 @@
                                         enum refusal_reason *reason,
                                         int64_t *retry_ms);
 
+/* Extends the lease of J, a job of a caller of this VM, to END_MS.  */
+void dispatcher_extend_lease (struct dispatch_job *j, int64_t end_ms);
+
 /* Cancels J, stops its runs and frees it.  DONE is not called.  WHY is for the
    event log.  */
 void dispatcher_cancel (struct dispatcher *d, int64_t now_ms,
--- a/src/controller/entry_dispatchers.c
+++ b/src/controller/entry_dispatchers.c
@@ -1,13 +1,15 @@
 #include "controller/entry_dispatchers.h"
 
 #include <string.h>
+#include "controller/entry_leases.h"
 
 enum
 {
-  /* Intervals of the capacity requests.  The longer one is for dispatchers of
-     other domains that have no jobs of this entry; one that has jobs needs the
-     requests as keepalives.  */
-  POLL_MS = 150,
+  /* Intervals of the capacity requests: to dispatchers that have jobs of this
+     entry, whose leases the requests renew, to others of its own failure
+     domain, and to those of other domains.  */
+  POLL_BUSY_MS = 100,
+  POLL_LOCAL_MS = 150,
   POLL_REMOTE_MS = 300,
 
   /* Time without a report after which the connection to a dispatcher that has
@@ -64,12 +66,20 @@
 
 void
 entry_dispatchers_request_capacity (struct job_entry *n, int64_t now,
-                                    const struct route_dispatcher *d)
+                                    struct route_dispatcher *d)
 {
   struct peer_message m = { .type = PEER_KEEPALIVE };
+  msgpack_sbuffer leases;
 
-  m.u.keepalive.sent_ms = now;
+  msgpack_sbuffer_init (&leases);
+  entry_leases_pack (n, now, d, &leases);
+  d->polled_ms = now;
+  m.u.keepalive.echo_ms = d->echo.latest_ms;
+  m.u.keepalive.leases
+      = (struct slice){ leases.data == NULL ? "" : leases.data,
+                        (uint32_t)leases.size };
   peer_network_send (n->network, d->vm, &m);
+  msgpack_sbuffer_destroy (&leases);
 }
 
 bool
@@ -92,6 +102,7 @@
   if (d == NULL)
     return;
   d->reachable = true;
+  lease_echo_receive (&d->echo, m->sent_ms);
   if (d->retired)
     d->reported_ms = now;
   else
@@ -102,18 +113,26 @@
   delegation_controller_receive_capacity (&n->delegation);
 }
 
+static int64_t
+poll_interval_ms (const struct job_entry *n, const struct route_dispatcher *d,
+                  bool has_jobs)
+{
+  if (has_jobs)
+    return POLL_BUSY_MS;
+  return strcmp (d->domain, n->settings->peer.domain) == 0 ? POLL_LOCAL_MS
+                                                           : POLL_REMOTE_MS;
+}
+
 void
 entry_dispatchers_poll (struct job_entry *n, int64_t now)
 {
-  if (now - n->last_poll_ms < POLL_MS)
-    return;
-  n->last_poll_ms = now;
   for (uint32_t i = 0; i < n->dispatcher_count; i++)
     {
       struct route_dispatcher *d = &n->dispatchers[i];
       bool has_jobs;
 
-      if (strcmp (d->vm, n->settings->peer.vm) == 0)
+      if (strcmp (d->vm, n->settings->peer.vm) == 0
+          || now - d->polled_ms < POLL_BUSY_MS)
         continue;
       has_jobs = job_entry_has_jobs_at (n, d->vm);
       if (has_jobs && d->reachable && d->reported_ms != 0
@@ -122,8 +141,7 @@
           peer_network_reset (n->network, d->vm);
           continue;
         }
-      if (has_jobs || strcmp (d->domain, n->settings->peer.domain) == 0
-          || now - d->reported_ms >= POLL_REMOTE_MS)
+      if (now - d->polled_ms >= poll_interval_ms (n, d, has_jobs))
         entry_dispatchers_request_capacity (n, now, d);
     }
 }
--- a/src/controller/entry_dispatchers.h
+++ b/src/controller/entry_dispatchers.h
@@ -15,10 +15,10 @@
 /* Updates the free capacity of this VM's own dispatcher.  */
 void entry_dispatchers_refresh_own (struct job_entry *n, int64_t now_ms);
 
-/* Requests the free capacity of D, which is not this VM.  The request is also
-   this entry's keepalive: D cancels the jobs of an entry that sends none.  */
+/* Requests the free capacity of D, which is not this VM.  The request also
+   renews the leases of the jobs that this entry has there.  */
 void entry_dispatchers_request_capacity (struct job_entry *n, int64_t now_ms,
-                                         const struct route_dispatcher *d);
+                                         struct route_dispatcher *d);
 
 /* Requests the free capacity of each dispatcher that is due.  Closes the
    connection to one that is unresponsive while it has jobs of this entry.  */
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -12,6 +12,7 @@
 #include "controller/entry_dispatchers.h"
 #include "controller/entry_assignment.h"
 #include "controller/job_events.h"
+#include "controller/entry_leases.h"
 #include "controller/routed_job.h"
 
 enum
@@ -103,7 +104,7 @@
 
 static bool
 send_job (struct job_entry *n, int64_t now, struct routed_job *j,
-          const char *vm)
+          const struct route_dispatcher *d)
 {
   struct peer_message m = { .type = PEER_JOB };
   msgpack_sbuffer steps;
@@ -111,25 +112,27 @@
 
   msgpack_sbuffer_init (&steps);
   job_spec_pack_steps (&j->spec, &steps);
-  m.u.job = (struct peer_job){ .id = j->id,
-                               .sent_ms = now,
-                               .key = slice_of (j->spec.key),
-                               .queue = slice_of (j->spec.queue),
-                               .service = slice_of (j->spec.service),
-                               .priority = j->spec.priority,
-                               .attempts = j->spec.attempts,
-                               .age_ms = now - j->arrived_ms,
-                               .deadline_ms = j->deadline_ms - now,
-                               .floor_ms = j->spec.floor_ms,
-                               .stretch_milli = j->spec.stretch_milli,
-                               .is_part = j->spec.part.is_part,
-                               .part_step = j->spec.part.step,
-                               .part_first = j->spec.part.first,
-                               .part_run = j->spec.part.run,
-                               .steps = { steps.data == NULL ? "" : steps.data,
-                                          (uint32_t)steps.size },
-                               .payload = j->spec.payload };
-  sent = peer_network_send (n->network, vm, &m);
+  m.u.job = (struct peer_job){
+    .id = j->id,
+    .echo_ms = d->echo.latest_ms,
+    .lease_ms = entry_leases_grant_ms (n, now, j, &d->echo),
+    .key = slice_of (j->spec.key),
+    .queue = slice_of (j->spec.queue),
+    .service = slice_of (j->spec.service),
+    .priority = j->spec.priority,
+    .attempts = j->spec.attempts,
+    .age_ms = now - j->arrived_ms,
+    .deadline_ms = j->deadline_ms - now,
+    .floor_ms = j->spec.floor_ms,
+    .stretch_milli = j->spec.stretch_milli,
+    .is_part = j->spec.part.is_part,
+    .part_step = j->spec.part.step,
+    .part_first = j->spec.part.first,
+    .part_run = j->spec.part.run,
+    .steps = { steps.data == NULL ? "" : steps.data, (uint32_t)steps.size },
+    .payload = j->spec.payload
+  };
+  sent = peer_network_send (n->network, d->vm, &m);
   msgpack_sbuffer_destroy (&steps);
   return sent;
 }
@@ -144,7 +147,7 @@
   job_router_sent (d, &j->spec);
   if (strcmp (d->vm, n->settings->peer.vm) != 0)
     {
-      if (!send_job (n, now, j, d->vm))
+      if (!send_job (n, now, j, d))
         return false;
       memcpy (j->vm, d->vm, sizeof j->vm);
       j->sent_ms = now;
@@ -160,6 +163,8 @@
   j->spec.age_ms = now - j->arrived_ms;
   j->spec.deadline_ms = j->deadline_ms - now;
   j->sent_ms = now;
+  j->spec.lease_ms
+      = job_lease_left_ms (entry_leases_own_end_ms (n, now, j), now);
   j->answer.result = JOB_REFUSED;
   j->local = dispatcher_submit (&n->dispatcher, now, &j->spec, on_local_done,
                                 j, &j->answer.reason, &j->answer.retry_ms);
@@ -201,6 +206,7 @@
   j->spec.payload.data = j->payload;
   j->arrived_ms = now - spec->age_ms;
   j->deadline_ms = now + spec->deadline_ms;
+  j->lease_deadline_ms = n->own_echo.confirmed_ms + spec->deadline_ms;
   j->answered = answered;
   j->arg = arg;
   j->answer.reason = REFUSAL_NO_TARGET;
@@ -223,15 +229,18 @@
 
 struct routed_job *
 job_entry_submit_part (struct job_entry *n, int64_t now,
-                       const struct job_spec *spec, const char *vm,
-                       job_answered answered, void *arg)
+                       const struct job_spec *spec,
+                       const struct run_job *parent,
+                       const struct route_dispatcher *d, job_answered answered,
+                       void *arg)
 {
   struct routed_job *j = job_new (n, now, spec, answered, arg);
 
+  j->parent = parent;
   j->tried_count = ROUTE_TRY_LIMIT;
-  if (send_job (n, now, j, vm))
+  if (send_job (n, now, j, d))
     {
-      snprintf (j->vm, sizeof j->vm, "%s", vm);
+      memcpy (j->vm, d->vm, sizeof j->vm);
       j->sent_ms = now;
     }
   else
@@ -405,12 +414,13 @@
     {
       d->reachable = up;
       d->reported_ms = 0;
+      d->polled_ms = 0;
+      memset (&d->echo, 0, sizeof d->echo);
     }
   if (up)
     {
       n->targets_changed = true;
       n->last_heartbeat_ms = 0;
-      n->last_poll_ms = 0;
     }
 }
 
@@ -464,6 +474,7 @@
                     now - n->last_tick_ms);
   n->last_tick_ms = now;
   expire_jobs (n, now);
+  entry_leases_tick (n, now);
   entry_dispatchers_poll (n, now);
   if (released != n->released_reported)
     {
@@ -489,6 +500,8 @@
   n->boot_id = boot_id;
   n->decode = decode;
   n->last_tick_ms = now_ms ();
+  n->lease_limit_ms = job_lease_limit_ms (s->caller_retry_ms);
+  entry_leases_init (n, n->last_tick_ms);
   service_config_init (&n->config);
   n->network
       = peer_network_new (base, &s->peer, boot_id, &network_events, n, e);
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -12,6 +12,7 @@
 #include "base/node_settings.h"
 #include "controller/dispatcher.h"
 #include "controller/delegation_controller.h"
+#include "coord/job_lease.h"
 #include "coord/job_router.h"
 #include "coord/service_config.h"
 #include "net/peer_network.h"
@@ -68,11 +69,12 @@
   struct routed_job *jobs;
   uint32_t job_count;
   uint64_t next_id;
+  int64_t lease_limit_ms;     /* of a job's lease */
+  struct lease_echo own_echo; /* the times of the ticks of this entry */
 
   /* periodic work and what was last sent */
   int64_t last_tick_ms;
   int64_t last_heartbeat_ms;  /* 0: send one at the next tick */
-  int64_t last_poll_ms;       /* likewise */
   uint32_t released_reported; /* number of targets last reported as released */
   uint64_t targets_sent_term; /* the leader's term when they were last sent */
   bool targets_changed;       /* the owned targets are to be sent again */
@@ -102,11 +104,13 @@
                                      const struct job_spec *spec,
                                      job_answered answered, void *arg);
 
-/* Sends SPEC, a part of a job of this entry's dispatcher, to the dispatcher on
-   VM.  It is not tried elsewhere: a refusal by VM is the answer.  */
+/* Sends SPEC, a part of PARENT, to the dispatcher D under what is left of the
+   lease of PARENT, which must outlive the part.  It is not tried elsewhere: a
+   refusal by D is the answer.  */
 struct routed_job *job_entry_submit_part (struct job_entry *n, int64_t now_ms,
                                           const struct job_spec *spec,
-                                          const char *vm,
+                                          const struct run_job *parent,
+                                          const struct route_dispatcher *d,
                                           job_answered answered, void *arg);
 
 /* The number of J among the jobs that N has sent.  */
--- a/src/controller/job_events.c
+++ b/src/controller/job_events.c
@@ -33,11 +33,11 @@
   return j->coordinator == NULL ? own_vm : j->coordinator->vm;
 }
 
-/* The time since the last timely message of the sender of J.  */
+/* The time since the last message of the sender of J.  */
 static int64_t
 heard_ms (const struct dispatch_job *j, int64_t now)
 {
-  return j->coordinator == NULL ? 0 : now - j->coordinator->last_seen_ms;
+  return j->coordinator == NULL ? 0 : now - j->coordinator->heard_ms;
 }
 
 /* The remaining time of the longest lease on the targets of J's runs.  */
@@ -59,8 +59,8 @@
 }
 
 void
-job_events_accepted (const struct dispatch_job *j, int64_t heard,
-                     int64_t late_ms)
+job_events_accepted (const struct dispatch_job *j, int64_t now,
+                     int64_t echo_age_ms)
 {
   const struct run_job *run = j->run;
   char part[JOB_PART_BYTES];
@@ -68,15 +68,17 @@
   job_events_part (&run->spec, part);
   event_ring_add (EVENT_DISPATCH_ACCEPTED, run->spec.key,
                   "from=%s id=%" PRIu64 " part=%s heard_ms=%" PRId64
-                  " late_ms=%" PRId64 " age_ms=%" PRId64
-                  " deadline_ms=%" PRId64 " queue=%s tasks=%u",
-                  sender_vm (j), j->id, part, heard, late_ms, run->spec.age_ms,
+                  " echo_age_ms=%" PRId64 " lease_ms=%" PRId64
+                  " age_ms=%" PRId64 " deadline_ms=%" PRId64
+                  " queue=%s tasks=%u",
+                  sender_vm (j), j->id, part, heard_ms (j, now), echo_age_ms,
+                  run->lease_end_ms - now, run->spec.age_ms,
                   run->spec.deadline_ms, run->spec.queue, run->task_count);
 }
 
 void
 job_events_stale (const struct coordinator *c, const struct peer_job *m,
-                  int64_t heard, int64_t late_ms)
+                  int64_t now)
 {
   char key[JOB_KEY_BYTES];
 
@@ -84,8 +86,10 @@
     key[0] = '\0';
   event_ring_add (EVENT_DISPATCH_STALE, key,
                   "from=%s id=%" PRIu64 " part=%d heard_ms=%" PRId64
-                  " late_ms=%" PRId64 " age_ms=%" PRId64,
-                  c->vm, m->id, m->is_part != 0, heard, late_ms, m->age_ms);
+                  " echo_age_ms=%" PRId64 " lease_ms=%" PRId64
+                  " age_ms=%" PRId64,
+                  c->vm, m->id, m->is_part != 0, now - c->heard_ms,
+                  now - m->echo_ms, m->lease_ms, m->age_ms);
 }
 
 void
@@ -122,10 +126,11 @@
   event_ring_add (EVENT_DISPATCH_STOPPED, run->spec.key,
                   "why=%s from=%s id=%" PRIu64 " part=%s heard_ms=%" PRId64
                   " running=%u delegated=%u lease_ms=%" PRId64
-                  " total_ms=%" PRId64,
+                  " job_lease_ms=%" PRId64 " total_ms=%" PRId64,
                   why, sender_vm (j), j->id, part, heard_ms (j, now),
                   run->active_count, run->delegated_count,
-                  longest_lease_ms (run, now), now - run->times.arrived_ms);
+                  longest_lease_ms (run, now), run->lease_end_ms - now,
+                  now - run->times.arrived_ms);
 }
 
 void
--- a/src/controller/job_events.h
+++ b/src/controller/job_events.h
@@ -18,14 +18,15 @@
 /* Writes the part of S as STEP.FIRST+COUNT, or "-" for a complete job.  */
 void job_events_part (const struct job_spec *s, char text[JOB_PART_BYTES]);
 
-/* Records that J was accepted.  Its coordinator had last been heard HEARD_MS
-   before, and J arrived LATE_MS later than its fastest message would.  */
-void job_events_accepted (const struct dispatch_job *j, int64_t heard_ms,
-                          int64_t late_ms);
+/* Records that J was accepted; its lease counts from a stamp of this VM that
+   is ECHO_AGE_MS old.  */
+void job_events_accepted (const struct dispatch_job *j, int64_t now_ms,
+                          int64_t echo_age_ms);
 
-/* Records that the job of M from C was refused because it came too late.  */
+/* Records that the job of M from C was refused because too little is left of
+   its lease.  */
 void job_events_stale (const struct coordinator *c, const struct peer_job *m,
-                       int64_t heard_ms, int64_t late_ms);
+                       int64_t now_ms);
 
 /* Records the end of J.  */
 void job_events_ended (const struct dispatch_job *j, int64_t now_ms,
--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -10,6 +10,7 @@
 #include "base/histogram.h"
 #include "base/now.h"
 #include "controller/run_events.h"
+#include "coord/target_lease.h"
 
 enum
 {
@@ -18,10 +19,7 @@
      started on another target once this lease has expired.  */
   START_LEASE_MS = 320,
 
-  /* The longest wait of a long poll for a run to end, well below the lease
-     that the poll renews.  A run that is due within POLL_WAIT_MIN_MS counts as
-     overdue.  */
-  POLL_WAIT_MAX_MS = 450,
+  /* A run that is due within this time counts as overdue.  */
   POLL_WAIT_MIN_MS = 40,
 
   /* A poll returns without an end once a run has taken this share of its
@@ -101,9 +99,9 @@
 int64_t
 target_runner_lease_ms (const struct target_runner *r, int64_t now)
 {
-  int64_t left = r->lease_end_ms - target_clock_min_ms (&r->clock, now);
+  int64_t left = r->target->lease_end_ms - now;
 
-  return r->clock.known && left > 0 ? left : 0;
+  return left > 0 ? left : 0;
 }
 
 static void
@@ -162,9 +160,7 @@
 static bool
 are_leases_expired (const struct target_runner *r, int64_t now)
 {
-  return r->clock.known
-         && target_clock_min_ms (&r->clock, now)
-                > r->lease_end_ms + LEASE_END_MARGIN_MS;
+  return now > r->target->lease_end_ms + LEASE_END_MARGIN_MS;
 }
 
 /* Marks the runs of an unresponsive target as lost once all leases must have
@@ -184,15 +180,13 @@
   r->setup->events->changed (r->setup->arg);
 }
 
-/* Returns the lease end to request, and records it if it is the latest.  */
+/* Returns the end of the lease to request, on the target's clock, and records
+   that it is requested.  */
 static int64_t
-request_lease (struct target_runner *r, int64_t now, int64_t lease_ms)
+request_lease (struct target_runner *r, int64_t end_ms)
 {
-  int64_t end = target_clock_expected_ms (&r->clock, now) + lease_ms;
-
-  if (end > r->lease_end_ms)
-    r->lease_end_ms = end;
-  return end;
+  target_lease_requested (r->target, end_ms);
+  return target_clock_min_ms (&r->clock, end_ms);
 }
 
 static enum start_outcome
@@ -269,18 +263,19 @@
                      uint32_t task)
 {
   char name[TASK_NAME_BYTES];
+  int64_t lease_end = target_lease_limit_ms (r->target, START_LEASE_MS, now);
   struct port_start s = { .task = name,
                           .run = j->tasks[task].run,
                           .fencing_token = r->fencing_token,
                           .job = j };
 
   run_job_task_name (j, task, name);
-  s.lease_end_ms = request_lease (r, now, START_LEASE_MS);
+  s.lease_end_ms = request_lease (r, lease_end);
   counters_add (COUNTER_TASK_STARTS, 1);
   event_ring_add (
       EVENT_TASK_STARTED, name,
       "run=%" PRIu64 " target=%s fence=%" PRIu64 " lease_ms=%" PRId64, s.run,
-      r->target->spec.id, r->fencing_token, (int64_t)START_LEASE_MS);
+      r->target->spec.id, r->fencing_token, lease_end - now);
   r->setup->ops->start (r->port, &s, on_started,
                         run_call_new (r, name, s.run));
 }
@@ -395,6 +390,9 @@
   uint32_t unknown;
 
   record_answer (r, &poll->reply);
+  if (!r->polled)
+    target_lease_requested (r->target, now + r->setup->lease_ms);
+  r->polled = true;
   handle_ends (r, poll, now);
   unknown = handle_running (r, poll, now);
   run_events_unlisted (r, now);
@@ -446,11 +444,12 @@
     }
 }
 
-/* How long a poll may wait for a run to end.  */
+/* How long a poll that requests a lease until LEASE_END_MS may wait for a run
+   to end: at most half of the lease, so that the next poll renews it.  */
 static int64_t
-poll_wait_ms (const struct target_runner *r, int64_t now)
+poll_wait_ms (const struct target_runner *r, int64_t lease_end_ms, int64_t now)
 {
-  int64_t wait = POLL_WAIT_MAX_MS;
+  int64_t wait = (lease_end_ms - now) / 2;
 
   if (r->target->phase != TARGET_READY || r->target->run_count == 0)
     return 0;
@@ -468,22 +467,24 @@
       if (due < wait)
         wait = due;
     }
-  return wait;
+  return wait < STOP_RETRY_MS ? STOP_RETRY_MS : wait;
 }
 
 static void
 poll_target (struct target_runner *r, int64_t now)
 {
+  int64_t lease_end
+      = target_lease_limit_ms (r->target, r->setup->lease_ms, now);
   struct port_poll_request request
       = { .fencing_token = r->fencing_token,
           .acked_number = r->received_number,
-          .wait_ms = r->poll_again ? 0 : poll_wait_ms (r, now) };
+          .wait_ms = r->poll_again ? 0 : poll_wait_ms (r, lease_end, now) };
 
   if (r->lost || r->polling)
     return;
   if (r->target->run_count != 0 && r->clock.known
-      && r->target->phase == TARGET_READY)
-    request.lease_end_ms = request_lease (r, now, r->setup->lease_limit_ms);
+      && r->target->phase == TARGET_READY && lease_end > now)
+    request.lease_end_ms = request_lease (r, lease_end);
   evtimer_del (r->timer);
   r->polling = true;
   r->poll_again = false;
--- a/src/controller/target_runner.h
+++ b/src/controller/target_runner.h
@@ -30,7 +30,7 @@
   struct event_base *base;
   const struct target_port_ops *ops;
   struct run_scheduler *scheduler;
-  int64_t lease_limit_ms; /* the lease that polls request for running tasks */
+  int64_t lease_ms; /* the longest lease to request for running tasks */
   const struct target_runner_events *events;
   void *arg;
 };
@@ -45,10 +45,10 @@
 
   uint64_t fencing_token;
   struct target_clock clock;
-  int64_t lease_end_ms; /* the latest requested, on the target's clock */
 
   /* status polls */
   bool polling;
+  bool polled;     /* a poll was answered: no earlier owner extends leases */
   bool poll_again; /* a stop was answered while a poll was in flight */
   int64_t poll_sent_ms;
   uint64_t received_number;    /* the highest end received */
@@ -66,8 +66,8 @@
                          struct run_target *t, uint64_t fencing_token);
 void target_runner_done (struct target_runner *r);
 
-/* The time until the latest lease requested from R's target has expired, by
-   the slowest that its clock may run; 0 if it has.  */
+/* The time until every lease requested from R's target has expired; 0 if they
+   have.  */
 int64_t target_runner_lease_ms (const struct target_runner *r, int64_t now_ms);
 
 /* Sends the start of task TASK of J.  */
--- /dev/null
+++ b/src/coord/job_lease.h
@@ -0,0 +1,73 @@
+/* The lease of a volatile job: until when its runs may go on without news from
+   the entry that holds its caller.
+
+   A caller that loses its connection or is answered "unknown" submits the job
+   again after a fixed delay, at any entry, which may start it at once.  So all
+   runs of the first attempt must have ended by then, whichever VM is late,
+   frozen or cut off meanwhile.  The entry grants the lease for less than that
+   delay and stops extending it when it answers or loses the caller; a
+   dispatcher passes on to delegates what is left of it, and requests no lease
+   from a target that ends later (coord/target_lease).  Nobody else extends it.
+
+   Clocks are not compared.  A receiver stamps its messages with its own clock,
+   the grantor echoes a stamp, and the lease counts from there: the stamp is
+   older than the grant, so the lease never ends later than granted.  */
+#ifndef COORD_JOB_LEASE_H
+#define COORD_JOB_LEASE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  /* The runs of a job are stopped when less than this is left of its lease, so
+     that a lost stop can be repeated.  */
+  JOB_LEASE_STOP_MS = 300,
+
+  /* No task is started with less than this left.  */
+  JOB_LEASE_START_MS = 400
+};
+
+/* The time stamps that were received from a peer.  What a process knows of its
+   callers is as old as its last pass over their connections: a lease for them
+   counts from a stamp that came before that pass began.  */
+struct lease_echo
+{
+  int64_t latest_ms;    /* 0: none */
+  int64_t pending_ms;   /* the latest one at the last call of confirm */
+  int64_t confirmed_ms; /* the latest one at the call before; 0: none */
+};
+
+/* Records STAMP_MS, the peer's time when it sent a message.  */
+void lease_echo_receive (struct lease_echo *e, int64_t stamp_ms);
+
+/* To be called by a timer: at most once in a pass of the event loop, after the
+   connections were read.  */
+void lease_echo_confirm (struct lease_echo *e);
+
+/* The length of the longest lease for callers that retry RETRY_MS after a lost
+   connection.  */
+int64_t job_lease_limit_ms (int64_t retry_ms);
+
+/* The lease that an entry grants at NOW_MS, counted from the confirmed stamp,
+   for a caller that waits until DEADLINE_MS; 0 if none.  */
+int64_t job_lease_grant_ms (int64_t limit_ms, int64_t deadline_ms,
+                            int64_t now_ms);
+
+/* Converts a lease of GRANTED_MS from the confirmed stamp of E to one from its
+   latest stamp; 0 if none.  */
+int64_t job_lease_from_latest_ms (const struct lease_echo *e,
+                                  int64_t granted_ms);
+
+/* What is left at NOW_MS of a lease that ends at END_MS; 0 if none.  */
+int64_t job_lease_left_ms (int64_t end_ms, int64_t now_ms);
+
+/* The end, on the receiver's clock, of a lease of GRANTED_MS that counts from
+   the receiver's stamp ECHO_MS.  Returns 0 if the receiver cannot have sent
+   that stamp.  */
+int64_t job_lease_end_ms (int64_t echo_ms, int64_t granted_ms, int64_t now_ms);
+
+/* Whether the runs of a job whose lease ends at END_MS are to be stopped.  */
+bool job_lease_is_ending (int64_t end_ms, int64_t now_ms);
+
+#endif
--- a/src/coord/job_router.h
+++ b/src/coord/job_router.h
@@ -15,6 +15,7 @@
 #include "base/settings.h"
 #include "coord/job_spec.h"
 #include "coord/free_capacity.h"
+#include "coord/job_lease.h"
 
 enum
 {
@@ -42,8 +43,10 @@
   bool reachable;
   bool retired;        /* still has jobs of this entry but gets no new ones */
   int64_t reported_ms; /* when its last report was received; 0: none so far */
+  int64_t polled_ms;   /* when its report was last requested */
   int64_t queried_ms;  /* when last queried in order to delegate tasks */
   int64_t refused_ms;  /* last refusal of tasks; no offers until it reports */
+  struct lease_echo echo; /* its time stamps, on its own clock */
   struct route_capacity capacities[ROUTE_SERVICE_LIMIT];
   uint32_t capacity_count;
 };
--- a/src/coord/job_spec.c
+++ b/src/coord/job_spec.c
@@ -31,17 +31,12 @@
 refusal_reason_name (enum refusal_reason r)
 {
   static const char *const names[REFUSAL_COUNT]
-      = { [REFUSAL_NONE] = "none",
-          [REFUSAL_NO_TARGET] = "no_target",
-          [REFUSAL_TOO_LARGE] = "too_large",
-          [REFUSAL_OVERLOAD] = "overload",
-          [REFUSAL_EXPIRED] = "expired",
-          [REFUSAL_LEAVING] = "leaving",
-          [REFUSAL_DUPLICATE] = "duplicate",
-          [REFUSAL_STALE] = "stale",
-          [REFUSAL_LOST_PEER] = "lost_peer",
-          [REFUSAL_SHARE] = "share",
-          [REFUSAL_FULL] = "full" };
+      = { [REFUSAL_NONE] = "none",           [REFUSAL_NO_TARGET] = "no_target",
+          [REFUSAL_TOO_LARGE] = "too_large", [REFUSAL_OVERLOAD] = "overload",
+          [REFUSAL_EXPIRED] = "expired",     [REFUSAL_LEAVING] = "leaving",
+          [REFUSAL_DUPLICATE] = "duplicate", [REFUSAL_STALE] = "stale",
+          [REFUSAL_LOST_PEER] = "lost_peer", [REFUSAL_SHARE] = "share",
+          [REFUSAL_FULL] = "full",           [REFUSAL_LEASE] = "lease" };
 
   return r < REFUSAL_COUNT ? names[r] : "unknown";
 }
--- a/src/coord/job_spec.h
+++ b/src/coord/job_spec.h
@@ -37,10 +37,11 @@
   REFUSAL_EXPIRED,   /* waited too long to be of use */
   REFUSAL_LEAVING,   /* this VM is shutting down */
   REFUSAL_DUPLICATE, /* an earlier attempt of this job is still active here */
-  REFUSAL_STALE,     /* delayed too long on its way to this VM */
+  REFUSAL_STALE,     /* too little of its lease was left on arrival */
   REFUSAL_LOST_PEER, /* the VM that had the job was lost */
   REFUSAL_SHARE,     /* its queue has used up its share of the cores */
   REFUSAL_FULL,      /* no free capacity for tasks that must not wait */
+  REFUSAL_LEASE,     /* its lease was not renewed (coord/job_lease) */
   REFUSAL_COUNT
 };
 
@@ -84,6 +85,7 @@
   int64_t floor_ms;
   int64_t age_ms;      /* since the caller's request was read */
   int64_t deadline_ms; /* remaining until the caller stops waiting */
+  int64_t lease_ms;    /* remaining of its lease (coord/job_lease) */
 
   struct job_step steps[JOB_STEP_LIMIT];
   uint32_t step_count;
--- a/src/coord/run_admission.c
+++ b/src/coord/run_admission.c
@@ -28,11 +28,11 @@
 /* The number of tasks of STEP, at most LIMIT, that could start on T now.  */
 static uint32_t
 fitting_on (const struct run_target *t, const struct job_step *step,
-            uint32_t limit, int64_t now)
+            int64_t lease_end_ms, uint32_t limit, int64_t now)
 {
   uint64_t n = limit;
 
-  if (!run_target_may_start (t, step, now))
+  if (!run_target_may_start (t, step, lease_end_ms, now))
     return 0;
   if (step->cpu_milli != 0)
     n = (t->spec.cpu_milli - t->cpu_used) / step->cpu_milli;
@@ -54,7 +54,8 @@
         continue;
       for (uint32_t t = 0; t < s->target_count && left != 0; t++)
         if (strcmp (s->targets[t]->spec.service, spec->service) == 0)
-          left -= fitting_on (s->targets[t], step, left, now);
+          left -= fitting_on (s->targets[t], step, now + spec->lease_ms, left,
+                              now);
       fitting += step->count - left;
     }
   return fitting;
--- a/src/coord/run_job.c
+++ b/src/coord/run_job.c
@@ -49,6 +49,13 @@
   j->last_start_ms = now;
 }
 
+void
+run_job_extend_lease (struct run_job *j, int64_t end_ms)
+{
+  if (end_ms > j->lease_end_ms)
+    j->lease_end_ms = end_ms;
+}
+
 bool
 run_job_step_may_begin (const struct run_job *j, uint32_t step)
 {
@@ -92,6 +99,7 @@
   if (spec->part.is_part)
     snprintf (j->id, sizeof j->id, "%s.%u.%u", spec->key, spec->part.step,
               spec->part.first);
+  j->lease_end_ms = now + spec->lease_ms;
   j->first_start_ms = -1;
   j->last_start_ms = -1;
   j->payload = malloc (spec->payload.length + 1);
--- a/src/coord/run_job.h
+++ b/src/coord/run_job.h
@@ -63,6 +63,7 @@
   char *wire_payload; /* payload as encoded by the target port, or NULL */
 
   struct job_times times;
+  int64_t lease_end_ms;   /* its runs must be over by then (job_lease) */
   uint64_t work;          /* expected, in thousandths of a core times ms */
   int64_t first_start_ms; /* -1 before; a delegated task counts as started */
   int64_t last_start_ms;  /* likewise */
@@ -102,6 +103,9 @@
 /* Records that a task of J is started or delegated.  */
 void run_job_note_start (struct run_job *j, int64_t now_ms);
 
+/* Extends the lease of J to END_MS; it is never shortened.  */
+void run_job_extend_lease (struct run_job *j, int64_t end_ms);
+
 /* Whether all steps that STEP depends on have ended.  */
 bool run_job_step_may_begin (const struct run_job *j, uint32_t step);
 
--- a/src/coord/run_placement.c
+++ b/src/coord/run_placement.c
@@ -57,7 +57,8 @@
       bool local = run_target_has_data (t, step);
       double cost;
 
-      if (!run_target_may_start (t, step, now) || (best_local && !local)
+      if (!run_target_may_start (t, step, j->lease_end_ms, now)
+          || (best_local && !local)
           || strcmp (t->spec.service, j->spec.service) != 0
           || is_avoided (&j->tasks[task], t)
           || !run_target_below_step_limit (t, j, step, j->tasks[task].step)
--- a/src/coord/run_target.c
+++ b/src/coord/run_target.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 #include "coord/run_job.h"
+#include "coord/target_lease.h"
 
 /* Cost of a target that is twice as slow as usual, in the same unit as the
    share of its cores that is left free.  */
@@ -60,7 +61,7 @@
 
 bool
 run_target_may_start (const struct run_target *t, const struct job_step *step,
-                      int64_t now)
+                      int64_t lease_end_ms, int64_t now)
 {
   return t->phase == TARGET_READY && !t->spec.draining && !t->releasing
          && now >= t->full_until_ms && t->run_count < t->spec.slots
@@ -69,6 +70,7 @@
          && t->memory_used + step->memory_mb <= t->spec.memory_mb
          && t->gpu_used + step->gpu <= t->spec.gpu
          && run_target_has_label (t, step->label)
+         && target_lease_admits (t, lease_end_ms, now)
          && target_health_admits (&t->health, now, t->run_count);
 }
 
--- a/src/coord/run_target.h
+++ b/src/coord/run_target.h
@@ -57,6 +57,7 @@
   bool releasing; /* to be handed to another owner: no new starts */
   struct target_health health;
   int64_t full_until_ms; /* no starts before; it refused one as full */
+  int64_t lease_end_ms;  /* all leases requested so far are over by then */
 
   /* in use */
   uint64_t cpu_used;
@@ -90,10 +91,11 @@
 bool run_target_could_run (const struct run_target *t,
                            const struct job_step *step);
 
-/* Whether T accepts starts at NOW_MS and has free capacity for a task of
-   STEP.  */
+/* Whether T accepts starts at NOW_MS and has free capacity for a task of STEP
+   of a job whose lease ends at LEASE_END_MS.  */
 bool run_target_may_start (const struct run_target *t,
-                           const struct job_step *step, int64_t now_ms);
+                           const struct job_step *step, int64_t lease_end_ms,
+                           int64_t now_ms);
 
 /* The cost of placing a task of STEP on T: the share of T's cores that would
    be left free (best fit), plus penalties for a slow target and for recent
--- a/src/coord/target_clock.c
+++ b/src/coord/target_clock.c
@@ -18,12 +18,6 @@
   c->received_ms = received_ms;
 }
 
-int64_t
-target_clock_expected_ms (const struct target_clock *c, int64_t now)
-{
-  return c->clock_ms + (now - c->received_ms);
-}
-
 int64_t
 target_clock_min_ms (const struct target_clock *c, int64_t now)
 {
--- a/src/coord/target_clock.h
+++ b/src/coord/target_clock.h
@@ -17,10 +17,6 @@
 void target_clock_observe (struct target_clock *c, int64_t clock_ms,
                            int64_t received_ms);
 
-/* The target's clock at NOW_MS if it runs at the right rate.  */
-int64_t target_clock_expected_ms (const struct target_clock *c,
-                                  int64_t now_ms);
-
 /* The lowest value that the target's clock can have at NOW_MS.  A lease with
    an earlier end time has expired.  */
 int64_t target_clock_min_ms (const struct target_clock *c, int64_t now_ms);
--- a/src/net/peer_message.c
+++ b/src/net/peer_message.c
@@ -31,7 +31,7 @@
 
 enum
 {
-  FIELD_LIMIT = 18
+  FIELD_LIMIT = 20
 };
 
 struct message_format
@@ -134,20 +134,21 @@
   [PEER_SERVICE_CONFIG]
   = { true, { U (service_config.version), B (service_config.text) } },
   [PEER_KEEPERS] = { true, { B (keepers.text) } },
-  [PEER_JOB]
-  = { false,
-      { U (job.id), I (job.sent_ms), B (job.key), B (job.queue),
-        B (job.service), U (job.priority), U (job.attempts), I (job.age_ms),
-        I (job.deadline_ms), I (job.floor_ms), U (job.stretch_milli),
-        U (job.is_part), U (job.part_step), U (job.part_first),
-        U (job.part_run), B (job.steps), B (job.payload) } },
+  [PEER_JOB] = { false,
+                 { U (job.id), I (job.echo_ms), I (job.lease_ms), B (job.key),
+                   B (job.queue), B (job.service), U (job.priority),
+                   U (job.attempts), I (job.age_ms), I (job.deadline_ms),
+                   I (job.floor_ms), U (job.stretch_milli), U (job.is_part),
+                   U (job.part_step), U (job.part_first), U (job.part_run),
+                   B (job.steps), B (job.payload) } },
   [PEER_JOB_END]
   = { false,
       { U (job_end.id), U (job_end.result), I (job_end.retry_ms),
         I (job_end.waited_ms), U (job_end.reason) } },
   [PEER_JOB_CANCEL] = { false, { U (job_cancel.id) } },
-  [PEER_KEEPALIVE] = { false, { I (keepalive.sent_ms) } },
-  [PEER_CAPACITY] = { false, { I (capacity.echo_ms), B (capacity.packed) } },
+  [PEER_KEEPALIVE]
+  = { false, { I (keepalive.echo_ms), B (keepalive.leases) } },
+  [PEER_CAPACITY] = { false, { I (capacity.sent_ms), B (capacity.packed) } },
   [PEER_PING] = { true, { U (ping.unused) } },
   [PEER_PONG] = { true, { U (ping.unused) } },
 };
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -279,8 +279,9 @@
  */
 struct peer_job
 {
-  uint64_t id;     /* unique within the sending process */
-  int64_t sent_ms; /* the sender's clock */
+  uint64_t id;      /* unique within the sending process */
+  int64_t echo_ms;  /* the latest sent_ms of a PEER_CAPACITY; 0: none */
+  int64_t lease_ms; /* from echo_ms on (coord/job_lease) */
   struct slice key;
   struct slice queue;
   struct slice service;
@@ -316,18 +317,19 @@
   uint64_t id;
 };
 
-/* From an entry to a dispatcher, periodically: the entry is alive and still
-   needs the jobs that it has sent.  The dispatcher replies with PEER_CAPACITY,
-   and stops the jobs of an entry from which it receives nothing for long.  */
+/* From an entry to a dispatcher, periodically: renews the leases of the jobs
+   that the entry has sent and still needs.  The dispatcher replies with
+   PEER_CAPACITY, and stops the jobs whose leases are not renewed.  */
 struct peer_keepalive
 {
-  int64_t sent_ms;
+  int64_t echo_ms;     /* the latest sent_ms of a PEER_CAPACITY; 0: none */
+  struct slice leases; /* from echo_ms on; packed by job_renewal_pack */
 };
 
 /* From a dispatcher to an entry: its free capacity for each service.  */
 struct peer_capacity
 {
-  int64_t echo_ms;     /* sent_ms of the PEER_KEEPALIVE that it answers */
+  int64_t sent_ms;     /* the dispatcher's clock */
   struct slice packed; /* by dispatch_capacity_pack */
 };
 
--- a/tests/unit/deployment.c
+++ b/tests/unit/deployment.c
@@ -49,6 +49,7 @@
   s->lost_keepers = 1;
   s->catch_up_ms = 4000;
   s->lease_limit_ms = 500;
+  s->caller_retry_ms = 1300;
   s->seed_count = SEEDS;
   for (int i = 0; i < SEEDS; i++)
     {
--- a/tests/unit/test_delegation.c
+++ b/tests/unit/test_delegation.c
@@ -11,7 +11,8 @@
   NOW = 1000,
   TASKS = 8,
   TASK_CPU = 1000,
-  TARGET_CPU = 3000
+  TARGET_CPU = 3000,
+  LEASE_MS = 1000000
 };
 
 /* What the scheduler's callbacks reported.  */
@@ -93,6 +94,7 @@
                         .stretch_milli = 1600,
                         .floor_ms = 60,
                         .deadline_ms = 3000,
+                        .lease_ms = LEASE_MS,
                         .step_count = 1 };
 
   snprintf (j.key, sizeof j.key, "%s", key);
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -12,6 +12,7 @@
 {
   LEASE_MS = 400,
   ANSWER_MS = 50, /* until a start is answered */
+  JOB_LEASE_MS = 20000,
   WAIT_MS = 3000,
   TARGET_CPU = 4000,
   TASK_CPU = 1000
@@ -131,6 +132,7 @@
   s.stretch_milli = 2000;
   s.floor_ms = 1000;
   s.deadline_ms = 10000;
+  s.lease_ms = JOB_LEASE_MS;
   s.step_count = 1;
   s.steps[0].count = tasks;
   s.steps[0].cpu_milli = TASK_CPU;
--- a/tests/unit/test_job_events.c
+++ b/tests/unit/test_job_events.c
@@ -15,10 +15,11 @@
   START_LEASE_MS = 320, /* as in target_runner */
   WAIT_MS = 3000,
   STEP_MS = 10,
-  SILENT_MS = 800, /* the time-out of a coordinator */
+  JOB_LEASE_MS = 1200, /* as an entry grants it */
+  SILENT_MS = 900,     /* until a lease of that length is ending */
   JOB_ID = 7,
   LATE_MS = 150,
-  STALE_MS = 500
+  STALE_MS = 850
 };
 
 static const char key[] = "0123456789abcdef";
@@ -59,7 +60,7 @@
 {
   struct peer_message m = { .type = PEER_KEEPALIVE };
 
-  m.u.keepalive.sent_ms = now_ms ();
+  m.u.keepalive.leases = slice_of ("");
   dispatcher_receive (&f->dispatcher, now_ms (), &f->conn, &m);
 }
 
@@ -102,7 +103,8 @@
   event_ring_done ();
 }
 
-/* Hands over tasks 4 and 5 of the second step of a job, sent AGE_MS ago.  */
+/* Hands over tasks 4 and 5 of the second step of a job under a lease that
+   counts from AGE_MS ago.  */
 static void
 send_part (struct fixture *f, int64_t age_ms)
 {
@@ -110,7 +112,8 @@
 
   m.u.job
       = (struct peer_job){ .id = JOB_ID,
-                           .sent_ms = now_ms () - age_ms,
+                           .echo_ms = now_ms () - age_ms,
+                           .lease_ms = JOB_LEASE_MS,
                            .key = slice_of (key),
                            .queue = slice_of ("q"),
                            .service = slice_of ("svc"),
@@ -165,8 +168,11 @@
       is_between (event_lines_number ("DISPATCH_ACCEPTED", key, "heard_ms"),
                   LATE_MS, SILENT_MS));
   CU_ASSERT (
-      is_between (event_lines_number ("DISPATCH_ACCEPTED", key, "late_ms"),
+      is_between (event_lines_number ("DISPATCH_ACCEPTED", key, "echo_age_ms"),
                   LATE_MS, STALE_MS));
+  CU_ASSERT (
+      is_between (event_lines_number ("DISPATCH_ACCEPTED", key, "lease_ms"),
+                  JOB_LEASE_MS - STALE_MS, JOB_LEASE_MS - LATE_MS));
   run_until_event (&f, "RUN_STARTED", first_task);
   check_run ("TASK_STARTED");
   CU_ASSERT_EQUAL (event_lines_number ("TASK_STARTED", first_task, "lease_ms"),
@@ -189,7 +195,7 @@
   fixture_done (&f);
 }
 
-/* A part is stopped because its coordinator is silent, and the same one again
+/* A part is stopped because its lease is not renewed, and the same one again
    because the connection closes; one that comes too late is refused.  */
 static void
 test_silent (void)
@@ -200,14 +206,15 @@
   send_part (&f, 0);
   run_until_event (&f, "DISPATCH_STOPPED", key);
   check_sender ("DISPATCH_STOPPED");
-  CU_ASSERT (event_lines_is ("DISPATCH_STOPPED", key, "why", "silent"));
+  CU_ASSERT (event_lines_is ("DISPATCH_STOPPED", key, "why", "lease"));
   CU_ASSERT (
       is_between (event_lines_number ("DISPATCH_STOPPED", key, "heard_ms"),
                   SILENT_MS + 1, WAIT_MS));
   send_part (&f, STALE_MS);
   CU_ASSERT_EQUAL (event_lines_number ("DISPATCH_STALE", key, "id"), JOB_ID);
-  CU_ASSERT (is_between (event_lines_number ("DISPATCH_STALE", key, "late_ms"),
-                         STALE_MS, WAIT_MS));
+  CU_ASSERT (
+      is_between (event_lines_number ("DISPATCH_STALE", key, "echo_age_ms"),
+                  STALE_MS, WAIT_MS));
   CU_ASSERT_EQUAL (event_lines_count ("DISPATCH_ACCEPTED", key), 1);
   run_until_event (&f, "RUN_ENDED", first_task);
   send_keepalive (&f);
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include "base/now.h"
 #include "controller/dispatcher.h"
+#include "controller/job_renewal.h"
+#include "coord/job_lease.h"
 #include "coord/task_delegation.h"
 #include "tests/unit/fake_clock.h"
 #include "tests/unit/fake_port.h"
@@ -17,6 +19,8 @@
   RETRY_MS = 1300,
   LEASE_LIMIT_MS = 1000,
   CLOCK_SLOW_PERCENT = 2,
+  JOB_LEASE_MS = 1200, /* as an entry grants it */
+  JOB_ID = 1,
   KEEPALIVE_MS = 100,
   ESTIMATE_MS = 20000,
   DEADLINE_MS = 60000,
@@ -32,7 +36,8 @@
   struct dispatcher *to;
   struct peer_conn conn;
   bool silent;
-  int64_t sent_ms; /* time of its last message */
+  int64_t sent_ms;              /* time of its last message */
+  const struct run_job *parent; /* of the part that it sent; else NULL */
 };
 
 /* A dispatcher, whose jobs come from FIRST and SECOND, and the target t1 that
@@ -57,15 +62,31 @@
   snprintf (s->conn.vm, sizeof s->conn.vm, "%s", vm);
 }
 
-/* Delivers a keepalive that S sends now.  */
+/* The lease that S grants now for its job: all that is allowed.  */
+static int64_t
+granted_ms (const struct sender *s)
+{
+  return s->parent == NULL
+             ? JOB_LEASE_MS
+             : job_lease_left_ms (s->parent->lease_end_ms, now_ms ());
+}
+
+/* Delivers a keepalive that S sends now, in the moment in which it received a
+   time stamp of the dispatcher.  */
 static void
 send_keepalive (struct sender *s)
 {
   struct peer_message m = { .type = PEER_KEEPALIVE };
+  struct job_renewal renewal = { JOB_ID, granted_ms (s) };
+  msgpack_sbuffer leases;
 
   s->sent_ms = now_ms ();
-  m.u.keepalive.sent_ms = s->sent_ms;
+  msgpack_sbuffer_init (&leases);
+  job_renewal_pack (&renewal, &leases);
+  m.u.keepalive.echo_ms = s->sent_ms;
+  m.u.keepalive.leases = (struct slice){ leases.data, (uint32_t)leases.size };
   dispatcher_receive (s->to, now_ms (), &s->conn, &m);
+  msgpack_sbuffer_destroy (&leases);
 }
 
 /* Delivers SPEC, which S sent at SENT_MS.  */
@@ -78,8 +99,9 @@
   s->sent_ms = sent_ms;
   msgpack_sbuffer_init (&steps);
   job_spec_pack_steps (spec, &steps);
-  m.u.job = (struct peer_job){ .id = 1,
-                               .sent_ms = sent_ms,
+  m.u.job = (struct peer_job){ .id = JOB_ID,
+                               .echo_ms = sent_ms,
+                               .lease_ms = granted_ms (s),
                                .key = slice_of (spec->key),
                                .queue = slice_of (spec->queue),
                                .service = slice_of (spec->service),
@@ -232,6 +254,7 @@
   task_delegation_spec (&(struct delegation_offer){ j, 0, 1, NULL }, now,
                         &part);
   run_scheduler_delegate (&f->dispatcher.scheduler, now, j, 0, 1);
+  f->delegating.parent = j;
   send_job (&f->delegating, &part, now);
 }
 
@@ -243,6 +266,7 @@
 
   (void)j;
   f->delegating.silent = true;
+  f->delegating.parent = NULL;
 }
 
 /* The entry loses power.  The delegating dispatcher is alive, sends keepalives
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -12,7 +12,8 @@
   NOW = 1000,
   TARGET_CPU = 2000,
   TASK_CPU = 1000,
-  TASK_MS = 100
+  TASK_MS = 100,
+  LEASE_MS = 1000000
 };
 
 static void
@@ -67,6 +68,7 @@
                            .stretch_milli = 1600,
                            .floor_ms = 60,
                            .deadline_ms = 3000,
+                           .lease_ms = LEASE_MS,
                            .step_count = 1 };
   enum refusal_reason reason;
   int64_t retry_ms;
--- a/tests/unit/test_scheduler.c
+++ b/tests/unit/test_scheduler.c
@@ -13,7 +13,8 @@
 {
   CPU = 64000,
   TWICE_CPU = 128000,
-  TARGETS = 16
+  TARGETS = 16,
+  LEASE_MS = 1000000
 };
 
 /* What the scheduler's callbacks and refused submissions reported.  */
@@ -114,6 +115,7 @@
   j.stretch_milli = 1600;
   j.floor_ms = 60;
   j.deadline_ms = 3000;
+  j.lease_ms = LEASE_MS;
   j.step_count = 1;
   j.steps[0].count = tasks;
   j.steps[0].cpu_milli = cpu;
--- a/tests/unit/test_stall.c
+++ b/tests/unit/test_stall.c
@@ -15,8 +15,9 @@
   IDLE_MS = 3200, /* longer than the time-out of an unresponsive peer */
   WAIT_MS = 6000,
   STEP_MS = 20,
-  UNRESPONSIVE_MS = 1000, /* longer than the time-out of a coordinator */
-  JOB_AGE_MS = 900        /* between sending and receipt of the stale job */
+  UNRESPONSIVE_MS = 1000,
+  LEASE_MS = 1200,  /* of a job, as an entry grants it */
+  ECHO_AGE_MS = 900 /* from the echoed stamp to the receipt of a stale job */
 };
 
 struct side
@@ -113,12 +114,13 @@
 }
 
 static struct peer_message
-make_job (uint64_t id, int64_t sent_ms, const msgpack_sbuffer *steps)
+make_job (uint64_t id, int64_t echo_ms, const msgpack_sbuffer *steps)
 {
   struct peer_message m = { .type = PEER_JOB };
 
   m.u.job = (struct peer_job){ .id = id,
-                               .sent_ms = sent_ms,
+                               .echo_ms = echo_ms,
+                               .lease_ms = LEASE_MS,
                                .key = slice_of ("0123456789abcdef"),
                                .queue = slice_of ("q"),
                                .service = slice_of ("svc"),
@@ -163,10 +165,10 @@
   dispatcher_init (&d, base, &fake_port_ops, UNRESPONSIVE_MS);
   dispatcher_set_targets (&d, now_ms (), &target, 1);
   begin = now_ms ();
-  keepalive.u.keepalive.sent_ms = begin;
+  keepalive.u.keepalive.leases = slice_of ("");
   dispatcher_receive (&d, begin, &conn, &keepalive);
   run_for (base, UNRESPONSIVE_MS);
-  job = make_job (1, now_ms () - JOB_AGE_MS, &steps);
+  job = make_job (1, now_ms () - ECHO_AGE_MS, &steps);
   dispatcher_receive (&d, now_ms (), &conn, &job);
   run_for (base, STEP_MS);
   CU_ASSERT_EQUAL (fake_port_starts (), 0);
