A job that is refused as a duplicate is not tried elsewhere

Callers saw a task run twice: a caller repeats its job at another entry, the dispatcher that this entry chooses still has runs of the first attempt, being stopped, and refuses it as a duplicate; the entry then sends it to a second dispatcher, which knows nothing of the first attempt and starts it. Where all refused, the caller was told 503, not run, though a run of it was going on.

Cause: job_entry took a duplicate for a lack of capacity.

New test 'a job is refused as not run while its first attempt runs' (two entries, a delegated part): failed before, passes now; the decision is job_router_after_refusal, with a table of its own.

--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -64,13 +64,12 @@
   event_active (j->answer_event, EV_TIMEOUT, 0);
 }
 
-/* Whether another dispatcher, which may have free capacity, is to be tried
-   after a refusal.  */
-static bool
-may_try_elsewhere (const struct routed_job *j, enum refusal_reason reason)
+/* Answers J, which no further dispatcher is to be offered.  */
+static void
+answer_refused (struct routed_job *j, enum route_next next)
 {
-  return reason != REFUSAL_EXPIRED && reason != REFUSAL_TOO_LARGE
-         && j->tried_count < ROUTE_TRY_LIMIT;
+  answer (j, next == ROUTE_UNKNOWN ? JOB_UNKNOWN : JOB_REFUSED,
+          j->answer.reason, j->answer.retry_ms);
 }
 
 static void
@@ -78,18 +77,21 @@
                enum job_result result, enum refusal_reason reason,
                int64_t retry_ms)
 {
+  enum route_next next;
+
   j->local = NULL;
   j->vm[0] = '\0';
-  if (result == JOB_REFUSED)
+  if (result != JOB_REFUSED)
     {
-      j->answer = (struct job_answer){ result, reason, retry_ms };
-      if (may_try_elsewhere (j, reason))
-        {
-          route (n, now, j);
-          return;
-        }
+      answer (j, result, reason, retry_ms);
+      return;
     }
-  answer (j, result, reason, retry_ms);
+  j->answer = (struct job_answer){ result, reason, retry_ms };
+  next = job_router_after_refusal (reason, j->tried_count);
+  if (next == ROUTE_ELSEWHERE)
+    route (n, now, j);
+  else
+    answer_refused (j, next);
 }
 
 static void
@@ -174,6 +176,8 @@
 static void
 route (struct job_entry *n, int64_t now, struct routed_job *j)
 {
+  enum route_next next = ROUTE_REFUSED;
+
   entry_dispatchers_refresh_own (n, now);
   while (j->tried_count < ROUTE_TRY_LIMIT)
     {
@@ -185,10 +189,11 @@
         break;
       if (submit_to (n, now, j, d))
         return;
-      if (!may_try_elsewhere (j, j->answer.reason))
+      next = job_router_after_refusal (j->answer.reason, j->tried_count);
+      if (next != ROUTE_ELSEWHERE)
         break;
     }
-  answer (j, JOB_REFUSED, j->answer.reason, j->answer.retry_ms);
+  answer_refused (j, next);
 }
 
 static struct routed_job *
--- a/src/coord/job_router.c
+++ b/src/coord/job_router.c
@@ -96,6 +96,17 @@
   return best;
 }
 
+enum route_next
+job_router_after_refusal (enum refusal_reason reason, uint32_t tried_count)
+{
+  if (reason == REFUSAL_DUPLICATE)
+    return ROUTE_UNKNOWN;
+  if (reason == REFUSAL_EXPIRED || reason == REFUSAL_TOO_LARGE
+      || tried_count >= ROUTE_TRY_LIMIT)
+    return ROUTE_REFUSED;
+  return ROUTE_ELSEWHERE;
+}
+
 void
 job_router_sent (struct route_dispatcher *d, const struct job_spec *spec)
 {
--- a/src/coord/job_router.h
+++ b/src/coord/job_router.h
@@ -65,6 +65,19 @@
                    const char (*tried)[NAME_BYTES], uint32_t tried_count,
                    int64_t now_ms);
 
+enum route_next
+{
+  ROUTE_ELSEWHERE, /* try another dispatcher, which may have free capacity */
+  ROUTE_REFUSED,   /* answer that the job was not run */
+  ROUTE_UNKNOWN    /* answer that it may have run */
+};
+
+/* What to do with a job that TRIED_COUNT dispatchers have refused, the last
+   one for REASON.  An earlier attempt that is still active at one of them may
+   have run, and no other dispatcher knows of it.  */
+enum route_next job_router_after_refusal (enum refusal_reason reason,
+                                          uint32_t tried_count);
+
 /* Records that a job of SPEC was sent to D.  */
 void job_router_sent (struct route_dispatcher *d, const struct job_spec *spec);
 
--- a/tests/unit/test_deployment.c
+++ b/tests/unit/test_deployment.c
@@ -7,6 +7,7 @@
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "base/now.h"
+#include "controller/routed_job.h"
 #include "tests/unit/deployment.h"
 #include "tests/unit/event_lines.h"
 #include "tests/unit/fake_port.h"
@@ -407,6 +408,30 @@
   deployment_done (&d);
 }
 
+/* A caller repeats its job at another entry while runs of the first attempt
+   are still active.  No dispatcher starts it, and the answer is unknown: tasks
+   of it may have run.  */
+static void
+test_repeated_while_running (void)
+{
+  struct deployment d;
+  struct caller first;
+  struct caller second = { 0 };
+  struct routed_job *j = start_delegation (&d, &first);
+  struct job_spec spec = j->spec;
+  int64_t end = now_ms () + WAIT_MS;
+
+  spec.deadline_ms = WAIT_MS;
+  job_entry_submit (d.entries[1], now_ms (), &spec, on_answered, &second);
+  while (second.answers == 0 && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (second.answers, 1);
+  CU_ASSERT_EQUAL (second.answer.result, JOB_UNKNOWN);
+  CU_ASSERT_EQUAL (second.answer.reason, REFUSAL_DUPLICATE);
+  CU_ASSERT_EQUAL (fake_port_starts (), DELEGATED_JOB_TASKS);
+  deployment_done (&d);
+}
+
 /* The lines about a delegated part have the same job id at the dispatcher, at
    its delegate and when the part is revoked, and tell whether the cancellation
    could be sent.  */
@@ -484,6 +509,8 @@
   CU_add_test (s, "delegated tasks are revoked", test_delegated_tasks_revoked);
   CU_add_test (s, "a job ends as unknown if its delegate crashes",
                test_delegate_crash);
+  CU_add_test (s, "a job is refused as not run while its first attempt runs",
+               test_repeated_while_running);
   CU_add_test (s, "lines of a revoked delegation", test_delegation_lines);
   CU_add_test (s, "lines of a delegate that crashed", test_lost_link_lines);
 }
--- a/tests/unit/test_scheduler.c
+++ b/tests/unit/test_scheduler.c
@@ -550,6 +550,30 @@
   CU_ASSERT_PTR_NULL (job_router_choose (&d, 1, "d0", &job, NULL, 0, 1000));
 }
 
+/* What follows a refusal.  A job that is refused as a duplicate is never tried
+   at another dispatcher: its first attempt may still run.  */
+static void
+test_after_refusal (void)
+{
+  static const struct
+  {
+    enum refusal_reason reason;
+    uint32_t tried;
+    enum route_next next;
+  } rows[] = { { REFUSAL_OVERLOAD, 1, ROUTE_ELSEWHERE },
+               { REFUSAL_LEASE, 1, ROUTE_ELSEWHERE },
+               { REFUSAL_STALE, ROUTE_TRY_LIMIT - 1, ROUTE_ELSEWHERE },
+               { REFUSAL_OVERLOAD, ROUTE_TRY_LIMIT, ROUTE_REFUSED },
+               { REFUSAL_EXPIRED, 1, ROUTE_REFUSED },
+               { REFUSAL_TOO_LARGE, 1, ROUTE_REFUSED },
+               { REFUSAL_DUPLICATE, 1, ROUTE_UNKNOWN },
+               { REFUSAL_DUPLICATE, ROUTE_TRY_LIMIT, ROUTE_UNKNOWN } };
+
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++)
+    CU_ASSERT_EQUAL (job_router_after_refusal (rows[i].reason, rows[i].tried),
+                     rows[i].next);
+}
+
 void
 suite_scheduler (void)
 {
@@ -571,4 +595,6 @@
   CU_add_test (s, "routing counts the jobs already sent", test_router);
   CU_add_test (s, "no job goes to a dispatcher without usable cores",
                test_router_no_cores);
+  CU_add_test (s, "a duplicate is tried at another dispatcher",
+               test_after_refusal);
 }
