Job leases count from when a stamp came, and no job goes where none can be granted

Cause: the grant was counted from the present time, not from the receipt of the stamp. A stamp was sent no later than it was received, so that counting from the receipt is as safe: lease_echo keeps both times. A dispatcher without a confirmed stamp is not chosen (job_router), and the leases of targets go up to the platform's limit again: a target's lease that is longer than that of a new job makes it wait for the next renewal, 0.1 s, while shorter leases lapse when a target answers late.

--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -13,7 +13,6 @@
 #include "controller/job_events.h"
 #include "controller/run_events.h"
 #include "coord/run_admission.h"
-#include "coord/target_lease.h"
 
 enum
 {
@@ -239,12 +238,10 @@
                  const struct target_port_ops *ops, int64_t lease_limit_ms)
 {
   struct timeval tick = now_timeval (TICK_MS);
-  int64_t lease_ms
-      = lease_limit_ms < TARGET_LEASE_MS ? lease_limit_ms : TARGET_LEASE_MS;
 
   memset (d, 0, sizeof *d);
   d->setup = (struct target_runner_setup){ base,           ops,
-                                           &d->scheduler,  lease_ms,
+                                           &d->scheduler,  lease_limit_ms,
                                            &runner_events, d };
   run_scheduler_init (&d->scheduler, &scheduler_output, d);
   d->pass = event_new (base, -1, 0, on_pass, d);
--- a/src/controller/entry_dispatchers.c
+++ b/src/controller/entry_dispatchers.c
@@ -58,6 +58,7 @@
   if (d == NULL)
     return;
   d->reachable = true;
+  d->echo = n->own_echo;
   set_capacity (
       d, capacities,
       dispatcher_capacity (&n->dispatcher, capacities, ROUTE_SERVICE_LIMIT),
@@ -72,9 +73,9 @@
   msgpack_sbuffer leases;
 
   msgpack_sbuffer_init (&leases);
-  entry_leases_pack (n, now, d, &leases);
+  entry_leases_pack (n, d, &leases);
   d->polled_ms = now;
-  m.u.keepalive.echo_ms = d->echo.latest_ms;
+  m.u.keepalive.echo_ms = d->echo.latest.sent_ms;
   m.u.keepalive.leases
       = (struct slice){ leases.data == NULL ? "" : leases.data,
                         (uint32_t)leases.size };
@@ -102,7 +103,7 @@
   if (d == NULL)
     return;
   d->reachable = true;
-  lease_echo_receive (&d->echo, m->sent_ms);
+  lease_echo_receive (&d->echo, m->sent_ms, now);
   if (d->retired)
     d->reported_ms = now;
   else
--- a/src/controller/entry_leases.c
+++ b/src/controller/entry_leases.c
@@ -8,7 +8,9 @@
 void
 entry_leases_init (struct job_entry *n, int64_t now)
 {
-  n->own_echo = (struct lease_echo){ now, now, now };
+  const struct lease_stamp start = { now, now };
+
+  n->own_echo = (struct lease_echo){ start, start, start };
 }
 
 void
@@ -16,45 +18,41 @@
 {
   struct routed_job *j;
 
-  lease_echo_receive (&n->own_echo, now);
+  lease_echo_receive (&n->own_echo, now, now);
   lease_echo_confirm (&n->own_echo);
   for (uint32_t i = 0; i < n->dispatcher_count; i++)
     lease_echo_confirm (&n->dispatchers[i].echo);
   DL_FOREACH (n->jobs, j)
   if (j->local != NULL)
-    dispatcher_extend_lease (j->local, entry_leases_own_end_ms (n, now, j));
+    dispatcher_extend_lease (j->local, entry_leases_own_end_ms (n, j));
 }
 
 int64_t
-entry_leases_own_end_ms (const struct job_entry *n, int64_t now,
-                         const struct routed_job *j)
+entry_leases_own_end_ms (const struct job_entry *n, const struct routed_job *j)
 {
-  return n->own_echo.confirmed_ms
-         + job_lease_grant_ms (n->lease_limit_ms, j->lease_deadline_ms, now);
+  return n->own_echo.latest.sent_ms
+         + entry_leases_grant_ms (n, j, &n->own_echo);
 }
 
 int64_t
-entry_leases_grant_ms (const struct job_entry *n, int64_t now,
-                       const struct routed_job *j,
+entry_leases_grant_ms (const struct job_entry *n, const struct routed_job *j,
                        const struct lease_echo *echo)
 {
   if (j->parent != NULL)
-    return job_lease_left_ms (j->parent->lease_end_ms, now);
-  return job_lease_from_latest_ms (
-      echo, job_lease_grant_ms (n->lease_limit_ms, j->lease_deadline_ms, now));
+    return job_lease_pass_on_ms (echo, j->parent->lease_end_ms);
+  return job_lease_grant_ms (echo, n->lease_limit_ms, j->lease_deadline_ms);
 }
 
 void
-entry_leases_pack (const struct job_entry *n, int64_t now,
-                   const struct route_dispatcher *d, msgpack_sbuffer *buffer)
+entry_leases_pack (const struct job_entry *n, const struct route_dispatcher *d,
+                   msgpack_sbuffer *buffer)
 {
   const struct routed_job *j;
 
   DL_FOREACH (n->jobs, j)
   if (strcmp (j->vm, d->vm) == 0)
     {
-      struct job_renewal r
-          = { j->id, entry_leases_grant_ms (n, now, j, &d->echo) };
+      struct job_renewal r = { j->id, entry_leases_grant_ms (n, j, &d->echo) };
 
       job_renewal_pack (&r, buffer);
     }
--- a/src/controller/entry_leases.h
+++ b/src/controller/entry_leases.h
@@ -15,17 +15,17 @@
 void entry_leases_tick (struct job_entry *n, int64_t now_ms);
 
 /* The end of the lease of J at this VM's own dispatcher.  */
-int64_t entry_leases_own_end_ms (const struct job_entry *n, int64_t now_ms,
+int64_t entry_leases_own_end_ms (const struct job_entry *n,
                                  const struct routed_job *j);
 
 /* The lease of J to grant to a dispatcher, counted from the latest stamp of
    ECHO; 0 if none.  */
-int64_t entry_leases_grant_ms (const struct job_entry *n, int64_t now_ms,
+int64_t entry_leases_grant_ms (const struct job_entry *n,
                                const struct routed_job *j,
                                const struct lease_echo *echo);
 
 /* Appends the renewals of the jobs that D has to BUFFER.  */
-void entry_leases_pack (const struct job_entry *n, int64_t now_ms,
+void entry_leases_pack (const struct job_entry *n,
                         const struct route_dispatcher *d,
                         msgpack_sbuffer *buffer);
 
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -114,26 +114,26 @@
 
   msgpack_sbuffer_init (&steps);
   job_spec_pack_steps (&j->spec, &steps);
-  m.u.job = (struct peer_job){
-    .id = j->id,
-    .echo_ms = d->echo.latest_ms,
-    .lease_ms = entry_leases_grant_ms (n, now, j, &d->echo),
-    .key = slice_of (j->spec.key),
-    .queue = slice_of (j->spec.queue),
-    .service = slice_of (j->spec.service),
-    .priority = j->spec.priority,
-    .attempts = j->spec.attempts,
-    .age_ms = now - j->arrived_ms,
-    .deadline_ms = j->deadline_ms - now,
-    .floor_ms = j->spec.floor_ms,
-    .stretch_milli = j->spec.stretch_milli,
-    .is_part = j->spec.part.is_part,
-    .part_step = j->spec.part.step,
-    .part_first = j->spec.part.first,
-    .part_run = j->spec.part.run,
-    .steps = { steps.data == NULL ? "" : steps.data, (uint32_t)steps.size },
-    .payload = j->spec.payload
-  };
+  m.u.job
+      = (struct peer_job){ .id = j->id,
+                           .echo_ms = d->echo.latest.sent_ms,
+                           .lease_ms = entry_leases_grant_ms (n, j, &d->echo),
+                           .key = slice_of (j->spec.key),
+                           .queue = slice_of (j->spec.queue),
+                           .service = slice_of (j->spec.service),
+                           .priority = j->spec.priority,
+                           .attempts = j->spec.attempts,
+                           .age_ms = now - j->arrived_ms,
+                           .deadline_ms = j->deadline_ms - now,
+                           .floor_ms = j->spec.floor_ms,
+                           .stretch_milli = j->spec.stretch_milli,
+                           .is_part = j->spec.part.is_part,
+                           .part_step = j->spec.part.step,
+                           .part_first = j->spec.part.first,
+                           .part_run = j->spec.part.run,
+                           .steps = { steps.data == NULL ? "" : steps.data,
+                                      (uint32_t)steps.size },
+                           .payload = j->spec.payload };
   sent = peer_network_send (n->network, d->vm, &m);
   msgpack_sbuffer_destroy (&steps);
   return sent;
@@ -165,8 +165,7 @@
   j->spec.age_ms = now - j->arrived_ms;
   j->spec.deadline_ms = j->deadline_ms - now;
   j->sent_ms = now;
-  j->spec.lease_ms
-      = job_lease_left_ms (entry_leases_own_end_ms (n, now, j), now);
+  j->spec.lease_ms = job_lease_left_ms (entry_leases_own_end_ms (n, j), now);
   j->answer.result = JOB_REFUSED;
   j->local = dispatcher_submit (&n->dispatcher, now, &j->spec, on_local_done,
                                 j, &j->answer.reason, &j->answer.retry_ms);
@@ -211,7 +210,7 @@
   j->spec.payload.data = j->payload;
   j->arrived_ms = now - spec->age_ms;
   j->deadline_ms = now + spec->deadline_ms;
-  j->lease_deadline_ms = n->own_echo.confirmed_ms + spec->deadline_ms;
+  j->lease_deadline_ms = n->own_echo.confirmed.sent_ms + spec->deadline_ms;
   j->answered = answered;
   j->arg = arg;
   j->answer.reason = REFUSAL_NO_TARGET;
--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -19,7 +19,9 @@
      started on another target once this lease has expired.  */
   START_LEASE_MS = 320,
 
-  /* A run that is due within this time counts as overdue.  */
+  /* The longest wait of a long poll for a run to end.  A run that is due
+     within POLL_WAIT_MIN_MS counts as overdue.  */
+  POLL_WAIT_MAX_MS = 450,
   POLL_WAIT_MIN_MS = 40,
 
   /* A poll returns without an end once a run has taken this share of its
@@ -449,10 +451,12 @@
 static int64_t
 poll_wait_ms (const struct target_runner *r, int64_t lease_end_ms, int64_t now)
 {
-  int64_t wait = (lease_end_ms - now) / 2;
+  int64_t wait = POLL_WAIT_MAX_MS;
 
   if (r->target->phase != TARGET_READY || r->target->run_count == 0)
     return 0;
+  if ((lease_end_ms - now) / 2 < wait)
+    wait = (lease_end_ms - now) / 2;
   for (uint32_t i = 0; i < r->target->run_count; i++)
     {
       const struct run_ref *ref = &r->target->runs[i];
--- a/src/coord/job_lease.c
+++ b/src/coord/job_lease.c
@@ -15,17 +15,17 @@
 }
 
 void
-lease_echo_receive (struct lease_echo *e, int64_t stamp_ms)
+lease_echo_receive (struct lease_echo *e, int64_t sent_ms, int64_t now)
 {
-  if (stamp_ms > e->latest_ms)
-    e->latest_ms = stamp_ms;
+  if (sent_ms > e->latest.sent_ms)
+    e->latest = (struct lease_stamp){ sent_ms, now };
 }
 
 void
 lease_echo_confirm (struct lease_echo *e)
 {
-  e->confirmed_ms = e->pending_ms;
-  e->pending_ms = e->latest_ms;
+  e->confirmed = e->pending;
+  e->pending = e->latest;
 }
 
 int64_t
@@ -35,19 +35,24 @@
 }
 
 int64_t
-job_lease_grant_ms (int64_t limit_ms, int64_t deadline_ms, int64_t now)
+job_lease_grant_ms (const struct lease_echo *e, int64_t limit_ms,
+                    int64_t deadline_ms)
 {
-  int64_t left = deadline_ms + JOB_LEASE_STOP_MS - now;
+  int64_t until_deadline
+      = deadline_ms + JOB_LEASE_STOP_MS - e->confirmed.received_ms;
+  int64_t granted = until_deadline < limit_ms ? until_deadline : limit_ms;
 
-  return not_negative (left < limit_ms ? left : limit_ms);
+  if (e->confirmed.sent_ms == 0)
+    return 0;
+  return not_negative (granted - (e->latest.sent_ms - e->confirmed.sent_ms));
 }
 
 int64_t
-job_lease_from_latest_ms (const struct lease_echo *e, int64_t granted_ms)
+job_lease_pass_on_ms (const struct lease_echo *e, int64_t end_ms)
 {
-  if (e->confirmed_ms == 0)
+  if (e->latest.sent_ms == 0)
     return 0;
-  return not_negative (granted_ms - (e->latest_ms - e->confirmed_ms));
+  return not_negative (end_ms - e->latest.received_ms);
 }
 
 int64_t
--- a/src/coord/job_lease.h
+++ b/src/coord/job_lease.h
@@ -28,18 +28,26 @@
   JOB_LEASE_START_MS = 400
 };
 
+/* A time stamp of a peer.  It was sent no later than it was received.  */
+struct lease_stamp
+{
+  int64_t sent_ms;     /* on the peer's clock; 0: none */
+  int64_t received_ms; /* on the own clock */
+};
+
 /* The time stamps that were received from a peer.  What a process knows of its
    callers is as old as its last pass over their connections: a lease for them
    counts from a stamp that came before that pass began.  */
 struct lease_echo
 {
-  int64_t latest_ms;    /* 0: none */
-  int64_t pending_ms;   /* the latest one at the last call of confirm */
-  int64_t confirmed_ms; /* the latest one at the call before; 0: none */
+  struct lease_stamp latest;
+  struct lease_stamp pending; /* the latest one at the last call of confirm */
+  struct lease_stamp confirmed; /* the latest one at the call before */
 };
 
-/* Records STAMP_MS, the peer's time when it sent a message.  */
-void lease_echo_receive (struct lease_echo *e, int64_t stamp_ms);
+/* Records that a message with the stamp SENT_MS was received at NOW_MS.  */
+void lease_echo_receive (struct lease_echo *e, int64_t sent_ms,
+                         int64_t now_ms);
 
 /* To be called by a timer: at most once in a pass of the event loop, after the
    connections were read.  */
@@ -49,15 +57,14 @@
    connection.  */
 int64_t job_lease_limit_ms (int64_t retry_ms);
 
-/* The lease that an entry grants at NOW_MS, counted from the confirmed stamp,
-   for a caller that waits until DEADLINE_MS; 0 if none.  */
-int64_t job_lease_grant_ms (int64_t limit_ms, int64_t deadline_ms,
-                            int64_t now_ms);
+/* The lease that an entry grants for a caller that waits until DEADLINE_MS,
+   counted from the latest stamp of E; 0 if none.  */
+int64_t job_lease_grant_ms (const struct lease_echo *e, int64_t limit_ms,
+                            int64_t deadline_ms);
 
-/* Converts a lease of GRANTED_MS from the confirmed stamp of E to one from its
-   latest stamp; 0 if none.  */
-int64_t job_lease_from_latest_ms (const struct lease_echo *e,
-                                  int64_t granted_ms);
+/* The lease that a dispatcher passes on for a job whose lease ends at END_MS,
+   counted from the latest stamp of E; 0 if none.  */
+int64_t job_lease_pass_on_ms (const struct lease_echo *e, int64_t end_ms);
 
 /* What is left at NOW_MS of a lease that ends at END_MS; 0 if none.  */
 int64_t job_lease_left_ms (int64_t end_ms, int64_t now_ms);
--- a/src/coord/job_router.c
+++ b/src/coord/job_router.c
@@ -49,6 +49,8 @@
 
   if (!d->reachable || r == NULL || now - d->reported_ms > CAPACITY_MAX_AGE_MS)
     return -1;
+  if (d->echo.confirmed.sent_ms == 0)
+    return -1;
   usable = r->cpu_milli * USABLE_CPU_PERCENT / 100;
   if (usable == 0)
     return -1;
--- a/src/coord/job_router.h
+++ b/src/coord/job_router.h
@@ -52,7 +52,8 @@
 };
 
 /* The expected wait in ms of a job of SPEC at D.  Returns -1 if D is
-   unreachable, has no target for the service or sent no recent report.  */
+   unreachable, has no target for the service, sent no recent report or can get
+   no lease for the job yet.  */
 int64_t job_router_wait_ms (const struct route_dispatcher *d,
                             const struct job_spec *spec, int64_t now_ms);
 
--- a/src/coord/target_lease.c
+++ b/src/coord/target_lease.c
@@ -22,7 +22,7 @@
   return job_lease_left_ms (job_end_ms, now) >= JOB_LEASE_START_MS
          && job_end_ms >= t->lease_end_ms
          && !job_lease_is_ending (
-             target_lease_limit_ms (t, TARGET_LEASE_MS, now), now);
+             target_lease_limit_ms (t, JOB_LEASE_STOP_MS, now), now);
 }
 
 void
--- a/src/coord/target_lease.h
+++ b/src/coord/target_lease.h
@@ -13,13 +13,6 @@
 #include <stdint.h>
 #include "coord/run_target.h"
 
-enum
-{
-  /* The longest lease that is requested, below what is usually left of a job's
-     lease, so that a task can be started beside others.  */
-  TARGET_LEASE_MS = 700
-};
-
 /* The latest end of a lease that may be requested from T: LENGTH_MS from now,
    but no later than the lease of any job that has a run there, one that is
    being stopped included.  */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -72,6 +72,7 @@
   suite_dispatch ();
   suite_job_events ();
   suite_lease ();
+  suite_job_lease ();
   suite_plan ();
   suite_quorum ();
   suite_relay ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -22,6 +22,7 @@
 void suite_dispatch (void);
 void suite_job_events (void);
 void suite_lease (void);
+void suite_job_lease (void);
 void suite_plan (void);
 void suite_quorum (void);
 void suite_relay (void);
