A simulation of job leases: VMs, delegation, targets and callers under faults

Four VMs, each an entry and a dispatcher, four targets and 16 callers in virtual time, with the decisions of coord/job_lease, coord/target_lease and coord/target_clock. VMs stall for up to 2.5 s between or within the passes of their loops, are killed or lose power; connections end, go silent or are cut in one direction; messages of an entry are late; calls to targets are lost, answered late or carried out up to 3 s late; stops are lost; targets change their owner; clocks of targets are up to 2% slow; callers leave at any time and are back 1300 ms later at any entry. Checked at each step: a task runs on one target at a time, and no run goes on 1300 ms after its caller saw its attempt fail. Without faults all tasks of 2 s are done and no lease ends.

--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -2,8 +2,10 @@
    job again RETRY_MS after its channel has broken, and what began for the
    first attempt must have ended by then, whoever has failed meanwhile.  The
    caller's channel breaks at the earliest when its entry sends its last
-   message.  Time is simulated (fake_clock).  */
+   message.  Time is simulated (fake_clock).  Then the simulation of many VMs
+   (lease_model).  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include "base/now.h"
 #include "controller/dispatcher.h"
@@ -12,6 +14,7 @@
 #include "coord/task_delegation.h"
 #include "tests/unit/fake_clock.h"
 #include "tests/unit/fake_port.h"
+#include "tests/unit/lease_model.h"
 #include "tests/unit/suites.h"
 
 enum
@@ -26,7 +29,9 @@
   DEADLINE_MS = 60000,
   BEFORE_LOSS_MS = 200,
   SETTLE_MS = 100,
-  LOST = 1000000 /* so many calls are lost: all */
+  CI_SEEDS = 12,
+  DEFECT_SEEDS = 400, /* each defect must be found within these */
+  LOST = 1000000      /* so many calls are lost: all */
 };
 
 /* Another VM that sends jobs or parts of jobs to a dispatcher, and its
@@ -332,6 +337,80 @@
   fixture_done (&f);
 }
 
+/* The number of seeds to run: that of CI, unless MODEL_SEEDS is set in the
+   environment.  */
+static uint64_t
+model_seeds (void)
+{
+  const char *text = getenv ("MODEL_SEEDS");
+
+  return text == NULL ? CI_SEEDS : strtoull (text, NULL, 10);
+}
+
+static void
+print_run (uint64_t seed, const struct lease_run *r)
+{
+  printf ("\n  seed %llu: %u faults, %u attempts, %u starts, %u delegated, "
+          "%u done, %u failed, %u lapsed, latest %lld ms, %s",
+          (unsigned long long)seed, r->faults, r->attempts, r->starts,
+          r->delegated, r->done, r->failed, r->lapsed, (long long)r->latest_ms,
+          r->violation == NULL ? "ok" : r->violation);
+}
+
+/* No fault of VMs, connections, callers or targets makes a task run twice.  */
+static void
+test_model (void)
+{
+  for (uint64_t seed = 1; seed <= model_seeds (); seed++)
+    {
+      struct lease_run r = lease_model_run (seed, true, LEASE_NO_DEFECT);
+
+      if (r.violation != NULL || getenv ("MODEL_SEEDS") != NULL)
+        print_run (seed, &r);
+      CU_ASSERT_PTR_NULL (r.violation);
+      CU_ASSERT (r.faults > 10);
+      CU_ASSERT (r.done > 5);
+      CU_ASSERT (r.delegated > 10);
+    }
+}
+
+/* Without faults each task runs to its end, which takes longer than a
+   lease.  */
+static void
+test_model_without_faults (void)
+{
+  for (uint64_t seed = 1; seed <= CI_SEEDS; seed++)
+    {
+      struct lease_run r = lease_model_run (seed, false, LEASE_NO_DEFECT);
+
+      if (r.violation != NULL || r.failed != 0 || r.lapsed != 0)
+        print_run (seed, &r);
+      CU_ASSERT_PTR_NULL (r.violation);
+      CU_ASSERT_EQUAL (r.failed, 0);
+      CU_ASSERT_EQUAL (r.lapsed, 0);
+      CU_ASSERT (r.done > 20);
+    }
+}
+
+/* For each mechanism that is switched off, a check of the simulation fails. */
+static void
+test_model_finds_defects (void)
+{
+  for (int defect = LEASE_NO_DEFECT + 1; defect < LEASE_DEFECTS; defect++)
+    {
+      struct lease_run r = { .violation = NULL };
+      uint64_t seed;
+
+      for (seed = 1; seed <= DEFECT_SEEDS && r.violation == NULL; seed++)
+        r = lease_model_run (seed, true, (enum lease_defect)defect);
+      if (r.violation == NULL)
+        printf ("\n  defect %d is not found", defect);
+      else if (getenv ("MODEL_SEEDS") != NULL)
+        print_run (seed - 1, &r);
+      CU_ASSERT_PTR_NOT_NULL (r.violation);
+    }
+}
+
 void
 suite_lease (void)
 {
@@ -344,4 +423,9 @@
                test_unanswered_stop);
   CU_add_test (s, "a task starts under a lease of another job that is longer",
                test_start_under_longer_lease);
+  CU_add_test (s, "simulated tasks never run twice", test_model);
+  CU_add_test (s, "simulated tasks are done where nothing fails",
+               test_model_without_faults);
+  CU_add_test (s, "the simulation finds each defect",
+               test_model_finds_defects);
 }
