--- a/tests/unit/lease_entry.c
+++ b/tests/unit/lease_entry.c
@@ -16,17 +16,17 @@
   return NULL;
 }
 
-/* Converts a lease from the confirmed stamp of E to one from its latest.  */
-static int64_t
-from_latest_ms (const struct world *w, const struct lease_echo *e,
-                int64_t granted_ms)
+/* The stamps of E as the defect of W has them.  */
+static struct lease_echo
+used_echo (const struct world *w, const struct lease_echo *e)
 {
+  struct lease_echo used = *e;
+
   if (w->defect == LEASE_ECHO_LATEST)
-    return granted_ms;
+    used.confirmed = e->latest;
   if (w->defect == LEASE_ECHO_PENDING)
-    return e->pending_ms == 0 ? 0
-                              : granted_ms - (e->latest_ms - e->pending_ms);
-  return job_lease_from_latest_ms (e, granted_ms);
+    used.confirmed = e->pending;
+  return used;
 }
 
 /* What the entry of VM grants R now, from the latest stamp on.  */
@@ -35,16 +35,14 @@
 {
   const struct node *n = &w->nodes[vm];
   const struct attempt *a = &w->attempts[r->attempt];
-  int64_t now = world_clock (w, vm);
+  struct lease_echo e = used_echo (w, &n->links[r->to].echo);
 
   if (r->parent < 0)
-    return from_latest_ms (
-        w, &n->links[r->to].echo,
-        job_lease_grant_ms (job_lease_limit_ms (MODEL_RETRY_MS),
-                            a->deadline_ms + n->clock_offset_ms, now));
+    return job_lease_grant_ms (&e, job_lease_limit_ms (MODEL_RETRY_MS),
+                               a->deadline_ms + n->clock_offset_ms);
   if (w->defect == LEASE_DELEGATE_FULL)
     return job_lease_limit_ms (MODEL_RETRY_MS);
-  return job_lease_left_ms (n->jobs[r->parent].job.lease_end_ms, now);
+  return job_lease_pass_on_ms (&e, n->jobs[r->parent].job.lease_end_ms);
 }
 
 static struct routed_task *
@@ -70,7 +68,7 @@
                        .id = r->id,
                        .attempt = r->attempt,
                        .is_part = r->parent >= 0,
-                       .echo_ms = l->echo.latest_ms,
+                       .echo_ms = l->echo.latest.sent_ms,
                        .lease_ms = grant_ms (w, vm, r) };
 
   if (r->to == vm)
@@ -159,7 +157,7 @@
   struct node *n = &w->nodes[vm];
   const struct link *l = &n->links[dispatcher];
   struct message m
-      = { .kind = MESSAGE_KEEPALIVE, .echo_ms = l->echo.latest_ms };
+      = { .kind = MESSAGE_KEEPALIVE, .echo_ms = l->echo.latest.sent_ms };
 
   for (int i = 0; i < JOBS; i++)
     {
@@ -182,7 +180,7 @@
   int64_t now = world_clock (w, vm);
   bool due = w->now >= n->next_keepalive_ms;
 
-  lease_echo_receive (&n->links[vm].echo, now);
+  lease_echo_receive (&n->links[vm].echo, now, now);
   for (int i = 0; i < VMS; i++)
     lease_echo_confirm (&n->links[i].echo);
   for (int i = 0; i < VMS; i++)
@@ -216,7 +214,7 @@
   if (!c->read)
     {
       c->read = true;
-      if (n->links[to].echo.confirmed_ms == 0)
+      if (n->links[to].echo.confirmed.sent_ms == 0)
         to = vm;
       r = add_routed (n, c->attempt, to, -1, index);
       if (r == NULL)
@@ -246,7 +244,7 @@
         continue;
       l->heard_ms = world_clock (w, vm);
       if (p.m.kind == MESSAGE_CAPACITY)
-        lease_echo_receive (&l->echo, p.m.echo_ms);
+        lease_echo_receive (&l->echo, p.m.echo_ms, world_clock (w, vm));
       else if (p.m.kind == MESSAGE_JOB_END)
         node_routed_ended (w, vm, p.m.id, p.m.result);
       else if (p.m.kind == MESSAGE_CLOSED)
@@ -261,7 +259,7 @@
   int to = (int)world_random (w, VMS);
   struct routed_task *r;
 
-  if (to == vm || n->links[to].echo.confirmed_ms == 0)
+  if (to == vm || n->links[to].echo.confirmed.sent_ms == 0)
     return;
   r = add_routed (n, j->attempt, to, (int)(j - n->jobs), 0);
   if (r == NULL)
--- a/tests/unit/lease_model.c
+++ b/tests/unit/lease_model.c
@@ -18,7 +18,8 @@
   /* A caller's end of a connection reaches the entry within this time.  */
   GONE_MAX_MS = 60,
 
-  /* Of the targets of a platform that allows more than TARGET_LEASE_MS.  */
+  /* The longest lease that targets accept.  */
+  SHORT_LEASE_MS = 700,
   LONG_LEASE_MS = 1000,
 
   CLOCK_OFFSET_MAX_MS = 100000000,
@@ -431,7 +432,7 @@
 init_world (struct world *w, uint64_t seed)
 {
   prng_init (&w->prng, seed);
-  w->lease_ms = world_chance (w, 2) ? TARGET_LEASE_MS : LONG_LEASE_MS;
+  w->lease_ms = world_chance (w, 2) ? SHORT_LEASE_MS : LONG_LEASE_MS;
   for (int vm = 0; vm < VMS; vm++)
     {
       w->nodes[vm].clock_offset_ms = 1 + world_random (w, CLOCK_OFFSET_MAX_MS);
--- a/tests/unit/lease_node.c
+++ b/tests/unit/lease_node.c
@@ -15,6 +15,8 @@
   uint32_t generations[VMS];
   uint32_t next_id = n->next_id;
   int64_t offset = n->clock_offset_ms;
+  const struct lease_stamp start
+      = { world_clock (w, vm), world_clock (w, vm) };
 
   for (int i = 0; i < VMS; i++)
     generations[i] = n->links[i].generation + 1;
@@ -25,9 +27,7 @@
   n->next_pass_ms = w->now;
   for (int i = 0; i < VMS; i++)
     n->links[i].generation = generations[i];
-  n->links[vm].echo
-      = (struct lease_echo){ world_clock (w, vm), world_clock (w, vm),
-                             world_clock (w, vm) };
+  n->links[vm].echo = (struct lease_echo){ start, start, start };
 }
 
 static bool
