--- a/src/store/journal.c
+++ b/src/store/journal.c
@@ -65,12 +65,55 @@
   return true;
 }
 
+/* Writes the empty journal NAME and syncs it.  Returns its descriptor, or -1
+   with errno set.  */
+static int
+write_empty (int folder_fd, const char *name)
+{
+  int fd
+      = openat (folder_fd, name, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  int code;
+
+  if (fd < 0)
+    return -1;
+  if (write_all (fd, magic, MAGIC_BYTES) && fdatasync (fd) == 0)
+    return fd;
+  code = errno;
+  close (fd);
+  unlinkat (folder_fd, name, 0);
+  errno = code;
+  return -1;
+}
+
+static bool
+exists (int folder_fd, const char *name)
+{
+  int fd = openat (folder_fd, name, O_RDONLY | O_CLOEXEC);
+
+  if (fd >= 0)
+    close (fd);
+  return fd >= 0 || errno != ENOENT;
+}
+
+/* Creates the journal under another name first: a crash or a full disk leaves
+   no incomplete one.  */
+static bool
+create_in (int folder_fd)
+{
+  int fd = write_empty (folder_fd, replacement_name);
+
+  if (fd < 0)
+    return false;
+  close (fd);
+  return renameat (folder_fd, replacement_name, folder_fd, journal_name) == 0
+         && fsync (folder_fd) == 0;
+}
+
 enum store_error
 journal_create (const char *folder, struct error *e)
 {
+  enum store_error status = STORE_OK;
   int folder_fd;
-  int fd;
-  bool good;
 
   if (mkdir (folder, 0700) != 0 && errno != EEXIST)
     return (enum store_error)error_set (e, STORE_IO, "cannot make %s: %s",
@@ -79,25 +122,15 @@
   if (folder_fd < 0)
     return (enum store_error)error_set (e, STORE_IO, "cannot open %s: %s",
                                         folder, strerror (errno));
-  fd = openat (folder_fd, journal_name,
-               O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0600);
-  if (fd < 0)
-    {
-      int code = errno == EEXIST ? STORE_ALREADY_INITIALISED : STORE_IO;
-
-      error_set (e, code, "cannot make a journal in %s: %s", folder,
-                 strerror (errno));
-      close (folder_fd);
-      return (enum store_error)code;
-    }
-  good = write_all (fd, magic, MAGIC_BYTES) && fsync (fd) == 0
-         && fsync (folder_fd) == 0;
-  if (!good)
-    error_set (e, STORE_IO, "cannot write the journal in %s: %s", folder,
-               strerror (errno));
-  close (fd);
+  if (exists (folder_fd, journal_name))
+    status = (enum store_error)error_set (e, STORE_ALREADY_INITIALISED,
+                                          "there is a journal in %s", folder);
+  else if (!create_in (folder_fd))
+    status = (enum store_error)error_set (e, STORE_IO,
+                                          "cannot make a journal in %s: %s",
+                                          folder, strerror (errno));
   close (folder_fd);
-  return good ? STORE_OK : STORE_IO;
+  return status;
 }
 
 static char *
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -7,11 +7,13 @@
 #include <sys/stat.h>
 #include <unistd.h>
 #include "store/journal.h"
+#include "tests/unit/fake_disk.h"
 #include "tests/unit/suites.h"
 
 enum
 {
-  RECORDS = 20
+  RECORDS = 20,
+  EMPTY_BYTES = 18 /* size of a journal without records */
 };
 
 /* The records that a journal returned when it was opened.  */
@@ -209,6 +211,28 @@
   close (j.fd);
 }
 
+/* A full disk at the first start, at any byte of the new journal, leaves no
+   unusable journal behind.  */
+static void
+test_create_on_full_disk (void)
+{
+  for (uint64_t bytes = 0; bytes < EMPTY_BYTES; bytes++)
+    {
+      char folder[64];
+      struct error e;
+      struct seen s;
+
+      test_folder_make (folder);
+      fake_disk_fill (folder, bytes);
+      CU_ASSERT_EQUAL (journal_create (folder, &e), STORE_IO);
+      fake_disk_mend (folder);
+      CU_ASSERT_EQUAL (journal_create (folder, &e), STORE_OK);
+      CU_ASSERT_EQUAL (read_journal (folder, &s), STORE_OK);
+      CU_ASSERT_EQUAL (s.count, 0);
+      test_folder_remove (folder);
+    }
+}
+
 void
 suite_store (void)
 {
@@ -222,4 +246,6 @@
   CU_add_test (s, "an empty or missing folder is refused",
                test_not_initialised);
   CU_add_test (s, "a full disk is reported", test_full_disk);
+  CU_add_test (s, "a disk full at the first start leaves a damaged journal",
+               test_create_on_full_disk);
 }
