--- a/src/store/journal.c
+++ b/src/store/journal.c
@@ -38,6 +38,20 @@
                                       what, j->folder, strerror (errno));
 }
 
+/* The journal takes no more records: they could not be read after an
+   incomplete one, and those of a failed sync can be read back although they
+   may not be on the disk.  Removes both.  */
+static enum store_error
+fail_writing (struct journal *j, const char *what)
+{
+  enum store_error status = fail (j, what);
+
+  j->failed = true;
+  if (ftruncate (j->fd, (off_t)j->synced) == 0)
+    j->size = j->synced;
+  return status;
+}
+
 static uint64_t
 checksum_of (uint8_t type, uint64_t synced, const void *data, uint32_t length)
 {
@@ -300,10 +314,13 @@
 journal_append (struct journal *j, uint8_t type, const void *data,
                 uint32_t length)
 {
-  char *record = malloc (HEADER_BYTES + (size_t)length);
   uint64_t checksum = checksum_of (type, j->synced, data, length);
+  char *record;
   bool good;
 
+  if (j->failed)
+    return STORE_IO;
+  record = malloc (HEADER_BYTES + (size_t)length);
   memcpy (record, &length, 4);
   memcpy (record + 4, &type, 1);
   memcpy (record + 5, &j->synced, 8);
@@ -313,7 +330,7 @@
   good = write_all (j->fd, record, HEADER_BYTES + (size_t)length);
   free (record);
   if (!good)
-    return fail (j, "cannot write");
+    return fail_writing (j, "cannot write");
   j->size += HEADER_BYTES + (uint64_t)length;
   return STORE_OK;
 }
@@ -324,11 +341,13 @@
   struct timespec delay
       = { j->sync_delay_ms / 1000, j->sync_delay_ms % 1000 * 1000000 };
 
+  if (j->failed)
+    return STORE_IO;
   counters_add (COUNTER_STORE_SYNCS, 1);
   if (j->sync_delay_ms != 0)
     nanosleep (&delay, NULL);
   if (fdatasync (j->fd) != 0)
-    return fail (j, "cannot sync");
+    return fail_writing (j, "cannot sync");
   j->synced = j->size;
   return STORE_OK;
 }
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -38,6 +38,7 @@
   uint64_t size;
   uint64_t synced;          /* size up to which the file is synced */
   uint64_t truncated_bytes; /* length of the torn tail removed on opening */
+  bool failed;              /* a write failed; no further ones are made */
   struct error error;       /* the latest one */
 };
 
@@ -60,7 +61,9 @@
                                void *arg);
 void journal_close (struct journal *j);
 
-/* Appends a record, which is durable only after journal_sync.  */
+/* Appends a record, which is durable only after journal_sync.  After a failed
+   append or sync both fail, and what was not synced is lost, until the journal
+   is closed and opened again.  */
 enum store_error journal_append (struct journal *j, uint8_t type,
                                  const void *data, uint32_t length);
 enum store_error journal_sync (struct journal *j);
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -233,6 +233,51 @@
     }
 }
 
+/* A failed write leaves part of a record.  What would be written after it
+   could not be read again, so it is refused until the journal is reopened. */
+static void
+test_append_after_torn_record (void)
+{
+  struct seen s = { 0, 0 };
+  char folder[64];
+  struct journal j;
+
+  test_folder_make (folder);
+  create_journal (folder);
+  CU_ASSERT_EQUAL (journal_open (&j, folder, 0, on_record, &s), STORE_OK);
+  fake_disk_fill (folder, 10);
+  CU_ASSERT_EQUAL (journal_append (&j, 1, "xxxx", 4), STORE_IO);
+  fake_disk_mend (folder);
+  CU_ASSERT_EQUAL (journal_append (&j, 1, "xxxx", 4), STORE_IO);
+  CU_ASSERT_EQUAL (journal_sync (&j), STORE_IO);
+  journal_close (&j);
+  CU_ASSERT_EQUAL (read_journal (folder, &s), STORE_OK);
+  CU_ASSERT_EQUAL (s.count, RECORDS);
+  test_folder_remove (folder);
+}
+
+/* After a failed sync the file may show records that are not on the disk and
+   never will be: they are not counted as stored.  */
+static void
+test_records_of_failed_sync (void)
+{
+  struct seen s = { 0, 0 };
+  char folder[64];
+  struct journal j;
+
+  test_folder_make (folder);
+  create_journal (folder);
+  CU_ASSERT_EQUAL (journal_open (&j, folder, 0, on_record, &s), STORE_OK);
+  fake_disk_fail_syncs (folder);
+  CU_ASSERT_EQUAL (journal_append (&j, 1, "x", 1), STORE_OK);
+  CU_ASSERT_EQUAL (journal_sync (&j), STORE_IO);
+  fake_disk_mend (folder);
+  journal_close (&j);
+  CU_ASSERT_EQUAL (read_journal (folder, &s), STORE_OK);
+  CU_ASSERT_EQUAL (s.count, RECORDS);
+  test_folder_remove (folder);
+}
+
 void
 suite_store (void)
 {
@@ -248,4 +293,8 @@
   CU_add_test (s, "a full disk is reported", test_full_disk);
   CU_add_test (s, "a disk full at the first start leaves a damaged journal",
                test_create_on_full_disk);
+  CU_add_test (s, "a record is written after a torn one",
+               test_append_after_torn_record);
+  CU_add_test (s, "records of a failed sync are counted as stored",
+               test_records_of_failed_sync);
 }
