--- a/src/store/journal.c
+++ b/src/store/journal.c
@@ -244,12 +244,15 @@
   return STORE_OK;
 }
 
+/* Truncates a torn tail and syncs what was read, since the process that wrote
+   it may have ended before it was synced.  */
 static enum store_error
-truncate_tail (struct journal *j)
+make_durable (struct journal *j)
 {
-  if (j->truncated_bytes != 0
-      && (ftruncate (j->fd, (off_t)j->size) != 0 || fsync (j->fd) != 0))
+  if (j->truncated_bytes != 0 && ftruncate (j->fd, (off_t)j->size) != 0)
     return fail (j, "cannot truncate the torn tail");
+  if (fdatasync (j->fd) != 0 || fsync (j->folder_fd) != 0)
+    return fail (j, "cannot sync the journal");
   if (lseek (j->fd, (off_t)j->size, SEEK_SET) < 0)
     return fail (j, "cannot seek");
   return STORE_OK;
@@ -296,7 +299,7 @@
     return fail (j, "cannot read the journal");
   status = load (j, text, length, replay, arg);
   free (text);
-  return status == STORE_OK ? truncate_tail (j) : status;
+  return status == STORE_OK ? make_durable (j) : status;
 }
 
 void
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -52,9 +52,9 @@
    empty folder could vote twice in one term.  */
 enum store_error journal_create (const char *folder, struct error *e);
 
-/* Opens the journal in FOLDER, locks the folder, truncates a torn tail and
-   calls REPLAY with ARG for every record.  SYNC_DELAY_MS is added to each
-   sync.  On failure J->error is set, and the caller must call
+/* Opens the journal in FOLDER, locks the folder, truncates a torn tail, calls
+   REPLAY with ARG for every record and makes them durable.  SYNC_DELAY_MS is
+   added to each sync.  On failure J->error is set, and the caller must call
    journal_close.  */
 enum store_error journal_open (struct journal *j, const char *folder,
                                int64_t sync_delay_ms, journal_replay replay,
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -278,6 +278,31 @@
   test_folder_remove (folder);
 }
 
+/* A process that was killed between a write and its sync leaves records that
+   the next process reads, but that a power loss still takes.  */
+static void
+test_records_of_killed_process (void)
+{
+  struct seen s = { 0, 0 };
+  char folder[64];
+  struct journal j;
+  uint32_t syncs;
+
+  test_folder_make (folder);
+  create_journal (folder);
+  CU_ASSERT_EQUAL (journal_open (&j, folder, 0, on_record, &s), STORE_OK);
+  CU_ASSERT_EQUAL (journal_append (&j, 1, "x", 1), STORE_OK);
+  journal_close (&j);
+  syncs = fake_disk_syncs ();
+  CU_ASSERT_EQUAL (read_journal (folder, &s), STORE_OK);
+  CU_ASSERT_EQUAL (s.count, RECORDS + 1);
+  CU_ASSERT (fake_disk_syncs () > syncs);
+  fake_disk_fail_syncs (folder);
+  CU_ASSERT_EQUAL (read_journal (folder, &s), STORE_IO);
+  fake_disk_mend (folder);
+  test_folder_remove (folder);
+}
+
 void
 suite_store (void)
 {
@@ -297,4 +322,6 @@
                test_append_after_torn_record);
   CU_add_test (s, "records of a failed sync are counted as stored",
                test_records_of_failed_sync);
+  CU_add_test (s, "records of a killed process are not synced",
+               test_records_of_killed_process);
 }
