--- a/src/controller/log_journal.c
+++ b/src/controller/log_journal.c
@@ -125,8 +125,28 @@
   return sync_journal (j);
 }
 
-/* Compacts the journal: a new one with the snapshot, the entries after it, the
-   term and vote and the disk ID replaces it.  */
+/* Writes the snapshot, the entries after it, the term and vote and the disk ID
+   to the journal TO.  */
+static enum store_error
+write_compacted (const struct log_journal *j, const struct replicated_log *l,
+                 struct journal *to)
+{
+  enum store_error s = append_headed (
+      to, RECORD_SNAPSHOT, l->stored.base_index, l->stored.base_term,
+      l->stored.snapshot, l->stored.snapshot_length);
+
+  if (s == STORE_OK)
+    s = append_state (to, l->term, id_of (j, l->voted_for));
+  if (s == STORE_OK && j->disk_id != 0)
+    s = journal_append (to, RECORD_DISK, &j->disk_id, sizeof j->disk_id);
+  for (uint64_t i = 0; s == STORE_OK && i < l->stored.count; i++)
+    s = append_headed (to, RECORD_ENTRY, l->stored.base_index + 1 + i,
+                       l->stored.entries[i].term, l->stored.entries[i].data,
+                       l->stored.entries[i].length);
+  return s;
+}
+
+/* Compacts the journal: a new one replaces it.  */
 bool
 log_journal_save_snapshot (void *arg, const struct replicated_log *l)
 {
@@ -136,24 +156,17 @@
 
   if (!store_result (j, s))
     return false;
-  s = append_headed (&compacted, RECORD_SNAPSHOT, l->stored.base_index,
-                     l->stored.base_term, l->stored.snapshot,
-                     l->stored.snapshot_length);
-  if (s == STORE_OK)
-    s = append_state (&compacted, l->term, id_of (j, l->voted_for));
-  if (s == STORE_OK && j->disk_id != 0)
-    s = journal_append (&compacted, RECORD_DISK, &j->disk_id,
-                        sizeof j->disk_id);
-  for (uint64_t i = 0; s == STORE_OK && i < l->stored.count; i++)
-    s = append_headed (&compacted, RECORD_ENTRY, l->stored.base_index + 1 + i,
-                       l->stored.entries[i].term, l->stored.entries[i].data,
-                       l->stored.entries[i].length);
+  s = write_compacted (j, l, &compacted);
   if (s == STORE_OK)
     s = journal_rewrite_commit (&j->journal, &compacted);
+  else
+    journal_rewrite_abort (&j->journal, &compacted);
+  if (!store_result (j, s))
+    return false;
   event_ring_add (EVENT_STORE_COMPACTED, j->vm,
                   "index=%" PRIu64 " bytes=%" PRIu64, l->stored.base_index,
                   j->journal.size);
-  return store_result (j, s);
+  return true;
 }
 
 static bool
--- a/src/store/journal.c
+++ b/src/store/journal.c
@@ -79,8 +79,8 @@
   return true;
 }
 
-/* Writes the empty journal NAME and syncs it.  Returns its descriptor, or -1
-   with errno set.  */
+/* Writes the empty journal NAME.  Returns its descriptor, or -1 with errno
+   set.  */
 static int
 write_empty (int folder_fd, const char *name)
 {
@@ -90,7 +90,7 @@
 
   if (fd < 0)
     return -1;
-  if (write_all (fd, magic, MAGIC_BYTES) && fdatasync (fd) == 0)
+  if (write_all (fd, magic, MAGIC_BYTES))
     return fd;
   code = errno;
   close (fd);
@@ -115,11 +115,15 @@
 create_in (int folder_fd)
 {
   int fd = write_empty (folder_fd, replacement_name);
+  bool synced;
 
   if (fd < 0)
     return false;
+  synced = fdatasync (fd) == 0;
   close (fd);
-  return renameat (folder_fd, replacement_name, folder_fd, journal_name) == 0
+  return synced
+         && renameat (folder_fd, replacement_name, folder_fd, journal_name)
+                == 0
          && fsync (folder_fd) == 0;
 }
 
@@ -362,14 +366,22 @@
   memcpy (replacement->folder, j->folder, sizeof replacement->folder);
   replacement->folder_fd = -1;
   replacement->sync_delay_ms = j->sync_delay_ms;
-  replacement->fd = openat (j->folder_fd, replacement_name,
-                            O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (replacement->fd < 0 || !write_all (replacement->fd, magic, MAGIC_BYTES))
+  replacement->fd = write_empty (j->folder_fd, replacement_name);
+  if (replacement->fd < 0)
     return fail (j, "cannot write a new journal");
   replacement->size = MAGIC_BYTES;
   return STORE_OK;
 }
 
+void
+journal_rewrite_abort (struct journal *j, struct journal *replacement)
+{
+  if (replacement->failed)
+    j->error = replacement->error;
+  close (replacement->fd);
+  unlinkat (j->folder_fd, replacement_name, 0);
+}
+
 enum store_error
 journal_rewrite_commit (struct journal *j, struct journal *replacement)
 {
@@ -379,7 +391,8 @@
       || fsync (j->folder_fd) != 0)
     {
       fail (j, "cannot replace the journal");
-      close (replacement->fd);
+      j->failed = true;
+      journal_rewrite_abort (j, replacement);
       return STORE_IO;
     }
   close (j->fd);
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -70,9 +70,11 @@
 
 /* Replace the journal J atomically: begin creates the empty journal
    REPLACEMENT, to which the caller appends; commit syncs it and renames it
-   over the old one, which stays valid until then.  */
+   over the old one, which stays valid until then; abort removes it.  A failed
+   begin or commit needs no abort.  */
 enum store_error journal_rewrite_begin (struct journal *j,
                                         struct journal *replacement);
+void journal_rewrite_abort (struct journal *j, struct journal *replacement);
 enum store_error journal_rewrite_commit (struct journal *j,
                                          struct journal *replacement);
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -74,6 +74,7 @@
   suite_http ();
   suite_deployment ();
   suite_keepers ();
+  suite_disks ();
   suite_delegation ();
   suite_load ();
   suite_stall ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -18,6 +18,7 @@
 void suite_log (void);
 void suite_control (void);
 void suite_store (void);
+void suite_disks (void);
 void suite_net (void);
 void suite_dispatch (void);
 void suite_plan (void);
