Keeper: founders whose disks were full at the first start formed no quorum

What callers saw: no leader, ever, although all processes ran and all disks had room again.

If this happens to all founders, one after another, none knows the voters; if it happens to some, they depend on the others.

Fix: a founder without a disk ID has not taken part yet; it writes what is missing of its first records.

--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -413,17 +413,15 @@
   return false;
 }
 
-/* Writes the log that all founders start with: one entry of term FOUNDING_TERM
-   with the seeds as voters.  It is durable once the caller has stored the disk
-   ID.  */
+/* Stores the first entry of the log of all founders, with the seeds as
+   voters.  */
 static bool
-bootstrap_quorum (struct quorum_keeper *k)
+save_founding_entry (struct quorum_keeper *k)
 {
   const struct node_settings *s = k->settings;
   json_t *voters = json_array ();
   json_t *command;
   char *text;
-  bool ok;
 
   for (uint32_t i = 0; i < s->seed_count; i++)
     json_array_append_new (voters, json_pack ("{s:s s:i}", "address",
@@ -434,12 +432,23 @@
   json_decref (command);
   replicated_log_restore_entry (&k->log, 1, FOUNDING_TERM, text,
                                 (uint32_t)strlen (text));
-  replicated_log_restore_state (&k->log, FOUNDING_TERM, LOG_NO_MEMBER);
   free (text);
-  ok = log_journal_save_entry (&k->journal, 1,
-                               log_entries_at (&k->log.stored, 1))
-       && log_journal_save_state (&k->journal, FOUNDING_TERM, LOG_NO_MEMBER);
-  return ok;
+  return log_journal_save_entry (&k->journal, 1,
+                                 log_entries_at (&k->log.stored, 1));
+}
+
+/* Writes the log that all founders start with: one entry of term
+   FOUNDING_TERM, which an interrupted start may have written already.  It is
+   durable once the caller has stored the disk ID.  */
+static bool
+bootstrap_quorum (struct quorum_keeper *k)
+{
+  if (log_entries_last_index (&k->log.stored) == 0 && !save_founding_entry (k))
+    return false;
+  if (k->log.term >= FOUNDING_TERM)
+    return true;
+  replicated_log_restore_state (&k->log, FOUNDING_TERM, LOG_NO_MEMBER);
+  return log_journal_save_state (&k->journal, FOUNDING_TERM, LOG_NO_MEMBER);
 }
 
 static uint64_t
@@ -490,7 +499,7 @@
                          &journal_events, k, e))
     return false;
   if (k->journal.disk_id == 0
-      && ((status == STORE_OK && is_founder (s) && !bootstrap_quorum (k))
+      && ((is_founder (s) && !bootstrap_quorum (k))
           || !log_journal_set_disk_id (&k->journal, new_disk_id (s))))
     {
       error_wrap (e, STORE_IO, "disk id", &k->journal.journal.error);
--- a/tests/unit/test_disks.c
+++ b/tests/unit/test_disks.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "base/now.h"
 #include "controller/log_journal.h"
 #include "tests/unit/deployment.h"
 #include "tests/unit/fake_disk.h"
@@ -11,7 +12,26 @@
 
 enum
 {
-  FULL_TURNS = 40
+  FULL_TURNS = 40,
+  EMPTY_BYTES = 18, /* size of a journal without records */
+
+  CHANGE_MS = 60,      /* between changes of the configuration */
+  COMPACT_ENTRIES = 8, /* so that compactions meet full disks */
+  TURNS = 9,           /* disks that are full, one after another */
+  FULL_MS = 500,
+  ROOM_MS = 200, /* from one disk to the next */
+  ACK_LIMIT_MS = 2500,
+  TEXT_BYTES = 4096
+};
+
+/* The changes of the configuration of a deployment.  */
+struct changes
+{
+  struct deployment d;
+  uint64_t version;
+  uint32_t acked;
+  int64_t sent_ms;
+  int64_t acked_ms;
 };
 
 static uint32_t
@@ -89,6 +109,215 @@
   test_folder_remove (folder);
 }
 
+static void
+on_change_done (void *arg, enum config_result result, const char *text)
+{
+  struct changes *c = arg;
+
+  (void)text;
+  if (result != CONFIG_COMMITTED)
+    return;
+  c->acked++;
+  c->acked_ms = now_ms ();
+}
+
+/* Sends the leader a change if one is due, a large one in some cases.  */
+static void
+send_change (struct changes *c, int64_t now)
+{
+  struct quorum_keeper *k = deployment_leader (&c->d);
+  char text[TEXT_BYTES];
+  uint32_t length;
+
+  if (k == NULL || now - c->sent_ms < CHANGE_MS)
+    return;
+  c->sent_ms = now;
+  c->version++;
+  length = c->version % 5 == 0 ? TEXT_BYTES - 1 : 40;
+  memset (text, ' ', length);
+  text[length] = '\0';
+  quorum_keeper_put_config (k, now, c->version, text, on_change_done, c);
+}
+
+static void
+run_step (struct changes *c)
+{
+  for (int i = 0; i < KEEPERS; i++)
+    if (c->d.keepers[i] != NULL)
+      c->d.keepers[i]->log.compact_entries = COMPACT_ENTRIES;
+  send_change (c, now_ms ());
+  deployment_run_step (&c->d);
+}
+
+static void
+run_for (struct changes *c, int64_t ms)
+{
+  int64_t end = now_ms () + ms;
+
+  while (now_ms () < end)
+    run_step (c);
+}
+
+/* Whether the change that was sent last is committed at keeper I.  */
+static bool
+is_current (const struct changes *c, int i)
+{
+  const struct quorum_keeper *k = c->d.keepers[i];
+
+  return !k->failed && k->config_version == c->version
+         && k->journal.disk_id != 0;
+}
+
+/* Runs without further changes until the first COUNT keepers have the last
+   one.  The test fails if one of them has not after WAIT_MS.  */
+static void
+run_until_current (struct changes *c, int count)
+{
+  int64_t end = now_ms () + WAIT_MS;
+  int current = 0;
+
+  c->sent_ms = 0;
+  send_change (c, now_ms ());
+  while (current < count && now_ms () < end)
+    {
+      deployment_run_step (&c->d);
+      if (is_current (c, current))
+        current++;
+    }
+  CU_ASSERT_EQUAL (current, count);
+}
+
+static int
+leader_number (const struct deployment *d)
+{
+  for (int i = 0; i < KEEPERS; i++)
+    if (d->keepers[i] != NULL && d->keepers[i] == deployment_leader (d))
+      return i;
+  return 0;
+}
+
+static void
+changes_init (struct changes *c)
+{
+  memset (c, 0, sizeof *c);
+  deployment_init (&c->d);
+  c->d.heartbeats_paused = true;
+}
+
+static void
+changes_done (struct changes *c)
+{
+  fake_disk_mend (NULL);
+  deployment_done (&c->d);
+}
+
+/* Fails the disk of keeper I at its next write or sync: at once, after part of
+   a record, or after some records.  */
+static void
+fail_disk (struct changes *c, int i, int turn)
+{
+  static const uint64_t bytes_left[] = { 0, 25, 300 };
+  const char *folder = c->d.folders[i];
+
+  if (turn % 4 == 3)
+    fake_disk_fail_syncs (folder);
+  else
+    fake_disk_fill (folder, bytes_left[turn % 4]);
+}
+
+/* The disks of KEEPER_COUNT keepers are full in turn, every second time that
+   of the leader.  Changes are acknowledged throughout, and in the end all that
+   vote have the last one.  */
+static void
+fill_in_turn (int keeper_count)
+{
+  struct changes c;
+
+  changes_init (&c);
+  for (int i = 0; i < keeper_count; i++)
+    deployment_start_keeper (&c.d, i);
+  deployment_run_until_leader (&c.d);
+  for (int turn = 0; turn < TURNS; turn++)
+    {
+      int i = turn % 2 == 0 ? leader_number (&c.d) : turn % keeper_count;
+      int64_t full_ms = now_ms ();
+
+      fail_disk (&c, i, turn);
+      run_for (&c, FULL_MS);
+      fake_disk_mend (NULL);
+      run_for (&c, ROOM_MS);
+      while (c.acked_ms < full_ms + FULL_MS
+             && now_ms () < full_ms + FULL_MS + ACK_LIMIT_MS)
+        run_step (&c);
+      CU_ASSERT (c.acked_ms >= full_ms + FULL_MS);
+    }
+  run_until_current (&c, SEEDS);
+  CU_ASSERT (c.acked > TURNS);
+  changes_done (&c);
+}
+
+static void
+test_full_in_turn (void)
+{
+  fill_in_turn (SEEDS);
+}
+
+static void
+test_full_in_turn_with_spare (void)
+{
+  fill_in_turn (KEEPERS);
+}
+
+/* A keeper whose disk was full when it started for the first time votes once
+   there is room: changes are acknowledged while the disk of another is
+   full.  */
+static void
+test_full_at_first_start (void)
+{
+  for (uint64_t bytes = 0; bytes <= EMPTY_BYTES; bytes += EMPTY_BYTES)
+    {
+      struct changes c;
+      uint32_t acked;
+
+      changes_init (&c);
+      fake_disk_fill (c.d.folders[0], bytes);
+      for (int i = 0; i < SEEDS; i++)
+        deployment_start_keeper (&c.d, i);
+      deployment_run_until_leader (&c.d);
+      run_for (&c, FULL_MS);
+      fake_disk_mend (NULL);
+      run_until_current (&c, SEEDS);
+      fake_disk_fill (c.d.folders[1], 0);
+      run_for (&c, ACK_LIMIT_MS);
+      acked = c.acked;
+      run_for (&c, FULL_MS);
+      CU_ASSERT (c.acked > acked);
+      changes_done (&c);
+    }
+}
+
+/* The disks of all founders are full in turn, each when its keeper has just
+   created its journal: they still form a quorum.  */
+static void
+test_founders_full_in_turn (void)
+{
+  struct changes c;
+
+  changes_init (&c);
+  for (int i = 0; i < SEEDS; i++)
+    {
+      fake_disk_fill (c.d.folders[i], EMPTY_BYTES + 10);
+      deployment_start_keeper (&c.d, i);
+      CU_ASSERT (c.d.keepers[i]->failed);
+      fake_disk_mend (NULL);
+      run_for (&c, FULL_MS);
+      CU_ASSERT_FALSE (c.d.keepers[i]->failed);
+    }
+  deployment_run_until_leader (&c.d);
+  run_until_current (&c, SEEDS);
+  changes_done (&c);
+}
+
 void
 suite_disks (void)
 {
@@ -96,4 +325,13 @@
 
   CU_add_test (s, "a failed compaction keeps its file open",
                test_failed_compaction);
+  CU_add_test (s, "changes are refused after disks were full in turn",
+               test_full_in_turn);
+  CU_add_test (s, "changes are refused after disks were full, with a spare",
+               test_full_in_turn_with_spare);
+  CU_add_test (s,
+               "a keeper whose disk was full at its first start never votes",
+               test_full_at_first_start);
+  CU_add_test (s, "founders whose disks were full in turn form no quorum",
+               test_founders_full_in_turn);
 }
