Model: disks that are full, one after another

The simulation of keepers gets a second kind of run: the disk of one keeper at a time refuses writes for 0.5 to 5 s, in half of the cases the leader's, with up to 2 s in between; in a quarter of the cases the keeper is killed and starts while its disk is full. A write must be acknowledged at least every 4 s (ack-ms) throughout.

A keeper that stays stopped after a failed write is found as a defect.

--- a/tests/unit/quorum_model.c
+++ b/tests/unit/quorum_model.c
@@ -23,6 +23,11 @@
   ELECTION_MS = 300,
   WRITE_MS = 150, /* mean time between writes; reads likewise */
   FAULT_MS = 900, /* mean time between attempted faults */
+  FULL_MIN_MS = 500,
+  FULL_MAX_MS = 5000,
+  ROOM_MAX_MS = 2000, /* from one full disk to the next */
+  REOPEN_MS = 400,    /* from a failed write to the next attempt */
+  ACK_MS = 4000,      /* in which a write must be acknowledged */
   DELAY_MAX_MS = 6
 };
 
@@ -61,6 +66,8 @@
   int64_t start_ms;      /* when a node that is down starts */
   int64_t thaw_ms;       /* frozen until then */
   int64_t lost_until_ms; /* counts as lost until then */
+  bool disk_full;
+  int64_t failed_ms; /* when a write to the disk failed; 0: none did */
 
   struct replicated_log log;
   uint64_t term;
@@ -107,6 +114,10 @@
   int64_t cut_until_ms;
   uint64_t next_write;
   uint64_t acknowledged;
+  int64_t acknowledged_ms;
+  bool fills_disks;  /* the only faults are disks that are full in turn */
+  bool refuses_open; /* no log can be opened on a full disk */
+  int64_t disk_ms;   /* when the next disk is full or has room again */
   uint64_t applied_terms[ENTRIES];
   uint64_t applied_values[ENTRIES];
   int leaders[ENTRIES]; /* by term: the node plus 1, 0 if unknown */
@@ -120,11 +131,26 @@
     m->run.violation = what;
 }
 
+/* Whether the disk of N can be written.  A failed write loses what was not
+   synced, and is the last one until the log is opened again.  */
+static bool
+can_write (struct node *n)
+{
+  if (n->disk_full && n->failed_ms == 0)
+    {
+      n->failed_ms = n->model->now;
+      n->written = n->synced;
+    }
+  return n->failed_ms == 0;
+}
+
 static bool
 save_state (void *arg, uint64_t term, int voted_for)
 {
   struct node *n = arg;
 
+  if (!can_write (n))
+    return false;
   if (n->model->defect == QUORUM_VOTE_NOT_SAVED)
     return true;
   n->term = term;
@@ -138,6 +164,8 @@
   struct node *n = arg;
   struct stored *s = &n->disk[index];
 
+  if (!can_write (n))
+    return false;
   s->term = e->term;
   s->length = e->length;
   if (e->length != 0)
@@ -151,6 +179,8 @@
 {
   struct node *n = arg;
 
+  if (!can_write (n))
+    return false;
   n->written = from - 1;
   if (n->synced > n->written)
     n->synced = n->written;
@@ -162,6 +192,8 @@
 {
   struct node *n = arg;
 
+  if (!can_write (n))
+    return false;
   if (n->model->defect != QUORUM_NO_SYNC)
     n->synced = n->written;
   return true;
@@ -239,6 +271,7 @@
   if (n->log.role == LOG_LEADER && c.value > m->acknowledged)
     {
       m->acknowledged = c.value;
+      m->acknowledged_ms = m->now;
       m->run.writes++;
     }
 }
@@ -316,17 +349,14 @@
         load_snapshot, role_changed, stored_changed };
 
 static void
-boot (struct node *n)
+open_log (struct node *n)
 {
   struct model *m = n->model;
 
-  n->up = true;
+  n->failed_ms = 0;
   n->applied = 0;
   n->change_index = 0;
   n->read_round = 0;
-  n->heartbeat_sent_ms = 0;
-  n->receiving_since_ms = m->now;
-  memset (n->last_seen_ms, 0, sizeof n->last_seen_ms);
   replicated_log_init (&n->log, n->self, NODES, LOG_HEARTBEAT_MS, ELECTION_MS,
                        prng_next (&m->prng, 1000000) + 1U, &output, n);
   n->log.compact_entries = ENTRIES;
@@ -339,6 +369,30 @@
   replicated_log_start (&n->log, m->now);
 }
 
+static void
+boot (struct node *n)
+{
+  n->up = true;
+  n->heartbeat_sent_ms = 0;
+  n->receiving_since_ms = n->model->now;
+  memset (n->last_seen_ms, 0, sizeof n->last_seen_ms);
+  open_log (n);
+  if (n->disk_full && n->model->refuses_open)
+    n->failed_ms = n->model->now;
+}
+
+/* A keeper whose write failed opens its log again after a while.  */
+static void
+reopen (struct node *n)
+{
+  if (n->failed_ms == 0 || n->model->now - n->failed_ms < REOPEN_MS
+      || n->model->defect == QUORUM_NOT_REOPENED
+      || (n->disk_full && n->model->refuses_open))
+    return;
+  replicated_log_done (&n->log);
+  open_log (n);
+}
+
 static void
 stop (struct node *n)
 {
@@ -547,6 +601,38 @@
     fail_node (m, n);
 }
 
+/* Fills the disk of a running node, in half of the cases that of the leader,
+   or ends that.  In some cases the node is killed while its disk is full.  */
+static void
+fill_disks (struct model *m)
+{
+  struct node *n;
+  uint32_t first = prng_next (&m->prng, (uint32_t)m->count);
+  bool leader = prng_next (&m->prng, 2) == 0;
+
+  if (m->now < m->disk_ms)
+    return;
+  for (int i = 0; i < m->count; i++)
+    if (m->nodes[i].disk_full)
+      {
+        m->nodes[i].disk_full = false;
+        m->disk_ms = m->now + prng_next (&m->prng, ROOM_MAX_MS);
+        return;
+      }
+  n = &m->nodes[first];
+  for (int i = 0; i < m->count && leader; i++)
+    if (m->nodes[i].up && m->nodes[i].log.role == LOG_LEADER)
+      n = &m->nodes[i];
+  n->disk_full = true;
+  m->run.faults++;
+  m->disk_ms
+      = m->now + FULL_MIN_MS + prng_next (&m->prng, FULL_MAX_MS - FULL_MIN_MS);
+  if (prng_next (&m->prng, 4) != 0)
+    return;
+  stop (n);
+  n->start_ms = m->now + prng_next (&m->prng, FULL_MIN_MS);
+}
+
 static void
 heal (struct model *m)
 {
@@ -585,7 +671,7 @@
         {
           if (packet.is_heartbeat)
             to->last_seen_ms[packet.from] = m->now;
-          else
+          else if (to->failed_ms == 0)
             replicated_log_receive (&to->log, m->now, packet.from, &packet.m);
         }
       free (packet.bytes);
@@ -692,7 +778,9 @@
 {
   m->now += STEP_MS;
   m->run.steps++;
-  if (faults)
+  if (faults && m->fills_disks)
+    fill_disks (m);
+  else if (faults)
     inject_faults (m);
   heal (m);
   deliver (m);
@@ -702,6 +790,9 @@
 
       if (!is_running (m, n))
         continue;
+      reopen (n);
+      if (n->failed_ms != 0)
+        continue;
       replicated_log_tick (&n->log, m->now);
       send_heartbeats (m, n);
       if (n->log.role != LOG_LEADER)
@@ -709,6 +800,9 @@
       change_quorum (m, n);
       read_and_write (m, n);
     }
+  if (m->fills_disks && m->now - m->acknowledged_ms > ACK_MS
+      && m->now > 2 * ACK_MS)
+    report_violation (m, "writes are refused although one disk is full");
 }
 
 static void
@@ -751,6 +845,8 @@
     }
   if (m->cut_until_ms != 0)
     m->cut_until_ms = m->now;
+  for (int i = 0; i < m->count; i++)
+    m->nodes[i].disk_full = false;
   while (m->now < end && m->run.violation == NULL)
     step (m, false);
   if (m->acknowledged == before)
@@ -763,15 +859,17 @@
     report_violation (m, "an acknowledged write is lost");
 }
 
-struct quorum_run
-quorum_model_run (uint64_t seed, uint32_t keepers, uint32_t lost,
-                  enum quorum_defect defect)
+static struct quorum_run
+run_model (uint64_t seed, uint32_t keepers, uint32_t lost,
+           enum quorum_defect defect, bool fills_disks)
 {
   struct model *m = calloc (1, sizeof *m);
   struct quorum_run run;
 
   m->lost = lost;
   m->defect = defect;
+  m->fills_disks = fills_disks;
+  m->refuses_open = seed % 2 == 0;
   m->goal = quorum_plan_goal (lost, CATCH_UP_MS);
   if (defect == QUORUM_SLOW_REPLACE)
     m->goal.dead_ms = SLOW_DEAD_MS;
@@ -789,3 +887,17 @@
   free (m);
   return run;
 }
+
+struct quorum_run
+quorum_model_run (uint64_t seed, uint32_t keepers, uint32_t lost,
+                  enum quorum_defect defect)
+{
+  return run_model (seed, keepers, lost, defect, false);
+}
+
+struct quorum_run
+quorum_model_run_full_disks (uint64_t seed, uint32_t keepers, uint32_t lost,
+                             enum quorum_defect defect)
+{
+  return run_model (seed, keepers, lost, defect, true);
+}
--- a/tests/unit/quorum_model.h
+++ b/tests/unit/quorum_model.h
@@ -21,7 +21,10 @@
   QUORUM_WIPED_KEEPS_ID,   /* a keeper with a wiped disk is the same member */
   QUORUM_UNCONFIRMED_READ, /* a leader reads without confirming its role */
   QUORUM_SLOW_REPLACE,     /* a dead voter is replaced after 10 s */
-  QUORUM_DEFECTS
+  QUORUM_DEFECTS,
+
+  /* Only with full disks: a keeper whose write failed stays stopped.  */
+  QUORUM_NOT_REOPENED
 };
 
 /* What a run of the simulation did and found.  */
@@ -40,4 +43,11 @@
 struct quorum_run quorum_model_run (uint64_t seed, uint32_t keepers,
                                     uint32_t lost, enum quorum_defect defect);
 
+/* Likewise, but the only faults are disks that are full for some seconds, one
+   after another and never two at once, and keepers killed meanwhile.  A write
+   is acknowledged at least every 4 s throughout.  */
+struct quorum_run quorum_model_run_full_disks (uint64_t seed, uint32_t keepers,
+                                               uint32_t lost,
+                                               enum quorum_defect defect);
+
 #endif
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -227,6 +227,46 @@
             changes);
 }
 
+static void
+test_full_disks (void)
+{
+  uint32_t changes = 0;
+
+  for (uint64_t seed = 1; seed <= model_seeds (); seed++)
+    for (int i = 0; i < SIZES; i++)
+      {
+        struct quorum_run r = quorum_model_run_full_disks (
+            seed, sizes[i][0], sizes[i][1], QUORUM_NO_DEFECT);
+
+        changes += r.changes;
+        if (r.violation != NULL)
+          printf ("seed %llu, %u keepers: %s\n", (unsigned long long)seed,
+                  sizes[i][0], r.violation);
+        CU_ASSERT_PTR_NULL (r.violation);
+        CU_ASSERT (r.writes > 200);
+        CU_ASSERT (r.faults > 5);
+      }
+  if (getenv ("MODEL_SEEDS") != NULL)
+    printf ("%u changes of the quorum ", changes);
+}
+
+/* Keepers that stay stopped after a failed write end in no quorum.  */
+static void
+test_full_disks_find_defect (void)
+{
+  for (int i = 0; i < SIZES; i++)
+    {
+      const char *violation = NULL;
+
+      for (uint64_t seed = 1; seed <= DEFECT_SEEDS && violation == NULL;
+           seed++)
+        violation = quorum_model_run_full_disks (
+                        seed, sizes[i][0], sizes[i][1], QUORUM_NOT_REOPENED)
+                        .violation;
+      CU_ASSERT_PTR_NOT_NULL (violation);
+    }
+}
+
 /* For each mechanism that is switched off, a check of the simulation fails. */
 static void
 test_model_finds_defects (void)
@@ -264,6 +304,10 @@
                test_leader_just_listening);
   CU_add_test (s, "simulated keepers survive the losses that are allowed",
                test_model);
+  CU_add_test (s, "changes are refused after disks were full in turn",
+               test_full_disks);
+  CU_add_test (s, "a keeper stays stopped after a failed write",
+               test_full_disks_find_defect);
   CU_add_test (s, "the simulation finds each defect",
                test_model_finds_defects);
 }
