--- a/src/coord/replicated_log.c
+++ b/src/coord/replicated_log.c
@@ -593,6 +593,8 @@
       return;
     }
   accept_leader (l, now, from, a->term);
+  if (l->failed)
+    return;
   if (a->previous_index > last
       || (a->previous_index >= l->stored.base_index
           && log_entries_term_at (&l->stored, a->previous_index)
@@ -662,6 +664,8 @@
       return;
     }
   accept_leader (l, now, from, s->term);
+  if (l->failed)
+    return;
   if (s->last_index > l->commit_index)
     {
       bool matches
--- a/tests/unit/test_disks.c
+++ b/tests/unit/test_disks.c
@@ -109,6 +109,88 @@
   test_folder_remove (folder);
 }
 
+static bool
+refuse_state (void *arg, uint64_t term, int voted_for)
+{
+  (void)arg;
+  (void)term;
+  (void)voted_for;
+  return false;
+}
+
+static bool
+count_entry (void *arg, uint64_t index, const struct log_entry *e)
+{
+  uint32_t *stored = arg;
+
+  (void)index;
+  (void)e;
+  ++*stored;
+  return true;
+}
+
+static bool
+count_snapshot (void *arg, const struct replicated_log *l)
+{
+  uint32_t *stored = arg;
+
+  (void)l;
+  ++*stored;
+  return true;
+}
+
+static bool
+sync_well (void *arg)
+{
+  (void)arg;
+  return true;
+}
+
+static void
+send_nothing (void *arg, int to, struct peer_message *m)
+{
+  (void)arg;
+  (void)to;
+  (void)m;
+  CU_FAIL ("a reply after a failed write");
+}
+
+/* A follower that could not save a new term stores nothing of that term and
+   does not reply.  */
+static void
+test_stored_after_failed_term (void)
+{
+  static const struct replicated_log_output output
+      = { .save_state = refuse_state,
+          .save_entry = count_entry,
+          .sync = sync_well,
+          .save_snapshot = count_snapshot,
+          .send = send_nothing,
+          .load_snapshot = load_nothing };
+  const char entry[] = { 1, '\xc4', 1, 'x' }; /* packed: term 1, 1 byte */
+  struct peer_message append = { .type = PEER_APPEND };
+  struct peer_message snapshot = { .type = PEER_SNAPSHOT };
+  const struct peer_message *const messages[] = { &append, &snapshot };
+
+  append.u.append
+      = (struct peer_append){ .term = 1, .entries = { entry, sizeof entry } };
+  snapshot.u.snapshot = (struct peer_snapshot){
+    .term = 1, .last_index = 1, .last_term = 1, .data = slice_of ("state")
+  };
+  for (int i = 0; i < 2; i++)
+    {
+      struct replicated_log log;
+      uint32_t stored = 0;
+
+      replicated_log_init (&log, 0, 3, 80, 300, 1, &output, &stored);
+      replicated_log_start (&log, 0);
+      replicated_log_receive (&log, 1, 1, messages[i]);
+      CU_ASSERT (log.failed);
+      CU_ASSERT_EQUAL (stored, 0);
+      replicated_log_done (&log);
+    }
+}
+
 static void
 on_change_done (void *arg, enum config_result result, const char *text)
 {
@@ -325,6 +407,8 @@
 
   CU_add_test (s, "a failed compaction keeps its file open",
                test_failed_compaction);
+  CU_add_test (s, "entries are stored after a failed save of their term",
+               test_stored_after_failed_term);
   CU_add_test (s, "changes are refused after disks were full in turn",
                test_full_in_turn);
   CU_add_test (s, "changes are refused after disks were full, with a spare",
