--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -124,7 +124,8 @@
        "nothing after a crash; otherwise check the disk")                     \
   ROW (604, STORE_COMPACTED, INFO, "journal compacted into a snapshot",       \
        "nothing")                                                             \
-  ROW (605, STORE_FAILED, ERROR, "journal write failed; keeper stops",        \
-       "free disk space or replace the disk, then start the keeper")
+  ROW (605, STORE_FAILED, ERROR,                                              \
+       "journal write failed; ragwortd stops, ragwort-node tries again",      \
+       "free disk space or replace the disk; start the keeper if it stopped")
 
 #endif
