--- a/src/store/journal.c
+++ b/src/store/journal.c
@@ -38,6 +38,20 @@
                                       what, j->folder, strerror (errno));
 }
 
+/* The journal takes no more records: they could not be read after an
+   incomplete one, and those of a failed sync can be read back although they
+   may not be on the disk.  Removes both.  */
+static enum store_error
+fail_writing (struct journal *j, const char *what)
+{
+  enum store_error status = fail (j, what);
+
+  j->failed = true;
+  if (ftruncate (j->fd, (off_t)j->synced) == 0)
+    j->size = j->synced;
+  return status;
+}
+
 static uint64_t
 checksum_of (uint8_t type, uint64_t synced, const void *data, uint32_t length)
 {
@@ -65,12 +79,59 @@
   return true;
 }
 
+/* Writes the empty journal NAME.  Returns its descriptor, or -1 with errno
+   set.  */
+static int
+write_empty (int folder_fd, const char *name)
+{
+  int fd
+      = openat (folder_fd, name, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  int code;
+
+  if (fd < 0)
+    return -1;
+  if (write_all (fd, magic, MAGIC_BYTES))
+    return fd;
+  code = errno;
+  close (fd);
+  unlinkat (folder_fd, name, 0);
+  errno = code;
+  return -1;
+}
+
+static bool
+exists (int folder_fd, const char *name)
+{
+  int fd = openat (folder_fd, name, O_RDONLY | O_CLOEXEC);
+
+  if (fd >= 0)
+    close (fd);
+  return fd >= 0 || errno != ENOENT;
+}
+
+/* Creates the journal under another name first: a crash or a full disk leaves
+   no incomplete one.  */
+static bool
+create_in (int folder_fd)
+{
+  int fd = write_empty (folder_fd, replacement_name);
+  bool synced;
+
+  if (fd < 0)
+    return false;
+  synced = fdatasync (fd) == 0;
+  close (fd);
+  return synced
+         && renameat (folder_fd, replacement_name, folder_fd, journal_name)
+                == 0
+         && fsync (folder_fd) == 0;
+}
+
 enum store_error
 journal_create (const char *folder, struct error *e)
 {
+  enum store_error status = STORE_OK;
   int folder_fd;
-  int fd;
-  bool good;
 
   if (mkdir (folder, 0700) != 0 && errno != EEXIST)
     return (enum store_error)error_set (e, STORE_IO, "cannot make %s: %s",
@@ -79,25 +140,15 @@
   if (folder_fd < 0)
     return (enum store_error)error_set (e, STORE_IO, "cannot open %s: %s",
                                         folder, strerror (errno));
-  fd = openat (folder_fd, journal_name,
-               O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0600);
-  if (fd < 0)
-    {
-      int code = errno == EEXIST ? STORE_ALREADY_INITIALISED : STORE_IO;
-
-      error_set (e, code, "cannot make a journal in %s: %s", folder,
-                 strerror (errno));
-      close (folder_fd);
-      return (enum store_error)code;
-    }
-  good = write_all (fd, magic, MAGIC_BYTES) && fsync (fd) == 0
-         && fsync (folder_fd) == 0;
-  if (!good)
-    error_set (e, STORE_IO, "cannot write the journal in %s: %s", folder,
-               strerror (errno));
-  close (fd);
+  if (exists (folder_fd, journal_name))
+    status = (enum store_error)error_set (e, STORE_ALREADY_INITIALISED,
+                                          "there is a journal in %s", folder);
+  else if (!create_in (folder_fd))
+    status = (enum store_error)error_set (e, STORE_IO,
+                                          "cannot make a journal in %s: %s",
+                                          folder, strerror (errno));
   close (folder_fd);
-  return good ? STORE_OK : STORE_IO;
+  return status;
 }
 
 static char *
@@ -197,12 +248,15 @@
   return STORE_OK;
 }
 
+/* Truncates a torn tail and syncs what was read, since the process that wrote
+   it may have ended before it was synced.  */
 static enum store_error
-truncate_tail (struct journal *j)
+make_durable (struct journal *j)
 {
-  if (j->truncated_bytes != 0
-      && (ftruncate (j->fd, (off_t)j->size) != 0 || fsync (j->fd) != 0))
+  if (j->truncated_bytes != 0 && ftruncate (j->fd, (off_t)j->size) != 0)
     return fail (j, "cannot truncate the torn tail");
+  if (fdatasync (j->fd) != 0 || fsync (j->folder_fd) != 0)
+    return fail (j, "cannot sync the journal");
   if (lseek (j->fd, (off_t)j->size, SEEK_SET) < 0)
     return fail (j, "cannot seek");
   return STORE_OK;
@@ -249,7 +303,7 @@
     return fail (j, "cannot read the journal");
   status = load (j, text, length, replay, arg);
   free (text);
-  return status == STORE_OK ? truncate_tail (j) : status;
+  return status == STORE_OK ? make_durable (j) : status;
 }
 
 void
@@ -267,10 +321,13 @@
 journal_append (struct journal *j, uint8_t type, const void *data,
                 uint32_t length)
 {
-  char *record = malloc (HEADER_BYTES + (size_t)length);
   uint64_t checksum = checksum_of (type, j->synced, data, length);
+  char *record;
   bool good;
 
+  if (j->failed)
+    return STORE_IO;
+  record = malloc (HEADER_BYTES + (size_t)length);
   memcpy (record, &length, 4);
   memcpy (record + 4, &type, 1);
   memcpy (record + 5, &j->synced, 8);
@@ -280,7 +337,7 @@
   good = write_all (j->fd, record, HEADER_BYTES + (size_t)length);
   free (record);
   if (!good)
-    return fail (j, "cannot write");
+    return fail_writing (j, "cannot write");
   j->size += HEADER_BYTES + (uint64_t)length;
   return STORE_OK;
 }
@@ -291,11 +348,13 @@
   struct timespec delay
       = { j->sync_delay_ms / 1000, j->sync_delay_ms % 1000 * 1000000 };
 
+  if (j->failed)
+    return STORE_IO;
   counters_add (COUNTER_STORE_SYNCS, 1);
   if (j->sync_delay_ms != 0)
     nanosleep (&delay, NULL);
   if (fdatasync (j->fd) != 0)
-    return fail (j, "cannot sync");
+    return fail_writing (j, "cannot sync");
   j->synced = j->size;
   return STORE_OK;
 }
@@ -307,14 +366,22 @@
   memcpy (replacement->folder, j->folder, sizeof replacement->folder);
   replacement->folder_fd = -1;
   replacement->sync_delay_ms = j->sync_delay_ms;
-  replacement->fd = openat (j->folder_fd, replacement_name,
-                            O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (replacement->fd < 0 || !write_all (replacement->fd, magic, MAGIC_BYTES))
+  replacement->fd = write_empty (j->folder_fd, replacement_name);
+  if (replacement->fd < 0)
     return fail (j, "cannot write a new journal");
   replacement->size = MAGIC_BYTES;
   return STORE_OK;
 }
 
+void
+journal_rewrite_abort (struct journal *j, struct journal *replacement)
+{
+  if (replacement->failed)
+    j->error = replacement->error;
+  close (replacement->fd);
+  unlinkat (j->folder_fd, replacement_name, 0);
+}
+
 enum store_error
 journal_rewrite_commit (struct journal *j, struct journal *replacement)
 {
@@ -324,7 +391,8 @@
       || fsync (j->folder_fd) != 0)
     {
       fail (j, "cannot replace the journal");
-      close (replacement->fd);
+      j->failed = true;
+      journal_rewrite_abort (j, replacement);
       return STORE_IO;
     }
   close (j->fd);
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -38,6 +38,7 @@
   uint64_t size;
   uint64_t synced;          /* size up to which the file is synced */
   uint64_t truncated_bytes; /* length of the torn tail removed on opening */
+  bool failed;              /* a write failed; no further ones are made */
   struct error error;       /* the latest one */
 };
 
@@ -51,25 +52,29 @@
    empty folder could vote twice in one term.  */
 enum store_error journal_create (const char *folder, struct error *e);
 
-/* Opens the journal in FOLDER, locks the folder, truncates a torn tail and
-   calls REPLAY with ARG for every record.  SYNC_DELAY_MS is added to each
-   sync.  On failure J->error is set, and the caller must call
+/* Opens the journal in FOLDER, locks the folder, truncates a torn tail, calls
+   REPLAY with ARG for every record and makes them durable.  SYNC_DELAY_MS is
+   added to each sync.  On failure J->error is set, and the caller must call
    journal_close.  */
 enum store_error journal_open (struct journal *j, const char *folder,
                                int64_t sync_delay_ms, journal_replay replay,
                                void *arg);
 void journal_close (struct journal *j);
 
-/* Appends a record, which is durable only after journal_sync.  */
+/* Appends a record, which is durable only after journal_sync.  After a failed
+   append or sync both fail, and what was not synced is lost, until the journal
+   is closed and opened again.  */
 enum store_error journal_append (struct journal *j, uint8_t type,
                                  const void *data, uint32_t length);
 enum store_error journal_sync (struct journal *j);
 
 /* Replace the journal J atomically: begin creates the empty journal
    REPLACEMENT, to which the caller appends; commit syncs it and renames it
-   over the old one, which stays valid until then.  */
+   over the old one, which stays valid until then; abort removes it.  A failed
+   begin or commit needs no abort.  */
 enum store_error journal_rewrite_begin (struct journal *j,
                                         struct journal *replacement);
+void journal_rewrite_abort (struct journal *j, struct journal *replacement);
 enum store_error journal_rewrite_commit (struct journal *j,
                                          struct journal *replacement);
 
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -7,11 +7,13 @@
 #include <sys/stat.h>
 #include <unistd.h>
 #include "store/journal.h"
+#include "tests/unit/fake_disk.h"
 #include "tests/unit/suites.h"
 
 enum
 {
-  RECORDS = 20
+  RECORDS = 20,
+  EMPTY_BYTES = 18 /* size of a journal without records */
 };
 
 /* The records that a journal returned when it was opened.  */
@@ -209,6 +211,98 @@
   close (j.fd);
 }
 
+/* A full disk at the first start, at any byte of the new journal, leaves no
+   unusable journal behind.  */
+static void
+test_create_on_full_disk (void)
+{
+  for (uint64_t bytes = 0; bytes < EMPTY_BYTES; bytes++)
+    {
+      char folder[64];
+      struct error e;
+      struct seen s;
+
+      test_folder_make (folder);
+      fake_disk_fill (folder, bytes);
+      CU_ASSERT_EQUAL (journal_create (folder, &e), STORE_IO);
+      fake_disk_mend (folder);
+      CU_ASSERT_EQUAL (journal_create (folder, &e), STORE_OK);
+      CU_ASSERT_EQUAL (read_journal (folder, &s), STORE_OK);
+      CU_ASSERT_EQUAL (s.count, 0);
+      test_folder_remove (folder);
+    }
+}
+
+/* A failed write leaves part of a record.  What would be written after it
+   could not be read again, so it is refused until the journal is reopened. */
+static void
+test_append_after_torn_record (void)
+{
+  struct seen s = { 0, 0 };
+  char folder[64];
+  struct journal j;
+
+  test_folder_make (folder);
+  create_journal (folder);
+  CU_ASSERT_EQUAL (journal_open (&j, folder, 0, on_record, &s), STORE_OK);
+  fake_disk_fill (folder, 10);
+  CU_ASSERT_EQUAL (journal_append (&j, 1, "xxxx", 4), STORE_IO);
+  fake_disk_mend (folder);
+  CU_ASSERT_EQUAL (journal_append (&j, 1, "xxxx", 4), STORE_IO);
+  CU_ASSERT_EQUAL (journal_sync (&j), STORE_IO);
+  journal_close (&j);
+  CU_ASSERT_EQUAL (read_journal (folder, &s), STORE_OK);
+  CU_ASSERT_EQUAL (s.count, RECORDS);
+  test_folder_remove (folder);
+}
+
+/* After a failed sync the file may show records that are not on the disk and
+   never will be: they are not counted as stored.  */
+static void
+test_records_of_failed_sync (void)
+{
+  struct seen s = { 0, 0 };
+  char folder[64];
+  struct journal j;
+
+  test_folder_make (folder);
+  create_journal (folder);
+  CU_ASSERT_EQUAL (journal_open (&j, folder, 0, on_record, &s), STORE_OK);
+  fake_disk_fail_syncs (folder);
+  CU_ASSERT_EQUAL (journal_append (&j, 1, "x", 1), STORE_OK);
+  CU_ASSERT_EQUAL (journal_sync (&j), STORE_IO);
+  fake_disk_mend (folder);
+  journal_close (&j);
+  CU_ASSERT_EQUAL (read_journal (folder, &s), STORE_OK);
+  CU_ASSERT_EQUAL (s.count, RECORDS);
+  test_folder_remove (folder);
+}
+
+/* A process that was killed between a write and its sync leaves records that
+   the next process reads, but that a power loss still takes.  */
+static void
+test_records_of_killed_process (void)
+{
+  struct seen s = { 0, 0 };
+  char folder[64];
+  struct journal j;
+  uint32_t syncs;
+
+  test_folder_make (folder);
+  create_journal (folder);
+  CU_ASSERT_EQUAL (journal_open (&j, folder, 0, on_record, &s), STORE_OK);
+  CU_ASSERT_EQUAL (journal_append (&j, 1, "x", 1), STORE_OK);
+  journal_close (&j);
+  syncs = fake_disk_syncs ();
+  CU_ASSERT_EQUAL (read_journal (folder, &s), STORE_OK);
+  CU_ASSERT_EQUAL (s.count, RECORDS + 1);
+  CU_ASSERT (fake_disk_syncs () > syncs);
+  fake_disk_fail_syncs (folder);
+  CU_ASSERT_EQUAL (read_journal (folder, &s), STORE_IO);
+  fake_disk_mend (folder);
+  test_folder_remove (folder);
+}
+
 void
 suite_store (void)
 {
@@ -222,4 +316,12 @@
   CU_add_test (s, "an empty or missing folder is refused",
                test_not_initialised);
   CU_add_test (s, "a full disk is reported", test_full_disk);
+  CU_add_test (s, "a disk full at the first start leaves a damaged journal",
+               test_create_on_full_disk);
+  CU_add_test (s, "a record is written after a torn one",
+               test_append_after_torn_record);
+  CU_add_test (s, "records of a failed sync are counted as stored",
+               test_records_of_failed_sync);
+  CU_add_test (s, "records of a killed process are not synced",
+               test_records_of_killed_process);
 }
