Node soak: the processes inherit no connections of the fault proxy

A node process that the soak started again inherited the sockets of the fault proxy. When the proxy closed one of these connections, since a VM had been killed or its path was reset, the copy kept it open: the VM on the other side saw neither an end nor a reset, and only noticed the silence. The soak thus tested kills and resets as losses of power, and the series in the logs could not be told apart.

The child closes all descriptors but the standard ones before it executes the program.

--- a/tests/soak/soak_nodes.c
+++ b/tests/soak/soak_nodes.c
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <inttypes.h>
+#include <limits.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -64,6 +65,10 @@
       /* A write beyond the file size limit that simulates a full disk must
          fail rather than kill the process.  */
       signal (SIGXFSZ, SIG_IGN);
+
+      /* A connection of the fault proxy that is open in another process as
+         well does not end when the proxy closes it.  */
+      close_range (STDERR_FILENO + 1, UINT_MAX, 0);
       execl (soak.program, soak.program, path, (char *)NULL);
       _exit (127);
     }
