--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,8 @@
 	@SEEDS="$(SEEDS)" LANES=$(LANES) sh tests/run_scenarios.sh $(BUILD)
 	@sh tests/check_examples.sh $(BUILD)
 	@python3 tests/test_tools.py
-	@sh tests/node_soak.sh $(BUILD) $(SOAK_SECONDS) $(SOAK_SEEDS)
+	@SOAK_OPTIONS="$(SOAK_OPTIONS)" \
+	  sh tests/node_soak.sh $(BUILD) $(SOAK_SECONDS) $(SOAK_SEEDS)
 
 demo: setup
 	@$(MAKE) --no-print-directory -j$$(nproc) all
@@ -92,12 +93,14 @@
 SEED ?= 1
 MINUTES ?= 1
 
-# node-soak: the duration of the faults and the seeds.
+# node-soak: the duration of the faults, the seeds and the program's options.
 SOAK_SECONDS ?= 8
 SOAK_SEEDS ?= 1
+SOAK_OPTIONS ?=
 
 node-soak: all
-	@sh tests/node_soak.sh $(BUILD) $(SOAK_SECONDS) $(SOAK_SEEDS)
+	@SOAK_OPTIONS="$(SOAK_OPTIONS)" \
+	  sh tests/node_soak.sh $(BUILD) $(SOAK_SECONDS) $(SOAK_SEEDS)
 
 soak: all
 	@sh tests/soak.sh $(BUILD) $(SEED) $(MINUTES)
@@ -125,6 +128,7 @@
 	@echo "demo      start a system of 9 VMs and 12 targets and use it"
 	@echo "check     set up, build, run unit tests and scenarios"
 	@echo "node-soak faults against ragwort-node: SOAK_SECONDS=s SOAK_SEEDS='1 2'"
+	@echo "          SOAK_OPTIONS='--profile large' (node_soak --help)"
 	@echo "prove     show that each scenario fails with its mechanism off"
 	@echo "soak      random faults: SEED=n MINUTES=m"
 	@echo "bench     measure; QUICK=1 in under 50 s"
--- a/tests/soak/fake_worker.c
+++ b/tests/soak/fake_worker.c
@@ -9,20 +9,54 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <uthash.h>
+#include <utlist.h>
 #include "base/now.h"
 
 enum
 {
-  CPU_MILLI = 16000,
-  TASK_CPU_MILLI = 4000,
-  RUN_MIN_MS = 30,
-  RUN_SPREAD_MS = 150,
+  RUN_DEFAULT_MS = 100,
   LEASE_MAX_MS = 1000,
+  STOP_MAX_MS = 50,
+  WAIT_MAX_MS = 2000,
+  ENDS_PER_REPLY = 500,
+  LATE_SHORT_MS = 400,
+  LATE_LONG_MS = 4000,
+  SLOW_CLOCK_PERCENT = 98,
   STATUS_OK = 200,
   STATUS_CONFLICT = 409,
   STATUS_MISDIRECTED = 421
 };
 
+struct worker_end
+{
+  uint64_t number;
+  char task[WORKER_NAME_BYTES];
+  uint64_t run;
+  const char *outcome;
+  struct worker_end *prev;
+  struct worker_end *next;
+};
+
+/* The highest run of a task that was stopped or has ended.  */
+struct worker_memory
+{
+  char task[WORKER_NAME_BYTES];
+  uint64_t run;
+  UT_hash_handle hh;
+};
+
+/* A request that is executed after its sender has given up on it.  */
+struct held_request
+{
+  char *path;
+  json_t *body;
+  char from[WORKER_ADDRESS_BYTES];
+  int64_t due_ms;
+  struct held_request *prev;
+  struct held_request *next;
+};
+
 static const struct worker_events *callbacks;
 
 static uint32_t
@@ -34,31 +68,36 @@
   return (uint32_t)(w->random >> 11) % limit;
 }
 
-/* Returns the worker's monotonic clock, whose speed may differ from real
-   time.  */
-static int64_t
-clock_ms (const struct fake_worker *w, int64_t now)
+int64_t
+fake_worker_clock_ms (const struct fake_worker *w, int64_t now)
 {
   return (now - w->started_ms) * w->clock_percent / 100;
 }
 
+int64_t
+fake_worker_lease_end_ms (const struct fake_worker *w)
+{
+  return w->started_ms + w->lease_end_ms * 100 / w->clock_percent;
+}
+
+/* Sends BODY in reply to REQ, which is NULL if nobody waits for it.  */
 static void
 reply (struct fake_worker *w, struct evhttp_request *req, int status,
        json_t *body)
 {
-  struct evbuffer *out = evhttp_request_get_output_buffer (req);
   char *text;
 
-  if (w->behaviour == WORKER_NO_REPLY)
+  if (req == NULL)
     {
       json_decref (body);
       return;
     }
-  json_object_set_new (body, "clock-ms",
-                       json_integer ((json_int_t)clock_ms (w, now_ms ())));
+  json_object_set_new (
+      body, "clock-ms",
+      json_integer ((json_int_t)fake_worker_clock_ms (w, now_ms ())));
   json_object_set_new (body, "born", json_integer ((json_int_t)w->started_ms));
   text = json_dumps (body, JSON_COMPACT);
-  evbuffer_add (out, text, strlen (text));
+  evbuffer_add (evhttp_request_get_output_buffer (req), text, strlen (text));
   free (text);
   json_decref (body);
   evhttp_send_reply (req, status, "", NULL);
@@ -76,6 +115,7 @@
   struct evhttp_request *req = w->waiting_poll;
   json_t *running = json_array ();
   json_t *ended = json_array ();
+  const struct worker_end *e;
   int64_t now = now_ms ();
 
   w->waiting_poll = NULL;
@@ -89,57 +129,74 @@
                               (json_int_t)((now - r->begin_ms) * 100
                                            / (r->end_ms - r->begin_ms + 1))));
     }
-  for (uint32_t i = 0; i < w->end_count; i++)
-    if (w->ends[i].number > w->waiting_last_seen)
-      json_array_append_new (
-          ended, json_pack ("[I,s,I,s,s]", (json_int_t)w->ends[i].number,
-                            w->ends[i].task, (json_int_t)w->ends[i].run,
-                            w->ends[i].outcome, ""));
+  DL_FOREACH (w->ends, e)
+  if (json_array_size (ended) < ENDS_PER_REPLY)
+    json_array_append_new (
+        ended, json_pack ("[I,s,I,s,s]", (json_int_t)e->number, e->task,
+                          (json_int_t)e->run, e->outcome, ""));
   reply (w, req, STATUS_OK,
          json_pack ("{s:o,s:o}", "running-tasks", running, "ended", ended));
 }
 
+static uint64_t
+remembered_run (const struct fake_worker *w, const char *task)
+{
+  const struct worker_memory *m;
+
+  HASH_FIND_STR (w->memory, task, m);
+  return m == NULL ? 0 : m->run;
+}
+
+/* Records that no run of TASK up to RUN may start any more.  */
+static void
+remember_run (struct fake_worker *w, const char *task, uint64_t run)
+{
+  struct worker_memory *m;
+
+  HASH_FIND_STR (w->memory, task, m);
+  if (m == NULL)
+    {
+      m = calloc (1, sizeof *m);
+      snprintf (m->task, sizeof m->task, "%s", task);
+      HASH_ADD_STR (w->memory, task, m);
+    }
+  if (run > m->run)
+    m->run = run;
+}
+
 static void
 end_run (struct fake_worker *w, uint32_t i, const char *outcome)
 {
   struct worker_run r = w->runs[i];
-  struct worker_end *e;
+  struct worker_end *e = calloc (1, sizeof *e);
 
   w->runs[i] = w->runs[--w->run_count];
-  if (w->end_count == WORKER_END_LIMIT)
-    memmove (w->ends, w->ends + 1, --w->end_count * sizeof w->ends[0]);
-  e = &w->ends[w->end_count++];
   e->number = ++w->end_number;
   memcpy (e->task, r.task, sizeof e->task);
   e->run = r.run;
   e->outcome = outcome;
-  callbacks->ended (w, r.task, outcome);
+  DL_APPEND (w->ends, e);
+  remember_run (w, r.task, r.run);
+  callbacks->ended (w, &r, outcome);
 }
 
-void
-fake_worker_tick (struct fake_worker *w, int64_t now)
+static void
+forget_ends (struct fake_worker *w, uint64_t last_seen)
 {
-  uint64_t before = w->end_number;
-  uint32_t i = 0;
-
-  while (i < w->run_count)
+  while (w->ends != NULL && w->ends->number <= last_seen)
     {
-      if (clock_ms (w, now) > w->lease_end_ms)
-        end_run (w, i, "lapsed");
-      else if (now >= w->runs[i].end_ms)
-        end_run (w, i, w->behaviour == WORKER_FAILS ? "failed" : "done");
-      else
-        i++;
+      struct worker_end *e = w->ends;
+
+      DL_DELETE (w->ends, e);
+      free (e);
     }
-  if (w->end_number != before && w->waiting_poll != NULL)
-    answer_poll (w);
 }
 
 static void
 extend_lease (struct fake_worker *w, const json_t *body)
 {
   int64_t until = json_integer_value (json_object_get (body, "until-ms"));
-  int64_t limit_ms = clock_ms (w, now_ms ()) + LEASE_MAX_MS;
+  int64_t limit_ms = fake_worker_clock_ms (w, now_ms ()) + LEASE_MAX_MS;
 
   if (until > limit_ms)
     until = limit_ms;
@@ -147,48 +204,63 @@
     w->lease_end_ms = until;
 }
 
-static bool
-has_ended (const struct fake_worker *w, const char *task, uint64_t run)
+static struct worker_run *
+find_run (struct fake_worker *w, const char *task, uint64_t run)
+{
+  for (uint32_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].run == run && strcmp (w->runs[i].task, task) == 0)
+      return &w->runs[i];
+  return NULL;
+}
+
+static void
+start_run (struct fake_worker *w, const char *task, uint64_t run,
+           const char *spec, const char *from)
 {
-  for (uint32_t i = 0; i < w->end_count; i++)
-    if (w->ends[i].run >= run && strcmp (w->ends[i].task, task) == 0)
-      return true;
-  return false;
+  struct worker_run *r = &w->runs[w->run_count++];
+  unsigned int length_ms = RUN_DEFAULT_MS;
+
+  memset (r, 0, sizeof *r);
+  snprintf (r->task, sizeof r->task, "%s", task);
+  snprintf (r->starter, sizeof r->starter, "%s", from);
+  sscanf (spec, "%u %u", &r->attempt, &length_ms);
+  r->run = run;
+  r->begin_ms = now_ms ();
+  r->end_ms = r->begin_ms + length_ms;
+  callbacks->started (w, r);
 }
 
 static void
 handle_start (struct fake_worker *w, struct evhttp_request *req,
-              const json_t *body)
+              const json_t *body, const char *from)
 {
   const char *task = json_string_value (json_object_get (body, "task"));
+  const char *spec = json_string_value (json_object_get (body, "spec"));
   uint64_t run
       = (uint64_t)json_integer_value (json_object_get (body, "run-id"));
   int64_t until = json_integer_value (json_object_get (body, "until-ms"));
-  int64_t now = now_ms ();
-  struct worker_run *r;
 
-  if (until < clock_ms (w, now))
+  if (until <= fake_worker_clock_ms (w, now_ms ()))
     {
       refuse (w, req, "late");
       return;
     }
   extend_lease (w, body);
-  if (has_ended (w, task, run))
+  if (run <= remembered_run (w, task))
     refuse (w, req, "old");
-  else if ((w->run_count + 1) * TASK_CPU_MILLI > CPU_MILLI)
+  else if (find_run (w, task, run) != NULL)
+    reply (w, req, STATUS_OK, json_object ());
+  else if (w->run_count == WORKER_SLOTS)
     refuse (w, req, "room");
   else
     {
-      r = &w->runs[w->run_count++];
-      snprintf (r->task, sizeof r->task, "%s", task);
-      r->run = run;
-      r->begin_ms = now;
-      r->end_ms = now + RUN_MIN_MS + next_random (w, RUN_SPREAD_MS);
-      callbacks->started (w, task);
+      start_run (w, task, run, spec == NULL ? "" : spec, from);
       reply (w, req, STATUS_OK, json_object ());
     }
 }
 
+/* Stops a run within STOP_MAX_MS; its capacity is free when its end is
+   listed.  */
 static void
 handle_stop (struct fake_worker *w, struct evhttp_request *req,
              const json_t *body)
@@ -196,28 +268,12 @@
   const char *task = json_string_value (json_object_get (body, "task"));
   uint64_t run
       = (uint64_t)json_integer_value (json_object_get (body, "run-id"));
-  bool found = false;
+  struct worker_run *r = find_run (w, task, run);
 
-  for (uint32_t i = 0; i < w->run_count && !found; i++)
-    if (w->runs[i].run <= run && strcmp (w->runs[i].task, task) == 0)
-      {
-        end_run (w, i, "stopped");
-        found = true;
-      }
-  if (!found && w->end_count < WORKER_END_LIMIT)
-    {
-      /* The start of this run may arrive later; record the stop so that it is
-         refused.  */
-      struct worker_end *e = &w->ends[w->end_count++];
-
-      memset (e, 0, sizeof *e);
-      snprintf (e->task, sizeof e->task, "%s", task);
-      e->run = run;
-      e->outcome = "stopped";
-    }
+  remember_run (w, task, run);
+  if (r != NULL && r->stop_ms == 0)
+    r->stop_ms = now_ms () + next_random (w, STOP_MAX_MS);
   reply (w, req, STATUS_OK, json_object ());
-  if (w->waiting_poll != NULL && found)
-    answer_poll (w);
 }
 
 static void
@@ -246,17 +302,20 @@
              const json_t *body)
 {
   int64_t wait = json_integer_value (json_object_get (body, "wait-ms"));
-  struct timeval t = now_timeval (wait);
+  uint64_t last_seen
+      = (uint64_t)json_integer_value (json_object_get (body, "last-seen"));
+  struct timeval t = now_timeval (wait < WAIT_MAX_MS ? wait : WAIT_MAX_MS);
 
   extend_lease (w, body);
+  forget_ends (w, last_seen);
+  if (req == NULL)
+    return;
   if (w->waiting_poll != NULL)
     answer_poll (w);
   w->waiting_poll = req;
-  w->waiting_last_seen
-      = (uint64_t)json_integer_value (json_object_get (body, "last-seen"));
   evhttp_connection_set_closecb (evhttp_request_get_connection (req),
                                  on_poll_closed, w);
-  if (wait == 0 || w->end_number > w->waiting_last_seen)
+  if (wait == 0 || w->ends != NULL)
     answer_poll (w);
   else
     evtimer_add (w->poll_timer, &t);
@@ -264,9 +323,8 @@
 
 static void
 handle_request (struct fake_worker *w, struct evhttp_request *req,
-                const json_t *body)
+                const char *path, const json_t *body, const char *from)
 {
-  const char *path = evhttp_request_get_uri (req);
   uint64_t fencing_token
       = (uint64_t)json_integer_value (json_object_get (body, "fence-token"));
 
@@ -277,13 +335,38 @@
     }
   w->fencing_token = fencing_token;
   if (strcmp (path, "/v1/run-start") == 0)
-    handle_start (w, req, body);
+    handle_start (w, req, body, from);
   else if (strcmp (path, "/v1/run-stop") == 0)
     handle_stop (w, req, body);
   else
     handle_poll (w, req, body);
 }
 
+/* Holds a request back: half of them for less than a short lease.  */
+static void
+hold_request (struct fake_worker *w, const char *path, json_t *body,
+              const char *from)
+{
+  struct held_request *h = calloc (1, sizeof *h);
+
+  h->path = strdup (path);
+  h->body = json_incref (body);
+  snprintf (h->from, sizeof h->from, "%s", from);
+  h->due_ms = now_ms ()
+              + next_random (w, next_random (w, 2) == 0 ? LATE_SHORT_MS
+                                                        : LATE_LONG_MS);
+  DL_APPEND (w->held, h);
+}
+
+static void
+free_held (struct fake_worker *w, struct held_request *h)
+{
+  DL_DELETE (w->held, h);
+  json_decref (h->body);
+  free (h->path);
+  free (h);
+}
+
 /* Closes the connection of REQ without a reply; evhttp frees both when it
    reads the end of file.  */
 static void
@@ -302,37 +385,103 @@
   struct evbuffer *in = evhttp_request_get_input_buffer (req);
   const char *expected_id = evhttp_find_header (
       evhttp_request_get_input_headers (req), "X-Ragwortline-Expect-Instance");
+  const char *path = evhttp_request_get_uri (req);
   json_t *body = json_loadb ((char *)evbuffer_pullup (in, -1),
                              evbuffer_get_length (in), 0, NULL);
+  char *from;
+  uint16_t port;
 
+  evhttp_connection_get_peer (evhttp_request_get_connection (req), &from,
+                              &port);
   if (expected_id == NULL || strcmp (expected_id, w->id) != 0)
     evhttp_send_reply (req, STATUS_MISDIRECTED, "", NULL);
-  else if (w->behaviour == WORKER_RESETS)
-    abort_connection (req);
-  else if (w->behaviour != WORKER_IGNORES)
-    handle_request (w, req, body);
+  else
+    switch (callbacks->behaviour (w, from))
+      {
+      case WORKER_RESETS:
+        abort_connection (req);
+        break;
+      case WORKER_IGNORES:
+        break;
+      case WORKER_LATE:
+        hold_request (w, path, body, from);
+        break;
+      case WORKER_NO_REPLY:
+        handle_request (w, NULL, path, body, from);
+        break;
+      default:
+        handle_request (w, req, path, body, from);
+      }
   json_decref (body);
 }
 
+void
+fake_worker_tick (struct fake_worker *w, int64_t now)
+{
+  uint64_t before = w->end_number;
+  struct held_request *h;
+  struct held_request *next;
+  uint32_t i = 0;
+
+  while (i < w->run_count)
+    {
+      const struct worker_run *r = &w->runs[i];
+
+      if (fake_worker_clock_ms (w, now) > w->lease_end_ms)
+        end_run (w, i, "lapsed");
+      else if (now >= r->end_ms)
+        end_run (w, i, w->behaviour == WORKER_FAILS ? "failed" : "done");
+      else if (r->stop_ms != 0 && now >= r->stop_ms)
+        end_run (w, i, "stopped");
+      else
+        i++;
+    }
+  DL_FOREACH_SAFE (w->held, h, next)
+  if (now >= h->due_ms)
+    {
+      handle_request (w, NULL, h->path, h->body, h->from);
+      free_held (w, h);
+    }
+  if (w->end_number != before && w->waiting_poll != NULL)
+    answer_poll (w);
+}
+
+/* Forgets what a restart or the end of W forgets.  */
+static void
+clear_memory (struct fake_worker *w)
+{
+  struct worker_memory *m;
+  struct worker_memory *next;
+
+  forget_ends (w, UINT64_MAX);
+  while (w->held != NULL)
+    free_held (w, w->held);
+  HASH_ITER (hh, w->memory, m, next)
+  {
+    HASH_DEL (w->memory, m);
+    free (m);
+  }
+}
+
 void
 fake_worker_restart (struct fake_worker *w, int64_t now)
 {
   while (w->run_count != 0)
     end_run (w, 0, "crashed");
+  clear_memory (w);
   w->started_ms = now;
   w->fencing_token = 0;
   w->lease_end_ms = 0;
-  w->end_count = 0;
   w->end_number = 0;
   w->sequence = 0;
-  if (w->waiting_poll != NULL)
-    answer_poll (w);
+  w->waiting_poll = NULL;
+  evtimer_del (w->poll_timer);
 }
 
 char *
 fake_worker_heartbeat (struct fake_worker *w)
 {
-  char address[WORKER_NAME_BYTES + 8];
+  char address[WORKER_ADDRESS_BYTES + 8];
   json_t *o;
   char *text;
 
@@ -340,9 +489,9 @@
   o = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:I,s:{s:i,s:i,s:i},s:[s],s:I}",
                  "service", "svc", "address", address, "zone", w->zone,
                  "version", "v1", "slots", 8, "state", "ready", "born",
-                 (json_int_t)w->started_ms, "capacity", "cpu", CPU_MILLI,
-                 "mem-mb", 32768, "gpu", 0, "labels", "a", "seq",
-                 (json_int_t)++w->sequence);
+                 (json_int_t)w->started_ms, "capacity", "cpu",
+                 WORKER_SLOTS * WORKER_TASK_CPU_MILLI, "mem-mb", 32768, "gpu",
+                 0, "labels", "a", "seq", (json_int_t)++w->sequence);
   text = json_dumps (o, JSON_COMPACT);
   json_decref (o);
   return text;
@@ -350,29 +499,28 @@
 
 bool
 fake_worker_start (struct fake_worker *w, struct event_base *base,
-                   const char *id, const char *address, uint16_t port,
-                   const char *zone, uint64_t seed,
-                   const struct worker_events *events)
+                   const struct worker_setup *setup)
 {
   memset (w, 0, sizeof *w);
-  callbacks = events;
+  callbacks = setup->events;
   w->base = base;
-  w->zone = zone;
-  w->port = port;
-  w->clock_percent = seed % 3 == 0 ? 98 : 100;
-  w->random = seed * 0x9E3779B97F4A7C15U + 1;
+  w->port = setup->port;
+  w->clock_percent = setup->seed % 3 == 0 ? SLOW_CLOCK_PERCENT : 100;
+  w->random = setup->seed * 0x9E3779B97F4A7C15U + 1;
   w->started_ms = now_ms ();
-  snprintf (w->id, sizeof w->id, "%s", id);
-  snprintf (w->address, sizeof w->address, "%s", address);
+  snprintf (w->id, sizeof w->id, "%s", setup->id);
+  snprintf (w->zone, sizeof w->zone, "%s", setup->zone);
+  snprintf (w->address, sizeof w->address, "%s", setup->address);
   w->poll_timer = evtimer_new (base, on_poll_timeout, w);
   w->http = evhttp_new (base);
   evhttp_set_gencb (w->http, on_call, w);
-  return evhttp_bind_socket (w->http, address, port) == 0;
+  return evhttp_bind_socket (w->http, setup->address, setup->listen_port) == 0;
 }
 
 void
 fake_worker_done (struct fake_worker *w)
 {
+  clear_memory (w);
   event_free (w->poll_timer);
   evhttp_free (w->http);
 }
--- a/tests/soak/fault_proxy.c
+++ b/tests/soak/fault_proxy.c
@@ -4,28 +4,29 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utlist.h>
 #include "base/now.h"
 
 enum
 {
   CLIENT_SIDE, /* towards the VM that connected */
-  SERVER_SIDE, /* towards the VM that it connected to */
+  SERVER_SIDE, /* towards the VM or target that it connected to */
   SIDE_COUNT,
   UNKNOWN_VM = -1,
-  BACKLOG = 64
+  BACKLOG = 128
 };
 
 /* One direction of a proxied connection.  */
 struct direction
 {
   struct proxy_connection *connection;
-  int side; /* the side that sends the bytes */
+  int side;   /* the side that sends the bytes */
+  bool ended; /* the sender has closed the connection */
   struct event *delay_timer;
 };
 
@@ -36,6 +37,7 @@
   struct direction directions[SIDE_COUNT];
   int from;
   int to;
+  bool connected; /* to the server side */
   bool blackholed;
   struct proxy_connection *prev;
   struct proxy_connection *next;
@@ -62,15 +64,17 @@
   free (c);
 }
 
-/* Returns the path of the bytes that come from SIDE, or NULL while the
+/* Returns the path of the bytes that D's side sends, or NULL while the
    connecting VM is unknown.  */
 static struct proxy_path *
-path_of (const struct proxy_connection *c, int side)
+path_of (const struct direction *d)
 {
+  const struct proxy_connection *c = d->connection;
+
   if (c->from == UNKNOWN_VM)
     return NULL;
-  return side == CLIENT_SIDE ? &c->proxy->paths[c->from][c->to]
-                             : &c->proxy->paths[c->to][c->from];
+  return d->side == CLIENT_SIDE ? &c->proxy->paths[c->from][c->to]
+                                : &c->proxy->paths[c->to][c->from];
 }
 
 /* Whether BYTES contain ADDRESS, not followed by a further digit:
@@ -85,28 +89,100 @@
          && (at + n == bytes + length || at[n] < '0' || at[n] > '9');
 }
 
+/* Returns a socket to the server side of C; a target sees the connection as
+   coming from the address of the VM.  */
+static int
+server_socket (const struct proxy_connection *c)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  struct sockaddr_in from;
+  int on = 1;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (c->from == UNKNOWN_VM)
+    return fd;
+  from = to_address (c->proxy->addresses[c->from], 0);
+  setsockopt (fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+  (void)bind (fd, (struct sockaddr *)&from, sizeof from);
+  return fd;
+}
+
+static void
+connect_to_server (struct proxy_connection *c)
+{
+  struct sockaddr_in to
+      = to_address (c->proxy->addresses[c->to], c->proxy->to_port);
+
+  c->connected = true;
+  bufferevent_setfd (c->sides[SERVER_SIDE], server_socket (c));
+  bufferevent_socket_connect (c->sides[SERVER_SIDE], (struct sockaddr *)&to,
+                              sizeof to);
+}
+
+static void
+identify_by_address (struct proxy_connection *c, const char *bytes,
+                     size_t length)
+{
+  for (uint32_t i = 0; i < c->proxy->count && c->from == UNKNOWN_VM; i++)
+    if (!c->proxy->is_target[i]
+        && contains_address (bytes, length, c->proxy->addresses[i]))
+      c->from = (int)i;
+}
+
+/* Identifies the connecting VM by the first bytes that it sends.  */
 static void
 identify (struct proxy_connection *c)
 {
   struct evbuffer *in = bufferevent_get_input (c->sides[CLIENT_SIDE]);
   size_t length = evbuffer_get_length (in);
   const char *bytes = (const char *)evbuffer_pullup (in, -1);
+  evutil_socket_t fd = bufferevent_getfd (c->sides[CLIENT_SIDE]);
+  struct sockaddr_in client;
+  struct sockaddr_in server;
+  socklen_t size = sizeof client;
 
-  for (uint32_t i = 0; i < c->proxy->count && c->from == UNKNOWN_VM; i++)
-    if (contains_address (bytes, length, c->proxy->addresses[i]))
-      c->from = (int)i;
+  if (!c->proxy->is_target[c->to])
+    {
+      identify_by_address (c, bytes, length);
+      return;
+    }
+  if (getpeername (fd, (struct sockaddr *)&client, &size) == 0
+      && getsockname (fd, (struct sockaddr *)&server, &size) == 0)
+    c->from = c->proxy->find_vm (&client, &server, bytes, length);
+}
+
+static void
+on_drained (struct bufferevent *bev, void *arg)
+{
+  (void)bev;
+  close_connection (((struct direction *)arg)->connection);
+}
+
+static void
+on_drain_failed (struct bufferevent *bev, short what, void *arg)
+{
+  (void)what;
+  on_drained (bev, arg);
 }
 
+/* Forwards what D's side has sent, and its close.  May free the
+   connection.  */
 static void
 forward (struct direction *d)
 {
   struct proxy_connection *c = d->connection;
-  const struct proxy_path *p = path_of (c, d->side);
+  struct bufferevent *to = c->sides[1 - d->side];
+  const struct proxy_path *p = path_of (d);
 
-  if (c->blackholed || (p != NULL && p->cut))
+  if (c->blackholed || (p != NULL && p->cuts != 0))
     return;
-  bufferevent_write_buffer (c->sides[1 - d->side],
-                            bufferevent_get_input (c->sides[d->side]));
+  bufferevent_write_buffer (to, bufferevent_get_input (c->sides[d->side]));
+  if (!d->ended)
+    return;
+  if (evbuffer_get_length (bufferevent_get_output (to)) == 0)
+    close_connection (c);
+  else
+    bufferevent_setcb (to, NULL, on_drained, on_drain_failed, d);
 }
 
 static void
@@ -118,15 +194,10 @@
 }
 
 static void
-on_bytes (struct bufferevent *bev, void *arg)
+forward_in_time (struct direction *d)
 {
-  struct direction *d = arg;
-  const struct proxy_path *p;
+  const struct proxy_path *p = path_of (d);
 
-  (void)bev;
-  if (d->side == CLIENT_SIDE && d->connection->from == UNKNOWN_VM)
-    identify (d->connection);
-  p = path_of (d->connection, d->side);
   if (p == NULL || p->delay_ms == 0)
     forward (d);
   else if (!event_pending (d->delay_timer, EV_TIMEOUT, NULL))
@@ -137,16 +208,33 @@
     }
 }
 
+static void
+on_bytes (struct bufferevent *bev, void *arg)
+{
+  struct direction *d = arg;
+
+  (void)bev;
+  if (d->side == CLIENT_SIDE && d->connection->from == UNKNOWN_VM)
+    identify (d->connection);
+  if (!d->connection->connected)
+    connect_to_server (d->connection);
+  forward_in_time (d);
+}
+
 static void
 on_event (struct bufferevent *bev, short what, void *arg)
 {
   struct direction *d = arg;
+  struct proxy_connection *c = d->connection;
 
   (void)bev;
-  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0
-      || d->connection->blackholed)
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
     return;
-  close_connection (d->connection);
+  d->ended = true;
+  if (c->directions[1 - d->side].ended)
+    close_connection (c);
+  else if (!c->blackholed)
+    forward_in_time (d);
 }
 
 static void
@@ -155,7 +243,6 @@
 {
   struct fault_proxy *p = arg;
   struct proxy_connection *c = calloc (1, sizeof *c);
-  struct sockaddr_in to;
   int on = 1;
 
   (void)from;
@@ -180,34 +267,32 @@
                          &c->directions[i]);
       bufferevent_enable (c->sides[i], EV_READ | EV_WRITE);
     }
-  to = to_address (p->addresses[c->to], p->to_port);
-  bufferevent_socket_connect (c->sides[SERVER_SIDE], (struct sockaddr *)&to,
-                              sizeof to);
+  if (!p->is_target[c->to])
+    connect_to_server (c);
 }
 
 void
 fault_proxy_init (struct fault_proxy *p, struct event_base *base,
-                  uint16_t to_port)
+                  uint16_t to_port, proxy_find_vm find_vm)
 {
   memset (p, 0, sizeof *p);
   p->base = base;
   p->to_port = to_port;
+  p->find_vm = find_vm;
 }
 
 void
 fault_proxy_done (struct fault_proxy *p)
 {
-  struct proxy_connection *c;
-  struct proxy_connection *next;
-
-  DL_FOREACH_SAFE (p->connections, c, next)
-  close_connection (c);
+  while (p->connections != NULL)
+    close_connection (p->connections);
   for (uint32_t i = 0; i < p->count; i++)
     evconnlistener_free (p->listeners[i]);
 }
 
 int
-fault_proxy_add (struct fault_proxy *p, const char *address, uint16_t port)
+fault_proxy_add (struct fault_proxy *p, const char *address, uint16_t port,
+                 bool is_target)
 {
   struct sockaddr_in at = to_address (address, port);
   uint32_t i = p->count;
@@ -218,21 +303,35 @@
   if (p->listeners[i] == NULL)
     return -1;
   p->addresses[i] = address;
+  p->is_target[i] = is_target;
   p->count++;
   return (int)i;
 }
 
 void
 fault_proxy_cut (struct fault_proxy *p, int from, int to, bool cut)
+{
+  if (cut)
+    p->paths[from][to].cuts++;
+  else
+    p->paths[from][to].cuts--;
+}
+
+void
+fault_proxy_flush (struct fault_proxy *p)
 {
   struct proxy_connection *c;
+  struct proxy_connection *next;
 
-  p->paths[from][to].cut = cut;
-  if (cut)
-    return;
-  DL_FOREACH (p->connections, c)
-  for (int i = 0; i < SIDE_COUNT; i++)
-    forward (&c->directions[i]);
+  /* A direction whose close is forwarded frees the connection, so it comes
+     last.  */
+  DL_FOREACH_SAFE (p->connections, c, next)
+  {
+    int last = c->directions[CLIENT_SIDE].ended ? CLIENT_SIDE : SERVER_SIDE;
+
+    forward (&c->directions[1 - last]);
+    forward (&c->directions[last]);
+  }
 }
 
 void
@@ -244,6 +343,10 @@
 static bool
 is_between (const struct proxy_connection *c, int one, int other)
 {
+  if (one == PROXY_ANY)
+    return c->from == other || c->to == other;
+  if (other == PROXY_ANY)
+    return c->from == one || c->to == one;
   return (c->from == one && c->to == other)
          || (c->from == other && c->to == one);
 }
--- /dev/null
+++ b/tests/soak/soak_calls.c
@@ -0,0 +1,217 @@
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/now.h"
+#include "tests/soak/soak.h"
+
+/* The request of one attempt.  */
+struct call
+{
+  struct job *job;
+  uint32_t attempt;
+};
+
+static struct job *jobs;
+static int64_t next_call_us;
+static uint32_t answered;
+static uint32_t served;
+static uint32_t final_requests;
+static uint32_t final_served;
+
+struct job *
+soak_find_job (const char *task)
+{
+  char id[WORKER_NAME_BYTES];
+  struct job *j;
+
+  snprintf (id, sizeof id, "%.*s", (int)strcspn (task, "."), task);
+  HASH_FIND_STR (jobs, id, j);
+  return j;
+}
+
+static void send_call (struct job *j);
+
+static void
+on_resend (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  send_call (arg);
+}
+
+static void
+resend_later (struct job *j)
+{
+  struct timeval t = now_timeval (RESEND_MS);
+
+  event_base_once (soak.base, -1, EV_TIMEOUT, on_resend, j, &t);
+}
+
+/* Whether the entry of A is paused, or was killed, paused or resumed since
+   shortly before A was sent.  */
+static bool
+was_disturbed (const struct attempt *a)
+{
+  return a->entry->fault_ms >= a->sent_ms - 50 || a->entry->paused;
+}
+
+static void
+check_unanswered (const struct attempt *a, const char *id)
+{
+  /* A process does not listen yet just after its start.  */
+  if (was_disturbed (a) || a->sent_ms - a->entry->start_ms < START_UP_MS)
+    return;
+  if (a->entry->pid == 0 || a->entry->stopping)
+    {
+      /* A connection that a stopping process never accepted does not count as
+         an interrupted request.  */
+      if (a->ended_ms - a->sent_ms > 300)
+        soak_violation ("a graceful stop interrupted a request", id);
+    }
+  else if (!a->stopping)
+    soak_violation ("a request got no answer", id);
+}
+
+static void
+count_answer (int status)
+{
+  answered += status != 0;
+  served += status == 200;
+  if (soak_elapsed_ms () <= soak.seconds * 1000 + SETTLE_MS)
+    return;
+  final_requests++;
+  final_served += status == 200;
+}
+
+static void
+on_answer (struct evhttp_request *req, void *arg)
+{
+  struct call *c = arg;
+  struct job *j = c->job;
+  struct attempt *a = &j->attempts[c->attempt];
+
+  free (c);
+  a->status = req == NULL ? 0 : evhttp_request_get_response_code (req);
+  a->ended_ms = now_ms ();
+  j->pending = false;
+  if (a->status == 0)
+    check_unanswered (a, j->id);
+  else if (a->ended_ms - a->sent_ms > DEADLINE_MS + ANSWER_SLACK_MS
+           && !was_disturbed (a))
+    soak_violation ("an answer came late", j->id);
+  count_answer (a->status);
+  if (a->status == 503)
+    {
+      j->refused++;
+      if (j->refused == j->attempt_count && j->started != 0)
+        soak_violation ("a refused job has run", j->id);
+    }
+  else if (a->status != 200 && !soak_faults_ended ())
+    {
+      j->pending = true;
+      resend_later (j);
+    }
+}
+
+static struct node *
+choose_entry (void)
+{
+  struct node *n;
+
+  do
+    n = &soak.nodes[soak.keeper_count
+                    + (int)soak_random_load ((uint32_t)soak.entry_count)];
+  while (n->pid == 0 && soak_random_load (4) != 0);
+  return n;
+}
+
+static void
+send_call (struct job *j)
+{
+  struct node *entry = choose_entry ();
+  struct call *c = calloc (1, sizeof *c);
+  struct evhttp_request *req = evhttp_request_new (on_answer, c);
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (req);
+  char text[64];
+
+  j->attempts = realloc (j->attempts,
+                         (j->attempt_count + 1) * sizeof (struct attempt));
+  *c = (struct call){ j, j->attempt_count++ };
+  j->attempts[c->attempt]
+      = (struct attempt){ .entry = entry,
+                          .sent_ms = now_ms (),
+                          .stopping = entry->stopping || entry->pid == 0 };
+  j->pending = true;
+  evhttp_add_header (headers, "Host", "soak.example");
+  snprintf (text, sizeof text, "%d", DEADLINE_MS);
+  evhttp_add_header (headers, "X-Ragwortline-Deadline-Ms", text);
+  evhttp_add_header (headers, "Connection", "close");
+  evbuffer_add_printf (evhttp_request_get_output_buffer (req),
+                       "{\"spec\":\"%u %" PRId64 "\",\"best-effort\":true,"
+                       "\"steps\":[{\"count\":%u,\"cpu\":%d,\"mem-mb\":64,"
+                       "\"estimate-ms\":%" PRId64 "}]}",
+                       j->attempt_count, j->length_ms, j->task_count,
+                       WORKER_TASK_CPU_MILLI, j->length_ms);
+  snprintf (text, sizeof text, "/jobs/%s", j->id);
+  evhttp_make_request (soak_connect (entry->address, CALLER_PORT,
+                                     DEADLINE_MS + 2 * ANSWER_SLACK_MS),
+                       req, EVHTTP_REQ_POST, text);
+}
+
+static void
+send_new_job (void)
+{
+  struct job *j = calloc (1, sizeof *j);
+
+  snprintf (j->id, sizeof j->id, "%08x%08x", soak_random_load (1U << 31),
+            soak_random_load (1U << 31));
+  j->task_count = 1 + soak_random_load (JOB_TASKS_MAX);
+  j->length_ms = soak.run_min_ms
+                 + soak_random_load (soak.run_max_ms - soak.run_min_ms + 1);
+  HASH_ADD_STR (jobs, id, j);
+  send_call (j);
+}
+
+void
+soak_send_calls (int64_t now)
+{
+  int64_t now_us = now * 1000;
+
+  if (next_call_us == 0)
+    next_call_us = (soak.begin_ms + SETTLE_MS / 2) * 1000;
+  while (next_call_us <= now_us
+         && soak_elapsed_ms ()
+                < soak.seconds * 1000 + SETTLE_MS + FINAL_PHASE_MS)
+    {
+      next_call_us += 1000000 / soak.calls_per_second;
+      send_new_job ();
+    }
+}
+
+void
+soak_finish_calls (void)
+{
+  if (final_served * 100 < final_requests * SERVED_PERCENT
+      || final_requests == 0)
+    soak_violation ("requests are not served again after the faults", "");
+  printf ("seed %" PRIu64 ": %u faults, %u answered, %u served, after the "
+          "faults %u of %u, ",
+          soak.seed, soak.faults, answered, served, final_served,
+          final_requests);
+}
+
+void
+soak_free_jobs (void)
+{
+  struct job *j;
+  struct job *next;
+
+  HASH_ITER (hh, jobs, j, next)
+  {
+    HASH_DEL (jobs, j);
+    free (j->attempts);
+    free (j);
+  }
+}
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -5,29 +5,19 @@
 #include <stdlib.h>
 #include <sys/resource.h>
 #include "base/now.h"
+#include "tests/soak/path_faults.h"
 
-/* A delay or cut of the path between two VMs.  */
-struct path_fault
-{
-  int from;
-  int to;
-  bool both;        /* in both directions */
-  int64_t until_ms; /* 0: unused */
-};
-
-static struct path_fault path_faults[PATH_FAULT_LIMIT];
 static int64_t wiped_ms;
 
 /* Returns the number of keepers without a fault.  Faults hit one keeper at a
    time, so that a majority stays healthy.  */
-static uint32_t
+static int
 healthy_keepers (void)
 {
-  uint32_t count = 0;
+  int count = 0;
 
-  for (int i = 0; i < KEEPERS; i++)
-    count += soak.nodes[i].pid != 0 && !soak.nodes[i].paused
-             && !soak.nodes[i].stopping && !soak.nodes[i].disk_full;
+  for (int i = 0; i < soak.keeper_count; i++)
+    count += !soak_is_disturbed (&soak.nodes[i]) && !soak.nodes[i].disk_full;
   return count;
 }
 
@@ -60,12 +50,18 @@
   soak_log ("disk wiped", n->address);
 }
 
+static struct node *
+random_keeper (void)
+{
+  return &soak.nodes[soak_random_fault ((uint32_t)soak.keeper_count)];
+}
+
 static void
 inject_disk_fault (int64_t now)
 {
-  struct node *n = &soak.nodes[soak_random_fault (KEEPERS)];
+  struct node *n = random_keeper ();
 
-  if (healthy_keepers () < KEEPERS || now - wiped_ms < WIPE_GAP_MS)
+  if (healthy_keepers () < soak.keeper_count || now - wiped_ms < WIPE_GAP_MS)
     return;
   if (soak_random_fault (2) == 0)
     set_disk_full (n, true);
@@ -73,58 +69,53 @@
     wipe_node (n);
 }
 
-static void
-apply_path_fault (const struct path_fault *f, bool cut, int64_t delay_ms)
-{
-  fault_proxy_cut (&soak.proxy, f->from, f->to, cut);
-  fault_proxy_delay (&soak.proxy, f->from, f->to, delay_ms);
-  if (!f->both)
-    return;
-  fault_proxy_cut (&soak.proxy, f->to, f->from, cut);
-  fault_proxy_delay (&soak.proxy, f->to, f->from, delay_ms);
-}
-
-/* Resets, black-holes, cuts or delays the path between two random VMs.  At
-   most PATH_FAULT_LIMIT cuts and delays last at the same time.  */
+/* Resets, black-holes, cuts or delays the path between two random VMs, or
+   between an entry and a target.  */
 static void
 inject_path_fault (int64_t now)
 {
-  struct path_fault f = { .from = (int)soak_random_fault (NODES),
-                          .to = (int)soak_random_fault (NODES) };
+  struct path_fault f = { .scope = PATH_PAIR };
+  bool to_target = soak_random_fault (2) == 0;
   uint32_t kind = soak_random_fault (4);
+  uint32_t worker = soak_random_fault ((uint32_t)soak.worker_count);
 
+  f.from = (int)soak_random_fault ((uint32_t)soak.node_count);
+  f.to = (int)soak_random_fault ((uint32_t)soak.node_count);
+  f.both = soak_random_fault (2) == 0;
+  f.until_ms = now + 300 + soak_random_fault (3000);
+  if (to_target)
+    {
+      f.from = soak_random_entry ()->index;
+      f.to = soak_worker_index ((int)worker);
+    }
   if (f.from == f.to)
     return;
-  printf ("%" PRId64 " ms: path %s to %s: %u\n", soak_elapsed_ms (),
-          soak.nodes[f.from].address, soak.nodes[f.to].address, kind);
-  if (kind == 0)
-    fault_proxy_reset (&soak.proxy, f.from, f.to);
-  else if (kind == 1)
-    fault_proxy_blackhole (&soak.proxy, f.from, f.to);
-  for (int i = 0; i < PATH_FAULT_LIMIT && kind > 1; i++)
-    if (path_faults[i].until_ms == 0)
-      {
-        f.both = soak_random_fault (2) == 0;
-        f.until_ms = now + 300 + soak_random_fault (3000);
-        path_faults[i] = f;
-        apply_path_fault (
-            &f, kind == 2,
-            kind == 3 ? 20 + (int64_t)soak_random_fault (DELAY_MAX_MS) : 0);
-        return;
-      }
+  if (kind < 2)
+    printf ("%" PRId64 " ms: path %s to %s: %s\n", soak_elapsed_ms (),
+            soak.proxy.addresses[f.from], soak.proxy.addresses[f.to],
+            kind == 0 ? "reset" : "black-holed");
+  switch (kind)
+    {
+    case 0:
+      fault_proxy_reset (&soak.proxy, f.from, f.to);
+      break;
+    case 1:
+      fault_proxy_blackhole (&soak.proxy, f.from, f.to);
+      break;
+    case 2:
+      path_faults_start (&f);
+      break;
+    default:
+      f.delay_ms = 20 + soak_random_fault (DELAY_MAX_MS);
+      path_faults_start (&f);
+    }
 }
 
 void
 soak_end_faults (int64_t now, bool all)
 {
-  for (int i = 0; i < PATH_FAULT_LIMIT; i++)
-    if (path_faults[i].until_ms != 0
-        && (all || now >= path_faults[i].until_ms))
-      {
-        apply_path_fault (&path_faults[i], false, 0);
-        path_faults[i].until_ms = 0;
-      }
-  for (int i = 0; i < KEEPERS; i++)
+  path_faults_end (now, all);
+  for (int i = 0; i < soak.keeper_count; i++)
     if (soak.nodes[i].disk_full && soak.nodes[i].pid != 0
         && (all || now >= soak.nodes[i].disk_full_until_ms))
       set_disk_full (&soak.nodes[i], false);
@@ -133,36 +124,54 @@
 static void
 inject_worker_fault (void)
 {
-  struct fake_worker *w = &soak.workers[soak_random_fault (WORKERS)];
+  uint32_t i = soak_random_fault ((uint32_t)soak.worker_count);
+  struct fake_worker *w = &soak.workers[i];
 
   if (w->behaviour != WORKER_NORMAL)
     w->behaviour = WORKER_NORMAL;
   else if (soak_random_fault (6) == 0)
     {
       fake_worker_restart (w, now_ms ());
+      fault_proxy_reset (&soak.proxy, soak_worker_index ((int)i), PROXY_ANY);
       soak_log ("reborn", w->id);
     }
   else
     {
-      w->behaviour = (enum worker_behaviour) (1 + soak_random_fault (4));
+      w->behaviour = (enum worker_behaviour) (1 + soak_random_fault (5));
       soak_log ("misbehaves from now on", w->id);
     }
 }
 
+/* Makes a target mishandle the requests of the VM that has started a run
+   there.  */
+static void
+inject_pair_fault (int64_t now)
+{
+  const struct live_run *l = soak_random_run ();
+  enum worker_behaviour b = WORKER_NO_REPLY + soak_random_fault (4);
+  int64_t until_ms = now + 300 + soak_random_fault (3000);
+
+  if (l != NULL)
+    path_faults_misbehave (l->worker, l->starter->address, b, until_ms);
+}
+
 static void
 inject_node_fault (void)
 {
-  struct node *n = &soak.nodes[soak_random_fault (NODES)];
+  struct node *n = &soak.nodes[soak_random_fault ((uint32_t)soak.node_count)];
 
-  if (n->pid == 0 || n->paused || n->stopping
-      || (soak_is_keeper (n) && healthy_keepers () < KEEPERS))
+  if (soak_is_disturbed (n)
+      || (soak_is_keeper (n) && healthy_keepers () < soak.keeper_count))
     return;
-  switch (soak_random_fault (3))
+  switch (soak_random_fault (4))
     {
     case 0:
       soak_kill_node (n);
       break;
     case 1:
+      soak_power_off_node (n);
+      break;
+    case 2:
       soak_pause_node (n);
       break;
     default:
@@ -173,25 +182,38 @@
 void
 soak_inject_fault (int64_t now)
 {
+  soak_continue_series (now);
   if (soak_elapsed_ms () > soak.seconds * 1000 || now < soak.fault_due_ms)
     return;
   soak.fault_due_ms
-      = now + FAULT_GAP_MS / 2 + soak_random_fault (FAULT_GAP_MS);
+      = now + soak.fault_gap_ms / 2 + soak_random_fault (soak.fault_gap_ms);
   soak.faults++;
-  switch (soak_random_fault (6))
+  switch (soak_random_fault (12))
     {
     case 0:
-    case 1:
       inject_worker_fault ();
       break;
+    case 1:
     case 2:
+      inject_pair_fault (now);
+      break;
     case 3:
+    case 4:
       inject_node_fault ();
       break;
-    case 4:
+    case 5:
+    case 6:
       inject_path_fault (now);
       break;
-    default:
+    case 7:
       inject_disk_fault (now);
+      break;
+    case 8:
+    case 9:
+    case 10:
+      soak_start_series (now);
+      break;
+    default:
+      soak_start_mass_fault (now);
     }
 }
--- a/tests/soak/soak_nodes.c
+++ b/tests/soak/soak_nodes.c
@@ -6,14 +6,133 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include "base/now.h"
+#include "tests/soak/socket_owner.h"
 
 bool
 soak_is_keeper (const struct node *n)
 {
-  return n->index < KEEPERS;
+  return n->index < soak.keeper_count;
+}
+
+/* Whether N is down, paused or about to end.  */
+bool
+soak_is_disturbed (const struct node *n)
+{
+  return n->pid == 0 || n->paused || n->stopping;
+}
+
+struct node *
+soak_node_at (const char *address)
+{
+  for (int i = 0; i < soak.node_count; i++)
+    if (strcmp (soak.nodes[i].address, address) == 0)
+      return &soak.nodes[i];
+  return NULL;
+}
+
+struct node *
+soak_random_entry (void)
+{
+  return &soak.nodes[soak.keeper_count
+                     + (int)soak_random_fault ((uint32_t)soak.entry_count)];
+}
+
+/* Records that WHAT has happened to N, for print_history of soak_runs.c.  */
+static void
+record_event (struct node *n, const char *what)
+{
+  n->history[n->history_count++ % NODE_HISTORY]
+      = (struct node_event){ soak_elapsed_ms (), what };
+}
+
+void
+soak_node_event (struct node *n, const char *what)
+{
+  record_event (n, what);
+  soak_log (what, n->address);
+}
+
+int
+soak_worker_index (int i)
+{
+  return soak.node_count + i;
+}
+
+/* The VM that uses a fencing token: the keepers give each VM a new one for
+   each target.  */
+struct token_owner
+{
+  uint64_t token;
+  int node;
+  UT_hash_handle hh;
+};
+
+static struct token_owner *token_owners;
+
+static uint64_t
+request_token (const char *request, size_t length)
+{
+  static const char name[] = "\"fence-token\":";
+  const char *at = memmem (request, length, name, sizeof name - 1);
+  char digits[24] = "";
+
+  if (at == NULL)
+    return 0;
+  at += sizeof name - 1;
+  snprintf (digits, sizeof digits, "%.*s", (int)(request + length - at), at);
+  return strtoull (digits, NULL, 10);
+}
+
+static int
+find_socket_owner (const struct sockaddr_in *client,
+                   const struct sockaddr_in *server)
+{
+  uint32_t inode = socket_owner_inode (client, server);
+
+  for (int i = soak.keeper_count; i < soak.node_count && inode != 0; i++)
+    if (soak.nodes[i].pid != 0 && socket_owner_has (soak.nodes[i].pid, inode))
+      return i;
+  return -1;
+}
+
+/* A look at all processes takes ms, so a known token suffices.  */
+int
+soak_find_vm (const struct sockaddr_in *client,
+              const struct sockaddr_in *server, const char *request,
+              size_t length)
+{
+  uint64_t token = request_token (request, length);
+  struct token_owner *o;
+  int node;
+
+  HASH_FIND (hh, token_owners, &token, sizeof token, o);
+  if (o != NULL)
+    return o->node;
+  node = find_socket_owner (client, server);
+  if (node < 0 || token == 0)
+    return node;
+  o = calloc (1, sizeof *o);
+  o->token = token;
+  o->node = node;
+  HASH_ADD (hh, token_owners, token, sizeof token, o);
+  return node;
+}
+
+void
+soak_free_nodes (void)
+{
+  struct token_owner *o;
+  struct token_owner *next;
+
+  HASH_ITER (hh, token_owners, o, next)
+  {
+    HASH_DEL (token_owners, o);
+    free (o);
+  }
 }
 
 static void
@@ -30,11 +149,12 @@
            "\"peer_listen_port\":%d,"
            "\"peer_secret\":\"0123456789abcdef\",\"metrics_port\":%d,"
            "\"seeds\":[\"127.0.%d.1:1\",\"127.0.%d.2:1\",\"127.0.%d.3:1\"],"
-           "\"first_start\":%s,\"lost_keepers\":1,\"descriptors\":2000,"
+           "\"first_start\":%s,\"lost_keepers\":%d,\"descriptors\":2000,"
            "\"lease_limit_ms\":1000,\"stop_grace_s\":%d,",
            n->index, soak_is_keeper (n) ? "keeper" : "entry", n->address,
-           n->index % 2, PEER_PORT, LISTEN_PORT, METRICS_PORT, soak.first_net,
-           soak.first_net, soak.first_net, first ? "true" : "false",
+           (int)n->domain, PEER_PORT, LISTEN_PORT, METRICS_PORT,
+           soak.first_net, soak.first_net, soak.first_net,
+           first ? "true" : "false", (soak.keeper_count - 1) / 2,
            STOP_GRACE_MS / 1000);
   if (soak_is_keeper (n))
     fprintf (f, "\"control\":\"%s:%d\",\"data_folder\":\"%s/data\"}",
@@ -65,7 +185,6 @@
       /* A write beyond the file size limit that simulates a full disk must
          fail rather than kill the process.  */
       signal (SIGXFSZ, SIG_IGN);
-
       /* A connection of the fault proxy that is open in another process as
          well does not end when the proxy closes it.  */
       close_range (STDERR_FILENO + 1, UINT_MAX, 0);
@@ -74,9 +193,11 @@
     }
   n->paused = false;
   n->stopping = false;
+  n->stalled_until_ms = 0;
   n->disk_full = false;
   n->until_ms = 0;
   n->start_ms = now_ms ();
+  record_event (n, "started");
 }
 
 void
@@ -87,7 +208,15 @@
   n->pid = 0;
   n->fault_ms = now_ms ();
   n->until_ms = now_ms () + 300 + soak_random_fault (2000);
-  soak_log ("killed", n->address);
+  soak_node_event (n, "killed");
+}
+
+void
+soak_power_off_node (struct node *n)
+{
+  fault_proxy_blackhole (&soak.proxy, n->index, PROXY_ANY);
+  soak_node_event (n, "loses power");
+  soak_kill_node (n);
 }
 
 void
@@ -97,7 +226,7 @@
   n->paused = true;
   n->fault_ms = now_ms ();
   n->until_ms = now_ms () + 200 + soak_random_fault (3000);
-  soak_log ("paused", n->address);
+  soak_node_event (n, "paused");
 }
 
 void
@@ -106,45 +235,83 @@
   kill (n->pid, SIGTERM);
   n->stopping = true;
   n->until_ms = now_ms () + STOP_GRACE_MS;
-  soak_log ("sent SIGTERM", n->address);
+  soak_node_event (n, "sent SIGTERM");
+}
+
+static void
+update_node (struct node *n, int64_t now)
+{
+  if (n->paused && now >= n->until_ms)
+    {
+      kill (n->pid, SIGCONT);
+      n->paused = false;
+      n->fault_ms = now;
+      soak_node_event (n, "resumed");
+    }
+  else if (n->pid != 0 && !n->paused
+           && waitpid (n->pid, NULL, WNOHANG) == n->pid)
+    {
+      if (!n->stopping)
+        soak_violation ("a process exited unexpectedly", n->address);
+      n->pid = 0;
+      n->until_ms = now + 300;
+      record_event (n, "exited");
+    }
+  else if (n->stopping && n->pid != 0 && now >= n->until_ms + 500)
+    {
+      soak_violation ("a process did not exit within its grace period",
+                      n->address);
+      soak_kill_node (n);
+    }
+  else if (n->pid == 0 && now >= n->until_ms)
+    {
+      soak_start_node (n, false);
+      soak_log ("started", n->address);
+    }
+}
+
+static void
+end_stall (struct node *n)
+{
+  n->stalled_until_ms = 0;
+  if (n->pid == 0 || n->paused)
+    return;
+  kill (n->pid, SIGCONT);
+  record_event (n, "stall ends");
 }
 
 void
 soak_update_nodes (int64_t now)
 {
-  for (int i = 0; i < NODES; i++)
+  for (int i = 0; i < soak.node_count; i++)
     {
       struct node *n = &soak.nodes[i];
 
-      if (n->paused && now >= n->until_ms)
-        {
-          kill (n->pid, SIGCONT);
-          n->paused = false;
-          n->fault_ms = now;
-          soak_log ("resumed", n->address);
-        }
-      else if (n->pid != 0 && !n->paused
-               && waitpid (n->pid, NULL, WNOHANG) == n->pid)
-        {
-          if (!n->stopping)
-            soak_violation ("a process exited unexpectedly", n->address);
-          n->pid = 0;
-          n->until_ms = now + 300;
-        }
-      else if (n->stopping && n->pid != 0 && now >= n->until_ms + 500)
-        {
-          soak_violation ("a process did not exit within its grace period",
-                          n->address);
-          soak_kill_node (n);
-        }
-      else if (n->pid == 0 && now >= n->until_ms)
-        {
-          soak_start_node (n, false);
-          soak_log ("started", n->address);
-        }
+      if (n->stalled_until_ms != 0 && now >= n->stalled_until_ms)
+        end_stall (n);
+      update_node (n, now);
     }
 }
 
+void
+soak_stall_nodes (int64_t now)
+{
+  static int64_t due_ms;
+  struct node *n;
+
+  if (soak.stalls_per_second == 0 || now < due_ms || soak_faults_ended ())
+    return;
+  due_ms = now + 500 / soak.stalls_per_second
+           + soak_random_stall (1000 / soak.stalls_per_second);
+  n = &soak.nodes[soak_random_stall ((uint32_t)soak.node_count)];
+  if (soak_is_disturbed (n) || n->stalled_until_ms != 0)
+    return;
+  kill (n->pid, SIGSTOP);
+  n->stalled_until_ms
+      = now + STALL_MIN_MS + soak_random_stall (STALL_MAX_MS - STALL_MIN_MS);
+  record_event (n, "stalls");
+}
+
 void
 soak_remove_folder (const char *folder)
 {
--- /dev/null
+++ b/tests/soak/soak_series.c
@@ -0,0 +1,194 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include "base/now.h"
+#include "tests/soak/path_faults.h"
+#include "tests/soak/soak.h"
+
+enum
+{
+  PLAN_LIMIT = 64,
+  FOLLOW_MIN_MS = 200,
+  FOLLOW_MAX_MS = 900,
+  FOLLOW_COUNT_MAX = 3,
+  CUT_MIN_MS = 400,
+  CUT_MAX_MS = 3000,
+  ROLL_MIN_MS = 300,
+  ROLL_MAX_MS = 1000
+};
+
+enum series_kind
+{
+  SERIES_KILL,
+  SERIES_POWER_OFF,
+  SERIES_PAUSE,
+  SERIES_STOP,
+  SERIES_RESET,      /* the connections of VM */
+  SERIES_CUT_PEERS,  /* VM from the other VMs */
+  SERIES_CUT_PATH,   /* the path from VM to OTHER */
+  SERIES_CUT_TARGETS /* VM from all targets */
+};
+
+/* A fault that is due at a later time.  */
+struct planned_fault
+{
+  int64_t due_ms; /* 0: unused */
+  enum series_kind kind;
+  struct node *node;
+  int other; /* index in the fault proxy */
+};
+
+static struct planned_fault plan[PLAN_LIMIT];
+
+static void
+plan_fault (int64_t due_ms, enum series_kind kind, struct node *n, int other)
+{
+  for (int i = 0; i < PLAN_LIMIT; i++)
+    if (plan[i].due_ms == 0)
+      {
+        plan[i] = (struct planned_fault){ due_ms, kind, n, other };
+        return;
+      }
+}
+
+static void
+start_cut (int64_t now, enum path_scope scope, int from, int to)
+{
+  struct path_fault f = { .scope = scope, .from = from, .to = to };
+
+  f.both = soak_random_fault (2) == 0;
+  f.until_ms = now + CUT_MIN_MS + soak_random_fault (CUT_MAX_MS - CUT_MIN_MS);
+  path_faults_start (&f);
+}
+
+static void
+inject (int64_t now, enum series_kind kind, struct node *n, int other)
+{
+  if (kind <= SERIES_STOP && soak_is_disturbed (n))
+    return;
+  switch (kind)
+    {
+    case SERIES_KILL:
+      soak_kill_node (n);
+      break;
+    case SERIES_POWER_OFF:
+      soak_power_off_node (n);
+      break;
+    case SERIES_PAUSE:
+      soak_pause_node (n);
+      break;
+    case SERIES_STOP:
+      soak_stop_node (n);
+      break;
+    case SERIES_RESET:
+      soak_node_event (n, "connections reset");
+      fault_proxy_reset (&soak.proxy, n->index, PROXY_ANY);
+      break;
+    case SERIES_CUT_PEERS:
+      start_cut (now, PATH_PEERS, n->index, 0);
+      break;
+    case SERIES_CUT_PATH:
+      start_cut (now, PATH_PAIR, n->index, other);
+      break;
+    case SERIES_CUT_TARGETS:
+      start_cut (now, PATH_TARGETS, n->index, 0);
+      break;
+    }
+}
+
+void
+soak_continue_series (int64_t now)
+{
+  for (int i = 0; i < PLAN_LIMIT; i++)
+    if (plan[i].due_ms != 0 && now >= plan[i].due_ms)
+      {
+        if (!soak_faults_ended ())
+          inject (now, plan[i].kind, plan[i].node, plan[i].other);
+        plan[i].due_ms = 0;
+      }
+}
+
+/* Plans a fault at the VM that has started L, or on its paths.  */
+static void
+plan_follow_up (int64_t now, const struct live_run *l)
+{
+  static const enum series_kind kinds[]
+      = { SERIES_PAUSE,    SERIES_KILL,     SERIES_POWER_OFF,
+          SERIES_CUT_PATH, SERIES_CUT_PATH, SERIES_CUT_TARGETS };
+  uint32_t draw = soak_random_fault (sizeof kinds / sizeof kinds[0]);
+  int64_t due_ms = now + FOLLOW_MIN_MS
+                   + soak_random_fault (FOLLOW_MAX_MS - FOLLOW_MIN_MS);
+  bool to_target = soak_random_fault (2) == 0;
+  int other = to_target ? soak_worker_index ((int)(l->worker - soak.workers))
+                        : soak_caller_entry (l)->index;
+
+  plan_fault (due_ms, kinds[draw], l->starter, other);
+}
+
+void
+soak_start_series (int64_t now)
+{
+  static const enum series_kind kinds[]
+      = { SERIES_KILL,  SERIES_POWER_OFF, SERIES_POWER_OFF,
+          SERIES_PAUSE, SERIES_RESET,     SERIES_CUT_PEERS };
+  const struct live_run *l = soak_random_run ();
+  uint32_t draw = soak_random_fault (sizeof kinds / sizeof kinds[0]);
+  uint32_t count = 1 + soak_random_fault (FOLLOW_COUNT_MAX);
+  struct node *entry;
+
+  if (l == NULL)
+    return;
+  entry = soak_caller_entry (l);
+  soak_log ("series at the entry of", l->run.task);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct live_run *other = i == 0 ? l : soak_random_run ();
+
+      if (other != NULL)
+        plan_follow_up (now, other);
+    }
+  inject (now, kinds[draw], entry, 0);
+}
+
+/* Injects a fault of KIND at about half of the entries of DOMAIN: all at once,
+   or STEP_MS apart.  */
+static void
+hit_domain (int64_t now, uint32_t domain, enum series_kind kind, bool in_turn)
+{
+  int64_t due_ms = now;
+
+  for (int i = soak.keeper_count; i < soak.node_count; i++)
+    {
+      struct node *n = &soak.nodes[i];
+
+      if (n->domain != domain || soak_random_fault (2) == 0)
+        continue;
+      if (!in_turn)
+        inject (now, kind, n, 0);
+      else
+        plan_fault (due_ms, kind, n, 0);
+      due_ms += ROLL_MIN_MS + soak_random_fault (ROLL_MAX_MS - ROLL_MIN_MS);
+    }
+}
+
+void
+soak_start_mass_fault (int64_t now)
+{
+  static const enum series_kind kinds[]
+      = { SERIES_KILL, SERIES_POWER_OFF, SERIES_PAUSE, SERIES_STOP,
+          SERIES_RESET };
+  enum
+  {
+    KINDS = sizeof kinds / sizeof kinds[0]
+  };
+  uint32_t domain = soak_random_fault (soak.domain_count);
+  uint32_t draw = soak_random_fault (KINDS + 2);
+
+  printf ("%" PRId64 " ms: mass fault %u in zone-%u\n", soak_elapsed_ms (),
+          draw, domain);
+  if (draw < KINDS)
+    hit_domain (now, domain, kinds[draw], false);
+  else if (draw == KINDS)
+    hit_domain (now, domain, SERIES_STOP, true);
+  else
+    start_cut (now, PATH_DOMAIN, (int)domain, 0);
+}
