Node soak: options by a table; own lateness beside each violation

The sizes are options of one table. A violation is printed with how late the soak's own loop was in the last 2 s: its workers and callers are late by as much, so that a reader can tell a margin of some ms from a real one.

--- a/tests/soak/node_soak.c
+++ b/tests/soak/node_soak.c
@@ -31,7 +31,9 @@
 
 static char root[128];
 static int64_t last_tick_ms;
-static int64_t latest_tick_ms; /* the longest time between two ticks */
+static int64_t latest_ms; /* the longest delay of a tick */
+static int64_t recent_latest_ms;
+static int64_t recent_latest_at_ms;
 
 static uint32_t
 next_random (uint64_t *state, uint32_t limit)
@@ -85,6 +87,29 @@
   printf ("%" PRId64 " ms: %s %s\n", soak_elapsed_ms (), what, id);
 }
 
+/* Records how late this process's own loop is: its workers and callers are
+   late by as much.  */
+static void
+record_tick (int64_t now)
+{
+  int64_t late_ms = now - last_tick_ms - TICK_MS;
+
+  last_tick_ms = now;
+  if (late_ms > latest_ms)
+    latest_ms = late_ms;
+  if (late_ms < recent_latest_ms
+      && now - recent_latest_at_ms < RECENTLY_LATE_MS)
+    return;
+  recent_latest_ms = late_ms;
+  recent_latest_at_ms = now;
+}
+
+int64_t
+soak_recently_late_ms (void)
+{
+  return recent_latest_ms;
+}
+
 static void
 end_fault_phase (void)
 {
@@ -94,7 +119,7 @@
     return;
   ended = true;
   soak_log ("the faults end", "");
-  for (int i = 0; i < soak.worker_count; i++)
+  for (uint32_t i = 0; i < soak.worker_count; i++)
     soak.workers[i].behaviour = WORKER_NORMAL;
   soak_end_faults (now_ms (), true);
 }
@@ -107,10 +132,8 @@
   (void)fd;
   (void)what;
   (void)arg;
-  if (now - last_tick_ms > latest_tick_ms)
-    latest_tick_ms = now - last_tick_ms;
-  last_tick_ms = now;
-  for (int i = 0; i < soak.worker_count; i++)
+  record_tick (now);
+  for (uint32_t i = 0; i < soak.worker_count; i++)
     fake_worker_tick (&soak.workers[i], now);
   soak_check_runs (now);
   soak_update_nodes (now);
@@ -128,23 +151,24 @@
 
 /* Sets up node I; entries use the second of the soak's networks.  */
 static bool
-set_up_node (int i)
+set_up_node (uint32_t i)
 {
   struct node *n = &soak.nodes[i];
-  int number = i < soak.keeper_count ? i : i - soak.keeper_count;
+  uint32_t number = i < soak.keeper_count ? i : i - soak.keeper_count;
 
   n->index = i;
-  n->domain = (uint32_t)number % soak.domain_count;
+  n->domain = number % soak.domain_count;
   snprintf (n->address, sizeof n->address, "127.0.%d.%d",
             i < soak.keeper_count ? soak.first_net : soak.first_net + 1,
             number + 1);
   snprintf (n->folder, sizeof n->folder, "%s/node-%d", root, i);
   return mkdir (n->folder, 0700) == 0
-         && fault_proxy_add (&soak.proxy, n->address, PEER_PORT, false) == i;
+         && fault_proxy_add (&soak.proxy, n->address, PEER_PORT, false)
+                == (int)i;
 }
 
 static bool
-set_up_worker (int i)
+set_up_worker (uint32_t i)
 {
   struct fake_worker *w = &soak.workers[i];
   char id[16];
@@ -155,11 +179,11 @@
                                       .port = WORKER_PORT,
                                       .listen_port = LISTEN_PORT,
                                       .zone = zone,
-                                      .seed = soak.seed + (uint64_t)i + 1,
+                                      .seed = soak.seed + i + 1,
                                       .events = &soak_worker_events };
 
   snprintf (id, sizeof id, "w%d", i);
-  snprintf (zone, sizeof zone, "zone-%u", (uint32_t)i % soak.domain_count);
+  snprintf (zone, sizeof zone, "zone-%u", i % soak.domain_count);
   snprintf (address, sizeof address, "127.0.%d.%d", soak.first_net + 2, i + 1);
   return fake_worker_start (w, soak.base, &setup)
          && fault_proxy_add (&soak.proxy, w->address, WORKER_PORT, true)
@@ -172,13 +196,13 @@
   snprintf (root, sizeof root, "/tmp/ragwort-soak-XXXXXX");
   if (mkdtemp (root) == NULL)
     return false;
-  for (int i = 0; i < soak.node_count; i++)
+  for (uint32_t i = 0; i < soak.node_count; i++)
     if (!set_up_node (i))
       return false;
-  for (int i = 0; i < soak.worker_count; i++)
+  for (uint32_t i = 0; i < soak.worker_count; i++)
     if (!set_up_worker (i))
       return false;
-  for (int i = 0; i < soak.node_count; i++)
+  for (uint32_t i = 0; i < soak.node_count; i++)
     soak_start_node (&soak.nodes[i], true);
   return true;
 }
@@ -188,7 +212,7 @@
 static void
 tear_down (bool keep)
 {
-  for (int i = 0; i < soak.node_count; i++)
+  for (uint32_t i = 0; i < soak.node_count; i++)
     if (soak.nodes[i].pid != 0)
       {
         kill (soak.nodes[i].pid, SIGKILL);
@@ -205,7 +229,7 @@
 static void
 free_all (void)
 {
-  for (int i = 0; i < soak.worker_count; i++)
+  for (uint32_t i = 0; i < soak.worker_count; i++)
     fake_worker_done (&soak.workers[i]);
   fault_proxy_done (&soak.proxy);
   soak_free_runs ();
@@ -245,8 +269,8 @@
   last_tick_ms = soak.begin_ms;
   soak.fault_due_ms = soak.begin_ms + SETTLE_MS;
   soak.seconds += SETTLE_MS / 1000;
-  printf ("seed %" PRIu64 ": 0 ms is %" PRId64 " in the logs, %d keepers, "
-          "%d entries, %d workers, %u calls/s\n",
+  printf ("seed %" PRIu64 ": 0 ms is %" PRId64 " in the logs, %u keepers, "
+          "%u entries, %u workers, %u calls/s\n",
           soak.seed, now_wall_ms (), soak.keeper_count, soak.entry_count,
           soak.worker_count, soak.calls_per_second);
   if (!set_up ())
@@ -262,7 +286,7 @@
   soak_finish_calls ();
   printf ("%u changes acknowledged, loop late by %" PRId64
           " ms at most, %u violations\n",
-          soak.changes_acked, latest_tick_ms - TICK_MS, soak.violations);
+          soak.changes_acked, latest_ms, soak.violations);
   tear_down (soak.keep_logs || soak.violations != 0);
   event_free (timer);
   free_all ();
--- a/tests/soak/path_faults.c
+++ b/tests/soak/path_faults.c
@@ -27,22 +27,26 @@
 static int
 domain_of (int index)
 {
-  if (index < soak.node_count)
+  int nodes = (int)soak.node_count;
+
+  if (index < nodes)
     return (int)soak.nodes[index].domain;
-  return (index - soak.node_count) % (int)soak.domain_count;
+  return (index - nodes) % (int)soak.domain_count;
 }
 
 static bool
 affects (const struct path_fault *f, int from, int to)
 {
+  int nodes = (int)soak.node_count;
+
   switch (f->scope)
     {
     case PATH_PAIR:
       return from == f->from && to == f->to;
     case PATH_PEERS:
-      return from == f->from && to != from && to < soak.node_count;
+      return from == f->from && to != from && to < nodes;
     case PATH_TARGETS:
-      return from == f->from && to >= soak.node_count;
+      return from == f->from && to >= nodes;
     default:
       return domain_of (from) == f->from && domain_of (to) != f->from;
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -15,7 +15,6 @@
 
 enum
 {
-  KEEPER_LIMIT = 7,
   NODE_LIMIT = 64,
   WORKER_LIMIT = PROXY_LIMIT - NODE_LIMIT,
   TICK_MS = 10,
@@ -37,6 +36,7 @@
   WORKER_PORT = 18725,
   LISTEN_PORT = 18726, /* of VMs and targets, behind the fault proxy */
   DELAY_MAX_MS = 300,
+  RECENTLY_LATE_MS = 2000,
   STALL_MIN_MS = 20,
   STALL_MAX_MS = 300,
   FULL_DISK_BYTES = 64,
@@ -56,7 +56,7 @@
 
 struct node
 {
-  int index; /* also its index in the fault proxy */
+  uint32_t index; /* also its index in the fault proxy */
   char address[32];
   char folder[256];
   uint32_t domain;
@@ -118,9 +118,9 @@
   int first_net;   /* 127.0.N.x and the next two /24 nets are used */
   int64_t seconds; /* duration of the faults; main adds SETTLE_MS, which
                       makes it their end, counted from begin_ms */
-  int keeper_count;
-  int entry_count;
-  int worker_count;
+  uint32_t keeper_count;
+  uint32_t entry_count;
+  uint32_t worker_count;
   uint32_t domain_count;
   uint32_t load_percent;     /* of the workers' slots */
   uint32_t calls_per_second; /* 0: fitted to load_percent */
@@ -131,7 +131,7 @@
   bool keep_logs;
 
   struct event_base *base;
-  int node_count;
+  uint32_t node_count;
   struct node nodes[NODE_LIMIT]; /* the keepers come first */
   struct fake_worker workers[WORKER_LIMIT];
   struct fault_proxy proxy;
@@ -164,6 +164,10 @@
 uint32_t soak_random_load (uint32_t limit);
 
 int64_t soak_elapsed_ms (void);
+
+/* Returns by how much the soak's own loop was late in the last
+   RECENTLY_LATE_MS at most.  */
+int64_t soak_recently_late_ms (void);
 bool soak_faults_ended (void);
 
 /* soak_violation prints and counts a broken guarantee; soak_log prints an
@@ -196,7 +200,7 @@
 void soak_remove_folder (const char *folder);
 
 /* Returns the index in the fault proxy of worker number I.  */
-int soak_worker_index (int i);
+int soak_worker_index (uint32_t i);
 
 /* Returns the index of the VM that opened the connection from CLIENT to the
    target at SERVER with REQUEST, or -1 if unknown.  */
--- a/tests/soak/soak_calls.c
+++ b/tests/soak/soak_calls.c
@@ -121,8 +121,7 @@
   struct node *n;
 
   do
-    n = &soak.nodes[soak.keeper_count
-                    + (int)soak_random_load ((uint32_t)soak.entry_count)];
+    n = &soak.nodes[soak.keeper_count + soak_random_load (soak.entry_count)];
   while (n->pid == 0 && soak_random_load (4) != 0);
   return n;
 }
--- a/tests/soak/soak_control.c
+++ b/tests/soak/soak_control.c
@@ -116,7 +116,7 @@
 static const char *
 random_keeper (void)
 {
-  return soak.nodes[soak_random_load ((uint32_t)soak.keeper_count)].address;
+  return soak.nodes[soak_random_load (soak.keeper_count)].address;
 }
 
 static void
@@ -156,7 +156,7 @@
   if (now < next_heartbeat_ms)
     return;
   next_heartbeat_ms = now + HEARTBEAT_MS;
-  for (int i = 0; i < soak.worker_count; i++)
+  for (uint32_t i = 0; i < soak.worker_count; i++)
     {
       struct control_call *c = control_new ();
 
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -11,12 +11,12 @@
 
 /* Returns the number of keepers without a fault.  Faults hit one keeper at a
    time, so that a majority stays healthy.  */
-static int
+static uint32_t
 healthy_keepers (void)
 {
-  int count = 0;
+  uint32_t count = 0;
 
-  for (int i = 0; i < soak.keeper_count; i++)
+  for (uint32_t i = 0; i < soak.keeper_count; i++)
     count += !soak_is_disturbed (&soak.nodes[i]) && !soak.nodes[i].disk_full;
   return count;
 }
@@ -53,7 +53,7 @@
 static struct node *
 random_keeper (void)
 {
-  return &soak.nodes[soak_random_fault ((uint32_t)soak.keeper_count)];
+  return &soak.nodes[soak_random_fault (soak.keeper_count)];
 }
 
 static void
@@ -77,16 +77,16 @@
   struct path_fault f = { .scope = PATH_PAIR };
   bool to_target = soak_random_fault (2) == 0;
   uint32_t kind = soak_random_fault (4);
-  uint32_t worker = soak_random_fault ((uint32_t)soak.worker_count);
+  uint32_t worker = soak_random_fault (soak.worker_count);
 
-  f.from = (int)soak_random_fault ((uint32_t)soak.node_count);
-  f.to = (int)soak_random_fault ((uint32_t)soak.node_count);
+  f.from = (int)soak_random_fault (soak.node_count);
+  f.to = (int)soak_random_fault (soak.node_count);
   f.both = soak_random_fault (2) == 0;
   f.until_ms = now + 300 + soak_random_fault (3000);
   if (to_target)
     {
-      f.from = soak_random_entry ()->index;
-      f.to = soak_worker_index ((int)worker);
+      f.from = (int)soak_random_entry ()->index;
+      f.to = soak_worker_index (worker);
     }
   if (f.from == f.to)
     return;
@@ -115,7 +115,7 @@
 soak_end_faults (int64_t now, bool all)
 {
   path_faults_end (now, all);
-  for (int i = 0; i < soak.keeper_count; i++)
+  for (uint32_t i = 0; i < soak.keeper_count; i++)
     if (soak.nodes[i].disk_full && soak.nodes[i].pid != 0
         && (all || now >= soak.nodes[i].disk_full_until_ms))
       set_disk_full (&soak.nodes[i], false);
@@ -124,7 +124,7 @@
 static void
 inject_worker_fault (void)
 {
-  uint32_t i = soak_random_fault ((uint32_t)soak.worker_count);
+  uint32_t i = soak_random_fault (soak.worker_count);
   struct fake_worker *w = &soak.workers[i];
 
   if (w->behaviour != WORKER_NORMAL)
@@ -132,7 +132,7 @@
   else if (soak_random_fault (6) == 0)
     {
       fake_worker_restart (w, now_ms ());
-      fault_proxy_reset (&soak.proxy, soak_worker_index ((int)i), PROXY_ANY);
+      fault_proxy_reset (&soak.proxy, soak_worker_index (i), PROXY_ANY);
       soak_log ("reborn", w->id);
     }
   else
@@ -158,7 +158,7 @@
 static void
 inject_node_fault (void)
 {
-  struct node *n = &soak.nodes[soak_random_fault ((uint32_t)soak.node_count)];
+  struct node *n = &soak.nodes[soak_random_fault (soak.node_count)];
 
   if (soak_is_disturbed (n)
       || (soak_is_keeper (n) && healthy_keepers () < soak.keeper_count))
--- a/tests/soak/soak_nodes.c
+++ b/tests/soak/soak_nodes.c
@@ -28,7 +28,7 @@
 struct node *
 soak_node_at (const char *address)
 {
-  for (int i = 0; i < soak.node_count; i++)
+  for (uint32_t i = 0; i < soak.node_count; i++)
     if (strcmp (soak.nodes[i].address, address) == 0)
       return &soak.nodes[i];
   return NULL;
@@ -37,8 +37,7 @@
 struct node *
 soak_random_entry (void)
 {
-  return &soak.nodes[soak.keeper_count
-                     + (int)soak_random_fault ((uint32_t)soak.entry_count)];
+  return &soak.nodes[soak.keeper_count + soak_random_fault (soak.entry_count)];
 }
 
 /* Records that WHAT has happened to N, for print_history of soak_runs.c.  */
@@ -57,9 +56,9 @@
 }
 
 int
-soak_worker_index (int i)
+soak_worker_index (uint32_t i)
 {
-  return soak.node_count + i;
+  return (int)(soak.node_count + i);
 }
 
 /* The VM that uses a fencing token: the keepers give each VM a new one for
@@ -93,9 +92,9 @@
 {
   uint32_t inode = socket_owner_inode (client, server);
 
-  for (int i = soak.keeper_count; i < soak.node_count && inode != 0; i++)
+  for (uint32_t i = soak.keeper_count; i < soak.node_count && inode != 0; i++)
     if (soak.nodes[i].pid != 0 && socket_owner_has (soak.nodes[i].pid, inode))
-      return i;
+      return (int)i;
   return -1;
 }
 
@@ -283,7 +282,7 @@
 void
 soak_update_nodes (int64_t now)
 {
-  for (int i = 0; i < soak.node_count; i++)
+  for (uint32_t i = 0; i < soak.node_count; i++)
     {
       struct node *n = &soak.nodes[i];
 
@@ -303,7 +302,7 @@
     return;
   due_ms = now + 500 / soak.stalls_per_second
            + soak_random_stall (1000 / soak.stalls_per_second);
-  n = &soak.nodes[soak_random_stall ((uint32_t)soak.node_count)];
+  n = &soak.nodes[soak_random_stall (soak.node_count)];
   if (soak_is_disturbed (n) || n->stalled_until_ms != 0)
     return;
   kill (n->pid, SIGSTOP);
--- a/tests/soak/soak_options.c
+++ b/tests/soak/soak_options.c
@@ -5,16 +5,46 @@
 
 enum
 {
-  OPTION_KEEPERS = 256,
-  OPTION_ENTRIES,
-  OPTION_WORKERS,
-  OPTION_DOMAINS,
-  OPTION_LOAD,
-  OPTION_CALLS,
-  OPTION_RUN_MIN,
-  OPTION_RUN_MAX,
-  OPTION_FAULT_GAP,
-  OPTION_STALLS
+  FIRST_SIZE_KEY = 256
+};
+
+/* The options that set a size; the key of each is FIRST_SIZE_KEY and its index
+   here.  */
+static uint32_t *const sizes[]
+    = { &soak.keeper_count,     &soak.entry_count,  &soak.worker_count,
+        &soak.domain_count,     &soak.load_percent, &soak.calls_per_second,
+        &soak.run_min_ms,       &soak.run_max_ms,   &soak.fault_gap_ms,
+        &soak.stalls_per_second };
+
+enum
+{
+  SIZE_COUNT = sizeof sizes / sizeof sizes[0]
+};
+
+static const struct argp_option options[] = {
+  { "seed", 's', "N", 0, "Seed of the faults and the load (1)", 0 },
+  { "keep", 'k', NULL, 0, "Keep the logs of a run without violations", 0 },
+  { "net", 'n', "N", 0, "Use 127.0.N.x and the next two /24 networks (31)",
+    0 },
+  { "seconds", 't', "S", 0, "Duration of the faults (20)", 0 },
+  { "profile", 'p', "NAME", 0,
+    "Sizes: short (4 entries, 12 workers) or large (24 entries, 120 workers, "
+    "more faults); later options change single ones",
+    0 },
+  { "keepers", FIRST_SIZE_KEY, "N", 0, "Number of keepers", 1 },
+  { "entries", FIRST_SIZE_KEY + 1, "N", 0, "Number of entries", 1 },
+  { "workers", FIRST_SIZE_KEY + 2, "N", 0, "Number of workers", 1 },
+  { "domains", FIRST_SIZE_KEY + 3, "N", 0, "Number of failure domains", 1 },
+  { "load", FIRST_SIZE_KEY + 4, "PERCENT", 0,
+    "Share of the workers' slots that the callers use (70)", 1 },
+  { "calls", FIRST_SIZE_KEY + 5, "N", 0,
+    "New jobs per second (fitted to the load)", 1 },
+  { "run-min", FIRST_SIZE_KEY + 6, "MS", 0, "Shortest run (60)", 1 },
+  { "run-max", FIRST_SIZE_KEY + 7, "MS", 0, "Longest run (2200)", 1 },
+  { "fault-gap", FIRST_SIZE_KEY + 8, "MS", 0, "Mean interval of faults", 1 },
+  { "stalls", FIRST_SIZE_KEY + 9, "N", 0,
+    "Stalls of random processes per second, of 20 to 300 ms", 1 },
+  { NULL, 0, NULL, 0, NULL, 0 }
 };
 
 static void
@@ -27,7 +57,7 @@
   soak.load_percent = 70;
   soak.run_min_ms = 60;
   soak.run_max_ms = 2200;
-  soak.fault_gap_ms = 900;
+  soak.fault_gap_ms = 600;
   soak.stalls_per_second = 1;
 }
 
@@ -58,10 +88,10 @@
 {
   if (soak.program == NULL)
     argp_usage (state);
-  if (soak.keeper_count < 1 || soak.keeper_count > KEEPER_LIMIT
-      || soak.entry_count < 1
-      || soak.keeper_count + soak.entry_count > NODE_LIMIT
-      || soak.worker_count < 1 || soak.worker_count > WORKER_LIMIT
+  if (soak.keeper_count == 0 || soak.entry_count == 0
+      || soak.keeper_count > NODE_LIMIT
+      || soak.entry_count > NODE_LIMIT - soak.keeper_count
+      || soak.worker_count == 0 || soak.worker_count > WORKER_LIMIT
       || soak.domain_count == 0 || soak.run_min_ms == 0
       || soak.run_max_ms < soak.run_min_ms || soak.fault_gap_ms == 0)
     argp_error (state, "a size is out of range");
@@ -70,6 +100,11 @@
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
+  if (key >= FIRST_SIZE_KEY && key < FIRST_SIZE_KEY + SIZE_COUNT)
+    {
+      *sizes[key - FIRST_SIZE_KEY] = (uint32_t)strtoul (arg, NULL, 10);
+      return 0;
+    }
   switch (key)
     {
     case 's':
@@ -87,36 +122,6 @@
     case 'p':
       set_profile (arg, state);
       return 0;
-    case OPTION_KEEPERS:
-      soak.keeper_count = atoi (arg);
-      return 0;
-    case OPTION_ENTRIES:
-      soak.entry_count = atoi (arg);
-      return 0;
-    case OPTION_WORKERS:
-      soak.worker_count = atoi (arg);
-      return 0;
-    case OPTION_DOMAINS:
-      soak.domain_count = (uint32_t)atoi (arg);
-      return 0;
-    case OPTION_LOAD:
-      soak.load_percent = (uint32_t)atoi (arg);
-      return 0;
-    case OPTION_CALLS:
-      soak.calls_per_second = (uint32_t)atoi (arg);
-      return 0;
-    case OPTION_RUN_MIN:
-      soak.run_min_ms = (uint32_t)atoi (arg);
-      return 0;
-    case OPTION_RUN_MAX:
-      soak.run_max_ms = (uint32_t)atoi (arg);
-      return 0;
-    case OPTION_FAULT_GAP:
-      soak.fault_gap_ms = (uint32_t)atoi (arg);
-      return 0;
-    case OPTION_STALLS:
-      soak.stalls_per_second = (uint32_t)atoi (arg);
-      return 0;
     case ARGP_KEY_ARG:
       soak.program = arg;
       return 0;
@@ -128,32 +133,6 @@
     }
 }
 
-static const struct argp_option options[] = {
-  { "seed", 's', "N", 0, "Seed of the faults and the load (1)", 0 },
-  { "keep", 'k', NULL, 0, "Keep the logs of a run without violations", 0 },
-  { "net", 'n', "N", 0, "Use 127.0.N.x and the next two /24 networks (31)",
-    0 },
-  { "seconds", 't', "S", 0, "Duration of the faults (20)", 0 },
-  { "profile", 'p', "NAME", 0,
-    "Sizes: short (4 entries, 12 workers) or large (24 entries, 120 workers, "
-    "more faults); later options change single ones",
-    0 },
-  { "keepers", OPTION_KEEPERS, "N", 0, "Number of keepers", 1 },
-  { "entries", OPTION_ENTRIES, "N", 0, "Number of entries", 1 },
-  { "workers", OPTION_WORKERS, "N", 0, "Number of workers", 1 },
-  { "domains", OPTION_DOMAINS, "N", 0, "Number of failure domains", 1 },
-  { "load", OPTION_LOAD, "PERCENT", 0,
-    "Share of the workers' slots that the callers use (70)", 1 },
-  { "calls", OPTION_CALLS, "N", 0, "New jobs per second (fitted to the load)",
-    1 },
-  { "run-min", OPTION_RUN_MIN, "MS", 0, "Shortest run (60)", 1 },
-  { "run-max", OPTION_RUN_MAX, "MS", 0, "Longest run (2200)", 1 },
-  { "fault-gap", OPTION_FAULT_GAP, "MS", 0, "Mean interval of faults", 1 },
-  { "stalls", OPTION_STALLS, "N", 0,
-    "Stalls of random processes per second, of 20 to 300 ms", 1 },
-  { NULL, 0, NULL, 0, NULL, 0 }
-};
-
 static const struct argp parser
     = { options,   parse_option,
         "PROGRAM", "Tests PROGRAM, a ragwort-node, under random faults.",
@@ -165,7 +144,7 @@
 static uint32_t
 fitted_calls (void)
 {
-  uint32_t slots = (uint32_t)soak.worker_count * WORKER_SLOTS;
+  uint32_t slots = soak.worker_count * WORKER_SLOTS;
   uint32_t job_slot_ms
       = (JOB_TASKS_MAX + 1) * (soak.run_min_ms + soak.run_max_ms) / 4;
   uint32_t calls = slots * soak.load_percent * 10 / job_slot_ms;
--- a/tests/soak/soak_runs.c
+++ b/tests/soak/soak_runs.c
@@ -87,7 +87,7 @@
   const struct job *j = l->job;
   int64_t from_ms = since_begin (j->attempts[0].sent_ms) - HISTORY_BEFORE_MS;
 
-  for (int i = 0; i < soak.node_count; i++)
+  for (uint32_t i = 0; i < soak.node_count; i++)
     {
       const struct node *n = &soak.nodes[i];
       bool involved
@@ -108,6 +108,8 @@
     print_run (other);
   print_attempts (l->job);
   print_nodes (l, other);
+  printf ("    soak: late by %" PRId64 " ms at most in the last 2 s\n",
+          soak_recently_late_ms ());
 }
 
 static struct live_run *
--- a/tests/soak/soak_series.c
+++ b/tests/soak/soak_series.c
@@ -118,8 +118,9 @@
   int64_t due_ms = now + FOLLOW_MIN_MS
                    + soak_random_fault (FOLLOW_MAX_MS - FOLLOW_MIN_MS);
   bool to_target = soak_random_fault (2) == 0;
-  int other = to_target ? soak_worker_index ((int)(l->worker - soak.workers))
-                        : soak_caller_entry (l)->index;
+  int other = to_target
+                  ? soak_worker_index ((uint32_t)(l->worker - soak.workers))
+                  : (int)soak_caller_entry (l)->index;
 
   plan_fault (due_ms, kinds[draw], l->starter, other);
 }
@@ -156,7 +157,7 @@
 {
   int64_t due_ms = now;
 
-  for (int i = soak.keeper_count; i < soak.node_count; i++)
+  for (uint32_t i = soak.keeper_count; i < soak.node_count; i++)
     {
       struct node *n = &soak.nodes[i];
 
