Node soak: path faults to targets hit the VM that runs a task there

Of 24 entries a few own targets: a random pair of entry and target seldom carried anything. The pair is taken from a random run.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -179,7 +179,6 @@
 bool soak_is_keeper (const struct node *n);
 bool soak_is_disturbed (const struct node *n);
 struct node *soak_node_at (const char *address);
-struct node *soak_random_entry (void);
 void soak_node_event (struct node *n, const char *what);
 void soak_start_node (struct node *n, bool first);
 void soak_kill_node (struct node *n);
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -70,23 +70,23 @@
 }
 
 /* Resets, black-holes, cuts or delays the path between two random VMs, or
-   between an entry and a target.  */
+   between a VM and a target that runs a task of it.  */
 static void
 inject_path_fault (int64_t now)
 {
   struct path_fault f = { .scope = PATH_PAIR };
   bool to_target = soak_random_fault (2) == 0;
   uint32_t kind = soak_random_fault (4);
-  uint32_t worker = soak_random_fault (soak.worker_count);
+  const struct live_run *l = soak_random_run ();
 
   f.from = (int)soak_random_fault (soak.node_count);
   f.to = (int)soak_random_fault (soak.node_count);
   f.both = soak_random_fault (2) == 0;
   f.until_ms = now + 300 + soak_random_fault (3000);
-  if (to_target)
+  if (to_target && l != NULL)
     {
-      f.from = (int)soak_random_entry ()->index;
-      f.to = soak_worker_index (worker);
+      f.from = (int)l->starter->index;
+      f.to = soak_worker_index ((uint32_t)(l->worker - soak.workers));
     }
   if (f.from == f.to)
     return;
--- a/tests/soak/soak_nodes.c
+++ b/tests/soak/soak_nodes.c
@@ -34,12 +34,6 @@
   return NULL;
 }
 
-struct node *
-soak_random_entry (void)
-{
-  return &soak.nodes[soak.keeper_count + soak_random_fault (soak.entry_count)];
-}
-
 /* Records that WHAT has happened to N, for print_history of soak_runs.c.  */
 static void
 record_event (struct node *n, const char *what)
