The lease of a target is no longer than a new job's, and a lost stop is logged

Callers were served later: with leases of targets up to the platform's limit (1.0 s) a job that has just come with a lease of 0.85 to 1.1 s waits until it is renewed before it may start beside others. The longest lease is now the job's less the greatest age of a stamp: 0.85 s with the platform's figures.

RUN_STOP_LOST (info) tells a lost stop from one that was never ordered, the first in a row at a target.

--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -70,6 +70,9 @@
   ROW (326, RUN_STOP_ANSWERED, DEBUG, "target answered a stop, or did not",   \
        "nothing")                                                             \
   ROW (327, RUN_STARTED, DEBUG, "target accepted a start", "nothing")         \
+  ROW (328, RUN_STOP_LOST, INFO,                                              \
+       "target did not answer a stop, which is sent again",                   \
+       "check the target and the network to it if this recurs")               \
   ROW (330, DISPATCH_ACCEPTED, INFO, "job queued for dispatch", "nothing")    \
   ROW (331, DISPATCH_ENDED, INFO, "job ended at its dispatcher", "nothing")   \
   ROW (332, DISPATCH_REFUSED, INFO, "job refused by its dispatcher",          \
--- a/src/controller/dispatcher.h
+++ b/src/controller/dispatcher.h
@@ -65,7 +65,7 @@
   bool leaving;
 };
 
-/* LEASE_LIMIT_MS is the longest lease that a target accepts.  */
+/* LEASE_LIMIT_MS is the longest lease to request from targets.  */
 void dispatcher_init (struct dispatcher *d, struct event_base *base,
                       const struct target_port_ops *ops,
                       int64_t lease_limit_ms);
--- a/src/controller/entry_leases.c
+++ b/src/controller/entry_leases.c
@@ -5,6 +5,21 @@
 #include "controller/job_renewal.h"
 #include "controller/routed_job.h"
 
+enum
+{
+  /* The age of a confirmed stamp: the longest interval of capacity requests
+     and two ticks of the entry.  */
+  STAMP_AGE_MS = 350
+};
+
+int64_t
+entry_leases_target_ms (int64_t job_lease_ms, int64_t limit_ms)
+{
+  int64_t left = job_lease_ms - STAMP_AGE_MS;
+
+  return left < limit_ms ? left : limit_ms;
+}
+
 void
 entry_leases_init (struct job_entry *n, int64_t now)
 {
--- a/src/controller/entry_leases.h
+++ b/src/controller/entry_leases.h
@@ -8,6 +8,11 @@
 #include <msgpack.h>
 #include "controller/job_entry.h"
 
+/* The longest lease to request from targets that accept at most LIMIT_MS,
+   where a job's is at most JOB_LEASE_MS: no longer than what is usually left
+   of the lease of a job that arrives, which may then start beside others.  */
+int64_t entry_leases_target_ms (int64_t job_lease_ms, int64_t limit_ms);
+
 void entry_leases_init (struct job_entry *n, int64_t now_ms);
 
 /* To be called at each tick: renews the leases of the jobs at this VM's own
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -511,7 +511,9 @@
       = peer_network_new (base, &s->peer, boot_id, &network_events, n, e);
   if (n->network == NULL)
     return false;
-  dispatcher_init (&n->dispatcher, base, ops, s->lease_limit_ms);
+  dispatcher_init (
+      &n->dispatcher, base, ops,
+      entry_leases_target_ms (n->lease_limit_ms, s->lease_limit_ms));
   if (s->far_factor >= 1)
     n->dispatcher.scheduler.remote_factor = s->far_factor;
   delegation_controller_init (&n->delegation, n);
--- a/src/controller/run_events.c
+++ b/src/controller/run_events.c
@@ -32,6 +32,8 @@
                           const struct port_reply *reply)
 {
   add_answer (EVENT_RUN_STOP_ANSWERED, r, now, task, run, reply);
+  if (reply->outcome == PORT_NO_ANSWER && r->unanswered_calls == 0)
+    add_answer (EVENT_RUN_STOP_LOST, r, now, task, run, reply);
 }
 
 void
