--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -29,6 +29,8 @@
   DEADLINE_MS = 60000,
   BEFORE_LOSS_MS = 200,
   SETTLE_MS = 100,
+  LATE_MS = 390,
+  VERY_LATE_MS = 700,
   CI_SEEDS = 12,
   DEFECT_SEEDS = 400, /* each defect must be found within these */
   LOST = 1000000      /* so many calls are lost: all */
@@ -145,7 +147,7 @@
 }
 
 static void
-own_target (struct dispatcher *d, const char *id)
+own_target (struct dispatcher *d, const char *id, uint64_t fencing_token)
 {
   struct owned_target t;
 
@@ -158,7 +160,7 @@
   t.spec.cpu_milli = 4000;
   t.spec.memory_mb = 1000;
   t.spec.slots = 8;
-  t.fencing_token = 1;
+  t.fencing_token = fencing_token;
   dispatcher_set_targets (d, now_ms (), &t, 1);
 }
 
@@ -171,8 +173,8 @@
   f->base = event_base_new ();
   dispatcher_init (&f->dispatcher, f->base, &fake_port_ops, LEASE_LIMIT_MS);
   dispatcher_init (&f->delegate, f->base, &fake_port_ops, LEASE_LIMIT_MS);
-  own_target (&f->dispatcher, "t1");
-  own_target (&f->delegate, "t2");
+  own_target (&f->dispatcher, "t1", 1);
+  own_target (&f->delegate, "t2", 1);
   fake_port_target ("t1")->slow_since_ms = now_ms ();
   fake_port_target ("t1")->slow_percent = CLOCK_SLOW_PERCENT;
   fake_port_target ("t2")->slow_since_ms = now_ms ();
@@ -316,10 +318,10 @@
   fixture_done (&f);
 }
 
-/* A job arrives late, and nothing more from its entry; the lease of the target
-   reaches further already, for the job of another entry.  */
+/* A job arrives late, and nothing more from its entry; the lease of
+   the target reaches further already, for the job of another entry.  */
 static void
-test_start_under_longer_lease (void)
+check_late_start (int64_t late_ms)
 {
   struct job_spec other = make_job ("a");
   struct job_spec late = make_job ("b");
@@ -330,13 +332,43 @@
   run_for (&f, BEFORE_LOSS_MS);
   CU_ASSERT_EQUAL (fake_port_starts (), 1);
   f.second.silent = true;
-  send_job (&f.second, &late, now_ms () - 390);
+  send_job (&f.second, &late, now_ms () - late_ms);
   run_for (&f, 10);
   if (fake_port_running ("b.0.0.0") != 0)
     check_lease (&f.second, "t1");
   fixture_done (&f);
 }
 
+static void
+test_start_under_longer_lease (void)
+{
+  check_late_start (LATE_MS);
+  check_late_start (VERY_LATE_MS);
+}
+
+/* A target gets another owner while its lease lasts.  A job that arrives late
+   at the new owner, with less left than that, is not started there.  */
+static void
+test_start_under_earlier_lease (void)
+{
+  struct job_spec other = make_job ("a");
+  struct job_spec late = make_job ("b");
+  struct fixture f;
+
+  fixture_init (&f);
+  send_job (&f.first, &other, now_ms ());
+  run_for (&f, BEFORE_LOSS_MS);
+  CU_ASSERT_EQUAL (fake_port_starts (), 1);
+  own_target (&f.delegate, "t1", 2);
+  run_for (&f, SETTLE_MS);
+  CU_ASSERT_EQUAL (fake_port_running ("a.0.0.0"), 0);
+  f.delegating.silent = true;
+  send_job (&f.delegating, &late, now_ms () - VERY_LATE_MS);
+  run_for (&f, SETTLE_MS);
+  CU_ASSERT_EQUAL (fake_port_starts (), 1);
+  fixture_done (&f);
+}
+
 /* The number of seeds to run: that of CI, unless MODEL_SEEDS is set in the
    environment.  */
 static uint64_t
@@ -423,6 +455,8 @@
                test_unanswered_stop);
   CU_add_test (s, "a task starts under a lease of another job that is longer",
                test_start_under_longer_lease);
+  CU_add_test (s, "a task starts under a lease of an earlier owner",
+               test_start_under_earlier_lease);
   CU_add_test (s, "simulated tasks never run twice", test_model);
   CU_add_test (s, "simulated tasks are done where nothing fails",
                test_model_without_faults);
