--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -175,6 +175,10 @@
 void soak_violation (const char *what, const char *id);
 void soak_log (const char *what, const char *id);
 
+/* The same for a guarantee broken for job J, with the history of its
+   attempts.  */
+void soak_job_violation (const char *what, const struct job *j);
+
 /* node processes */
 bool soak_is_keeper (const struct node *n);
 bool soak_is_disturbed (const struct node *n);
--- a/tests/soak/soak_calls.c
+++ b/tests/soak/soak_calls.c
@@ -58,7 +58,7 @@
 }
 
 static void
-check_unanswered (const struct attempt *a, const char *id)
+check_unanswered (const struct attempt *a, const struct job *j)
 {
   /* A process does not listen yet just after its start.  */
   if (was_disturbed (a) || a->sent_ms - a->entry->start_ms < START_UP_MS)
@@ -68,10 +68,10 @@
       /* A connection that a stopping process never accepted does not count as
          an interrupted request.  */
       if (a->ended_ms - a->sent_ms > 300)
-        soak_violation ("a graceful stop interrupted a request", id);
+        soak_job_violation ("a graceful stop interrupted a request", j);
     }
   else if (!a->stopping)
-    soak_violation ("a request got no answer", id);
+    soak_job_violation ("a request got no answer", j);
 }
 
 static void
@@ -97,16 +97,16 @@
   a->ended_ms = now_ms ();
   j->pending = false;
   if (a->status == 0)
-    check_unanswered (a, j->id);
+    check_unanswered (a, j);
   else if (a->ended_ms - a->sent_ms > DEADLINE_MS + ANSWER_SLACK_MS
            && !was_disturbed (a))
-    soak_violation ("an answer came late", j->id);
+    soak_job_violation ("an answer came late", j);
   count_answer (a->status);
   if (a->status == 503)
     {
       j->refused++;
       if (j->refused == j->attempt_count && j->started != 0)
-        soak_violation ("a refused job has run", j->id);
+        soak_job_violation ("a refused job has run", j);
     }
   else if (a->status != 200 && !soak_faults_ended ())
     {
--- a/tests/soak/soak_runs.c
+++ b/tests/soak/soak_runs.c
@@ -79,25 +79,40 @@
   printf ("\n");
 }
 
-/* Prints what happened to the VMs that had to do with L or OTHER, which may
-   be NULL.  */
+static bool
+is_entry_of (const struct node *n, const struct job *j)
+{
+  for (uint32_t i = 0; i < j->attempt_count; i++)
+    if (j->attempts[i].entry == n)
+      return true;
+  return false;
+}
+
+/* Prints the attempts of J, what happened to their entries and to the VMs ONE
+   and OTHER, which may be NULL, and how late the soak itself was.  */
 static void
-print_nodes (const struct live_run *l, const struct live_run *other)
+print_job (const struct job *j, const struct node *one,
+           const struct node *other)
 {
-  const struct job *j = l->job;
   int64_t from_ms = since_begin (j->attempts[0].sent_ms) - HISTORY_BEFORE_MS;
 
+  print_attempts (j);
   for (uint32_t i = 0; i < soak.node_count; i++)
     {
       const struct node *n = &soak.nodes[i];
-      bool involved
-          = n == l->starter || (other != NULL && n == other->starter);
 
-      for (uint32_t k = 0; k < j->attempt_count && !involved; k++)
-        involved = n == j->attempts[k].entry;
-      if (involved)
+      if (n == one || n == other || is_entry_of (n, j))
         print_history (n, from_ms);
     }
+  printf ("    soak: late by %" PRId64 " ms at most in the last 2 s\n",
+          soak_recently_late_ms ());
+}
+
+void
+soak_job_violation (const char *what, const struct job *j)
+{
+  soak_violation (what, j->id);
+  print_job (j, NULL, NULL);
 }
 
 static void
@@ -106,10 +121,7 @@
   print_run (l);
   if (other != NULL)
     print_run (other);
-  print_attempts (l->job);
-  print_nodes (l, other);
-  printf ("    soak: late by %" PRId64 " ms at most in the last 2 s\n",
-          soak_recently_late_ms ());
+  print_job (l->job, l->starter, other == NULL ? NULL : other->starter);
 }
 
 static struct live_run *
