Review: a repeat ends the first attempt, a run that nobody knows ends a lease

- A caller that repeats its job at an entry which has not noticed its broken connection was told 502, and the first attempt went on until its deadline: the next repeat, at another entry, ran beside it.
The repeat proves that the caller has left: the first attempt is withdrawn (job_entry_withdraw_repeated).
- A run that a target lists and its dispatcher does not know limited nothing, so that polls went on renewing the lease it runs under.
The target counts as syncing until such a run is gone: no lease, no starts.
- A receiver took leases of any length from a peer; more than a minute is none.
- A stale job was refused as stale, and tried elsewhere, although its first attempt was active there: a duplicate is told first.
- A dispatcher with an old confirmed stamp was chosen although its lease would be too short to start anything.

Two tests seen failing with the mends off in a copy ('a lease is renewed for a run that nobody knows', 'the first attempt of a repeated job goes on'), the others in rows of existing tables.

--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -445,7 +445,7 @@
   r->work_ahead = run_scheduler_backlog (s, "svc", INT64_MAX).work_ahead;
   d->capacity_count = 1;
   d->reachable = true;
-  d->echo.confirmed.sent_ms = 1;
+  d->echo.confirmed = (struct lease_stamp){ m->now, m->now };
   d->reported_ms = m->now;
 }
 
--- a/src/controller/dispatch_coordinator.c
+++ b/src/controller/dispatch_coordinator.c
@@ -9,6 +9,7 @@
 #include "controller/job_events.h"
 #include "controller/job_renewal.h"
 #include "coord/job_lease.h"
+#include "coord/run_admission.h"
 
 enum
 {
@@ -113,6 +114,7 @@
   enum refusal_reason reason = REFUSAL_STALE;
   int64_t retry_ms = 0;
   struct dispatch_job *j = NULL;
+  bool valid;
 
   memset (&spec, 0, sizeof spec);
   spec.priority = (uint32_t)m->priority;
@@ -126,13 +128,15 @@
   spec.payload = m->payload;
   spec.part = (struct job_part){ m->is_part != 0, (uint32_t)m->part_step,
                                  (uint32_t)m->part_first, m->part_run };
-  if (spec.lease_ms >= JOB_LEASE_START_MS
-      && slice_copy (m->key, spec.key, sizeof spec.key)
-      && slice_copy (m->queue, spec.queue, sizeof spec.queue)
-      && slice_copy (m->service, spec.service, sizeof spec.service)
-      && job_spec_unpack_steps (&spec, m->steps))
+  valid = slice_copy (m->key, spec.key, sizeof spec.key)
+          && slice_copy (m->queue, spec.queue, sizeof spec.queue)
+          && slice_copy (m->service, spec.service, sizeof spec.service)
+          && job_spec_unpack_steps (&spec, m->steps);
+  if (valid && run_admission_is_duplicate (&d->scheduler, &spec))
+    reason = REFUSAL_DUPLICATE;
+  else if (valid && spec.lease_ms >= JOB_LEASE_START_MS)
     j = dispatcher_accept (d, now, &spec, &reason, &retry_ms);
-  if (spec.lease_ms < JOB_LEASE_START_MS)
+  else
     job_events_stale (c, m, now);
   if (j == NULL)
     {
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -320,6 +320,17 @@
   return NULL;
 }
 
+bool
+job_entry_withdraw_repeated (struct job_entry *n, int64_t now, const char *key)
+{
+  struct routed_job *j = job_entry_find (n, key);
+
+  if (j == NULL)
+    return false;
+  job_entry_withdraw (n, now, j);
+  return true;
+}
+
 uint32_t
 job_entry_waiting (const struct job_entry *n, const char *queue)
 {
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -127,6 +127,13 @@
 void job_entry_withdraw (struct job_entry *n, int64_t now_ms,
                          struct routed_job *j);
 
+/* To be called when the caller of the job KEY submits it again: it has lost
+   its connection for the first attempt, which this entry may not have noticed.
+   Withdraws the first attempt if it is open.  Returns whether it was: the
+   second one must not be accepted then, since the first may have run.  */
+bool job_entry_withdraw_repeated (struct job_entry *n, int64_t now_ms,
+                                  const char *key);
+
 /* Connects to the keepers that the settings list as seeds.  */
 void job_entry_connect_seeds (struct job_entry *n);
 
--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -403,6 +403,8 @@
   resend_stops (r, now);
   if (r->lost)
     return;
+  if (unknown != 0 && r->target->phase == TARGET_READY)
+    r->target->phase = TARGET_SYNCING;
   if (unknown == 0 && r->target->phase != TARGET_READY)
     {
       r->target->phase = TARGET_READY;
--- a/src/coord/job_lease.c
+++ b/src/coord/job_lease.c
@@ -5,7 +5,10 @@
   /* Part of the caller's delay that no lease covers: until an entry learns of
      its caller's broken connection, and until a target has ended a run whose
      lease is over.  */
-  RETRY_MARGIN_MS = 100
+  RETRY_MARGIN_MS = 100,
+
+  /* The longest delay of callers that the settings allow.  */
+  GRANT_MAX_MS = 60000
 };
 
 static int64_t
@@ -64,7 +67,8 @@
 int64_t
 job_lease_end_ms (int64_t echo_ms, int64_t granted_ms, int64_t now)
 {
-  if (echo_ms <= 0 || echo_ms > now || granted_ms < 0)
+  if (echo_ms <= 0 || echo_ms > now || granted_ms < 0
+      || granted_ms > GRANT_MAX_MS)
     return 0;
   return echo_ms + granted_ms;
 }
--- a/src/coord/job_lease.h
+++ b/src/coord/job_lease.h
@@ -71,7 +71,7 @@
 
 /* The end, on the receiver's clock, of a lease of GRANTED_MS that counts from
    the receiver's stamp ECHO_MS.  Returns 0 if the receiver cannot have sent
-   that stamp.  */
+   that stamp, or the lease is longer than any entry grants.  */
 int64_t job_lease_end_ms (int64_t echo_ms, int64_t granted_ms, int64_t now_ms);
 
 /* Whether the runs of a job whose lease ends at END_MS are to be stopped.  */
--- a/src/coord/job_router.c
+++ b/src/coord/job_router.c
@@ -5,7 +5,8 @@
 
 enum
 {
-  /* Older capacity reports are ignored.  */
+  /* Older capacity reports are ignored, and older stamps, from which too
+     little would be left of a job's lease.  */
   CAPACITY_MAX_AGE_MS = 700,
 
   /* The assumed time in which all usable cores of a dispatcher become free
@@ -49,7 +50,8 @@
 
   if (!d->reachable || r == NULL || now - d->reported_ms > CAPACITY_MAX_AGE_MS)
     return -1;
-  if (d->echo.confirmed.sent_ms == 0)
+  if (d->echo.confirmed.sent_ms == 0
+      || now - d->echo.confirmed.received_ms > CAPACITY_MAX_AGE_MS)
     return -1;
   usable = r->cpu_milli * USABLE_CPU_PERCENT / 100;
   if (usable == 0)
--- a/tests/unit/test_deployment.c
+++ b/tests/unit/test_deployment.c
@@ -432,6 +432,29 @@
   deployment_done (&d);
 }
 
+/* A caller repeats its job at the same entry, which has not noticed that the
+   first connection is broken: the first attempt is stopped everywhere.  */
+static void
+test_repeated_at_same_entry (void)
+{
+  static const char key[] = "0123456789abcdef";
+  struct deployment d;
+  struct caller c;
+  int64_t end;
+
+  start_delegation (&d, &c);
+  CU_ASSERT_FALSE (
+      job_entry_withdraw_repeated (d.entries[0], now_ms (), "another"));
+  CU_ASSERT_TRUE (job_entry_withdraw_repeated (d.entries[0], now_ms (), key));
+  end = now_ms () + d.entry_settings[0].caller_retry_ms;
+  while ((count_running () != 0 || c.answers == 0) && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (count_running (), 0);
+  CU_ASSERT_EQUAL (c.answers, 1);
+  CU_ASSERT_EQUAL (c.answer.result, JOB_UNKNOWN);
+  deployment_done (&d);
+}
+
 /* The lines about a delegated part have the same job id at the dispatcher, at
    its delegate and when the part is revoked, and tell whether the cancellation
    could be sent.  */
@@ -511,6 +534,8 @@
                test_delegate_crash);
   CU_add_test (s, "a job is refused as not run while its first attempt runs",
                test_repeated_while_running);
+  CU_add_test (s, "the first attempt of a repeated job goes on",
+               test_repeated_at_same_entry);
   CU_add_test (s, "lines of a revoked delegation", test_delegation_lines);
   CU_add_test (s, "lines of a delegate that crashed", test_lost_link_lines);
 }
--- a/tests/unit/test_job_events.c
+++ b/tests/unit/test_job_events.c
@@ -1,11 +1,13 @@
 /* Tests of the event-log lines about jobs at a dispatcher and the runs of
-   their tasks: they carry what tells the causes of a second run apart.  */
+   their tasks: they carry what tells the causes of a second run apart.  Time
+   is simulated (fake_clock).  */
 #include <stdio.h>
 #include <string.h>
 #include "base/event_ring.h"
 #include "base/now.h"
 #include "controller/dispatcher.h"
 #include "tests/unit/event_lines.h"
+#include "tests/unit/fake_clock.h"
 #include "tests/unit/fake_port.h"
 #include "tests/unit/suites.h"
 
@@ -37,10 +39,11 @@
 static void
 run_for (struct fixture *f, int64_t ms)
 {
-  struct timeval t = now_timeval (ms);
-
-  event_base_loopexit (f->base, &t);
-  event_base_dispatch (f->base);
+  for (int64_t i = 0; i < ms; i++)
+    {
+      fake_clock_advance (1);
+      event_base_loop (f->base, EVLOOP_NONBLOCK);
+    }
 }
 
 /* Runs the event loop until there is an event called NAME about EVENT_KEY; the
@@ -72,6 +75,7 @@
   struct job_spec spec = { .step_count = 1 };
 
   memset (f, 0, sizeof *f);
+  fake_clock_stop ();
   event_ring_init ("10.0.0.1", EVENT_ERROR);
   fake_port_reset ();
   f->base = event_base_new ();
@@ -101,6 +105,7 @@
   msgpack_sbuffer_destroy (&f->steps);
   event_base_free (f->base);
   event_ring_done ();
+  fake_clock_resume ();
 }
 
 /* Hands over tasks 4 and 5 of the second step of a job under a lease that
--- a/tests/unit/test_job_lease.c
+++ b/tests/unit/test_job_lease.c
@@ -68,6 +68,7 @@
   CU_ASSERT_EQUAL (job_lease_end_ms (0, 800, NOW), 0);
   CU_ASSERT_EQUAL (job_lease_end_ms (NOW + 1, 800, NOW), 0);
   CU_ASSERT_EQUAL (job_lease_end_ms (NOW - 50, -1, NOW), 0);
+  CU_ASSERT_EQUAL (job_lease_end_ms (NOW - 50, INT64_MAX, NOW), 0);
   CU_ASSERT_TRUE (job_lease_is_ending (NOW + JOB_LEASE_STOP_MS - 1, NOW));
   CU_ASSERT_FALSE (job_lease_is_ending (NOW + JOB_LEASE_STOP_MS, NOW));
 }
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -443,6 +443,36 @@
     }
 }
 
+/* A target lists a run that this dispatcher does not know, and gets no stop.
+   Nobody knows until when that run may go on: the lease is not renewed.  */
+static void
+test_unknown_run (void)
+{
+  struct job_spec job = make_job ("a");
+  struct fake_target *t = NULL;
+  struct fixture f;
+  int64_t lease_end;
+
+  fixture_init (&f);
+  send_job (&f.first, &job, now_ms ());
+  run_for (&f, BEFORE_LOSS_MS);
+  t = fake_port_target ("t1");
+  t->lose_stops = LOST;
+  t->runs[t->run_count]
+      = (struct fake_run){ .task = "b.0.0.0", .run = 1, .running = true };
+  t->run_count++;
+  run_for (&f, LEASE_LIMIT_MS / 2);
+  lease_end = t->lease_end_ms;
+  for (int i = 0; i < LEASE_LIMIT_MS && fake_port_running ("b.0.0.0") != 0;
+       i++)
+    {
+      CU_ASSERT_EQUAL (t->lease_end_ms, lease_end);
+      run_for (&f, 1);
+    }
+  CU_ASSERT_EQUAL (fake_port_running ("b.0.0.0"), 0);
+  fixture_done (&f);
+}
+
 void
 suite_lease (void)
 {
@@ -462,4 +492,6 @@
                test_model_without_faults);
   CU_add_test (s, "the simulation finds each defect",
                test_model_finds_defects);
+  CU_add_test (s, "a lease is renewed for a run that nobody knows",
+               test_unknown_run);
 }
--- a/tests/unit/test_scheduler.c
+++ b/tests/unit/test_scheduler.c
@@ -517,7 +517,7 @@
       snprintf (d[i].domain, sizeof d[i].domain, "d%d", i);
       d[i].reachable = true;
       d[i].reported_ms = 1000;
-      d[i].echo.confirmed.sent_ms = 1;
+      d[i].echo.confirmed = (struct lease_stamp){ 1, 1000 };
       d[i].capacity_count = 1;
       snprintf (d[i].capacities[0].service, sizeof d[i].capacities[0].service,
                 "svc");
@@ -534,7 +534,7 @@
     }
   CU_ASSERT (sent_to_first >= 3 && sent_to_first <= 7);
   CU_ASSERT_PTR_NULL (job_router_choose (d, 2, "d0", &job, NULL, 0, 9000));
-  d[0].echo.confirmed.sent_ms = 0;
+  d[0].echo.confirmed.received_ms = 0;
   CU_ASSERT_PTR_EQUAL (job_router_choose (d, 2, "d0", &job, NULL, 0, 1050),
                        &d[1]);
 }
@@ -546,7 +546,7 @@
 {
   struct route_dispatcher d = { .reachable = true,
                                 .reported_ms = 1000,
-                                .echo.confirmed.sent_ms = 1 };
+                                .echo.confirmed = { 1, 1000 } };
   struct job_spec job = make_job ("a", 2, 27000, 200);
 
   d.capacity_count = 1;
