A task ran on under the clock of a target's earlier incarnation

What callers see: a job whose entry was lost may run for up to 1 s after the end of its lease, and so beside the run of the caller's retry.

Cause: a target that restarts under its id and address begins its clock anew and accepts the old fencing token. The dispatcher learns of the restart only from a poll (born), and polls an idle target every 4 s. A start that is sent before that asks for a lease end on the old clock, far ahead of the new one; the target shortens it to the longest lease that it accepts, not to what is left of the job's. The poll that follows renews it once more, then the runner is given up and nobody stops the run.

Evidence: the new test "a task runs on under the clock of an earlier incarnation" (build/unit, suite lease, simulated time): the target restarts while idle, a job with 500 ms left of its lease starts there. Before the change the task was still running 1.3 s after its entry's last message (159 passed, 1 failed); now it is not.

The answer to the start has the new clock, which is lower than the old one can have been when the start was sent: such a start counts as one of unknown outcome, the run is stopped, the target gets no lease and no other start until it was polled. An answer that was overtaken by a newer one is not taken for one of a restarted target.

What remains: the stop has to arrive; if the dispatcher dies between the start and the stop, the run lasts for the longest lease of the target.

--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -219,6 +219,18 @@
     poll_target (r, now);
 }
 
+/* The start C was answered by a later incarnation of the target, whose clock
+   began anew: its lease may last longer than the job's.  The next poll finds
+   the incarnation out; until then the run is stopped.  */
+static void
+stop_misdirected (struct target_runner *r, int64_t now,
+                  const struct run_call *c)
+{
+  r->target->phase = TARGET_SYNCING;
+  run_scheduler_start_result (r->setup->scheduler, now, r->target, c->task,
+                              c->run, START_UNKNOWN);
+}
+
 static void
 on_started (void *arg, const struct port_reply *reply)
 {
@@ -250,6 +262,13 @@
       break;
     default:
       record_answer (r, reply);
+      if (reply->outcome == PORT_DONE && reply->has_clock
+          && target_clock_was_reset (&r->clock, reply->clock_ms,
+                                     reply->sent_ms))
+        {
+          stop_misdirected (r, now, c);
+          break;
+        }
       run_scheduler_start_result (r->setup->scheduler, now, r->target, c->task,
                                   c->run, start_outcome_of (reply->outcome));
       if (reply->outcome == PORT_DONE && !r->polling)
--- a/src/coord/target_clock.h
+++ b/src/coord/target_clock.h
@@ -21,4 +21,9 @@
    an earlier end time has expired.  */
 int64_t target_clock_min_ms (const struct target_clock *c, int64_t now_ms);
 
+/* Whether CLOCK_MS, in the answer to a call that was sent at SENT_MS, is lower
+   than C allows: the target has restarted.  */
+bool target_clock_was_reset (const struct target_clock *c, int64_t clock_ms,
+                             int64_t sent_ms);
+
 #endif
--- a/tests/unit/fake_port.c
+++ b/tests/unit/fake_port.c
@@ -37,6 +37,7 @@
 {
   struct event_base *base;
   struct fake_target *target;
+  uint32_t restarts; /* of the target when the port was opened */
   struct fake_call *calls;
 };
 
@@ -57,28 +58,33 @@
   return &targets[target_count++];
 }
 
-/* A lease is never shortened.  */
-static void
-extend_lease (struct fake_target *t, int64_t end_ms)
-{
-  if (end_ms > t->lease_end_ms)
-    t->lease_end_ms = end_ms;
-}
-
 /* The present time on the clock of T.  */
 static int64_t
 clock_of (const struct fake_target *t)
 {
   int64_t now = now_ms ();
 
-  return now - (now - t->slow_since_ms) * t->slow_percent / 100;
+  return now - (now - t->slow_since_ms) * t->slow_percent / 100
+         - t->clock_zero_ms;
+}
+
+/* A lease is never shortened by a later request.  */
+static void
+extend_lease (struct fake_target *t, int64_t end_ms)
+{
+  int64_t longest = clock_of (t) + t->lease_limit_ms;
+
+  if (t->lease_limit_ms != 0 && end_ms > longest)
+    end_ms = longest;
+  if (end_ms > t->lease_end_ms)
+    t->lease_end_ms = end_ms;
 }
 
 int64_t
 fake_port_lease_end_ms (const struct fake_target *t)
 {
   return t->slow_since_ms
-         + (t->lease_end_ms - t->slow_since_ms) * 100
+         + (t->clock_zero_ms + t->lease_end_ms - t->slow_since_ms) * 100
                / (100 - t->slow_percent);
 }
 
@@ -110,6 +116,18 @@
   return n;
 }
 
+void
+fake_port_restart (struct fake_target *t)
+{
+  t->fencing_token = 0;
+  t->last_end = 0;
+  t->run_count = 0;
+  t->lease_end_ms = 0;
+  t->restarts++;
+  t->clock_zero_ms = now_ms ();
+  t->slow_since_ms = now_ms ();
+}
+
 static void
 end_run (struct fake_target *t, struct fake_run *r, enum run_end how)
 {
@@ -143,6 +161,7 @@
 
   p->base = base;
   p->target = fake_port_target (t->id);
+  p->restarts = p->target->restarts;
   return p;
 }
 
@@ -214,6 +233,8 @@
       reply.outcome = PORT_NO_ANSWER;
       reply.has_clock = false;
     }
+  else if (c.kind == CALL_POLL && c.port->restarts != c.port->target->restarts)
+    reply.outcome = PORT_OTHER_INCARNATION;
   if (c.kind == CALL_POLL)
     answer_poll (&c, &reply);
   else
--- a/tests/unit/fake_port.h
+++ b/tests/unit/fake_port.h
@@ -31,6 +31,9 @@
   uint32_t run_count;
   uint32_t starts;              /* starts carried out */
   int64_t lease_end_ms;         /* no run counts as running after it */
+  int64_t lease_limit_ms;       /* a longer lease is shortened; 0: none is */
+  uint32_t restarts;            /* under the same id and address */
+  int64_t clock_zero_ms;        /* its clock was 0 then */
   int64_t slow_since_ms;        /* its clock was right then */
   int64_t slow_percent;         /* by which its clock runs slow since then */
   uint32_t max_concurrent_runs; /* most runs of one task at a time, over all
@@ -48,6 +51,10 @@
 /* The target called ID, which is created if it does not exist.  */
 struct fake_target *fake_port_target (const char *id);
 
+/* Restarts T under its id: it knows nothing of before, and its clock starts
+   anew.  Ports that were opened before learn it from their next poll.  */
+void fake_port_restart (struct fake_target *t);
+
 /* Ends the run of TASK on T, if there is one, with result HOW.  */
 void fake_port_end_run (struct fake_target *t, const char *task,
                         enum run_end how);
--- a/tests/unit/test_job_lease.c
+++ b/tests/unit/test_job_lease.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include "coord/job_lease.h"
 #include "coord/run_job.h"
+#include "coord/target_clock.h"
 #include "coord/target_lease.h"
 #include "tests/unit/suites.h"
 
@@ -113,6 +114,23 @@
       target_lease_admits (&t, NOW + JOB_LEASE_START_MS - 1, NOW));
 }
 
+/* A clock that is too low for the time of the call shows that the target has
+   restarted; one in an answer that was overtaken, or of a slow clock, does
+   not.  */
+static void
+test_reset_clock (void)
+{
+  struct target_clock c = { false, 0, 0 };
+
+  CU_ASSERT_FALSE (target_clock_was_reset (&c, 0, NOW));
+  target_clock_observe (&c, 5000, NOW);
+  CU_ASSERT_TRUE (target_clock_was_reset (&c, 10, NOW + 100));
+  CU_ASSERT_TRUE (target_clock_was_reset (&c, 4990, NOW));
+  CU_ASSERT_FALSE (target_clock_was_reset (&c, 4500, NOW - 500));
+  CU_ASSERT_FALSE (target_clock_was_reset (&c, 5980, NOW + 1000));
+  CU_ASSERT_FALSE (target_clock_was_reset (&c, 90000, NOW));
+}
+
 void
 suite_job_lease (void)
 {
@@ -127,4 +145,6 @@
                test_target_lease);
   CU_add_test (s, "no start shortly before the end of a lease",
                test_short_lease);
+  CU_add_test (s, "a target's clock shows that it has restarted",
+               test_reset_clock);
 }
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -473,6 +473,29 @@
   fixture_done (&f);
 }
 
+/* An idle target restarts under its id; the dispatcher has not polled it since
+   and goes by the clock that it had before.  A task starts there whose entry
+   is lost.  */
+static void
+test_restarted_target (void)
+{
+  struct job_spec job = make_job ("a");
+  struct fake_target *t = NULL;
+  struct fixture f;
+
+  fixture_init (&f);
+  t = fake_port_target ("t1");
+  t->lease_limit_ms = LEASE_LIMIT_MS;
+  run_for (&f, LEASE_LIMIT_MS);
+  fake_port_restart (t);
+  f.first.silent = true;
+  send_job (&f.first, &job, now_ms () - VERY_LATE_MS);
+  run_for (&f, f.first.sent_ms + RETRY_MS - now_ms () + 1);
+  CU_ASSERT_EQUAL (fake_port_starts (), 1);
+  CU_ASSERT_EQUAL (fake_port_running ("a.0.0.0"), 0);
+  fixture_done (&f);
+}
+
 void
 suite_lease (void)
 {
@@ -494,4 +517,6 @@
                test_model_finds_defects);
   CU_add_test (s, "a lease is renewed for a run that nobody knows",
                test_unknown_run);
+  CU_add_test (s, "a task runs on under the clock of an earlier incarnation",
+               test_restarted_target);
 }
