The end of a caller's connection was not seen beside new connections

What callers see: an entry to which others connect does not notice that a caller has closed its connection. It goes on renewing the lease of the caller's job, so that the job may still run when the caller is back after its retry delay, at another entry.

Cause: evhtp takes an end of a connection (read returns 0) for a read that has to be repeated if errno is EAGAIN. A read that returns 0 leaves errno as it was, so it is that of an earlier system call: each pass of the event loop in which the listener accepts ends with an accept that fails with EAGAIN. The first end of a connection after that is put off to the next pass, in which the listener, if there are new connections again, comes first again. Most likely where many callers lose their connections in one event and connect again, and where passes are long.

A connection that is reset, not closed, was always seen.

Clearing errno before evhtp looks at it is right, since libevent reports an end only where a read has returned 0, and handles a failed read itself.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include <errno.h>
 #include <evhtp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -140,6 +141,18 @@
     s->handler (s->arg, c);
 }
 
+/* Where errno is EAGAIN, evhtp takes the end of a connection for a failed read
+   and reads again.  But errno is that of any earlier call then, such as the
+   last accept of this pass.  */
+static void
+on_connection_event (evhtp_connection_t *conn, short what, void *arg)
+{
+  (void)conn;
+  (void)arg;
+  if ((what & BEV_EVENT_EOF) != 0)
+    errno = 0;
+}
+
 static evhtp_res
 on_connection_fini (evhtp_connection_t *conn, void *arg)
 {
@@ -168,6 +181,9 @@
   c->server = s;
   c->conn = conn;
   DL_APPEND (s->open, c);
+  evhtp_connection_set_hook (conn, evhtp_hook_on_event,
+                             (evhtp_hook)(void (*) (void))on_connection_event,
+                             NULL);
   evhtp_connection_set_hook (conn, evhtp_hook_on_connection_fini,
                              (evhtp_hook)on_connection_fini, c);
   return EVHTP_RES_OK;
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -3,8 +3,10 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/util.h>
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include "base/now.h"
 #include "net/http_server.h"
@@ -17,7 +19,8 @@
   PORT = 17731,
   STEP_MS = 10,
   ANSWER_MS = 2000,
-  REQUEST_BYTES = 512
+  REQUEST_BYTES = 512,
+  NEW_CONNECTIONS = 20
 };
 
 /* A call that the handler holds, and how often it was reported as
@@ -114,6 +117,64 @@
   event_base_free (base);
 }
 
+/* Returns the socket of a new connection.  */
+static int
+connect_socket (const char *address, uint16_t port)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  inet_pton (AF_INET, address, &to.sin_addr);
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  return fd;
+}
+
+/* A caller ends its connection while others connect, one in each pass of the
+   event loop.  */
+static void
+test_end_beside_connects (void)
+{
+  static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  struct event_base *base = event_base_new ();
+  struct held h = { NULL, 0 };
+  struct settings s;
+  struct http_server *server;
+  struct error e;
+  int sockets[NEW_CONNECTIONS];
+  int caller;
+  int passes = 0;
+
+  memset (&s, 0, sizeof s);
+  make_address (s.address, sizeof s.address);
+  s.http_port = PORT;
+  s.connections = 100;
+  s.body_bytes = 1000;
+  s.idle_timeout_ms = 10000;
+  server = http_server_new (base, &s, on_request, &h, &e);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  caller = connect_socket (s.address, PORT);
+  CU_ASSERT_EQUAL (write (caller, request, sizeof request - 1),
+                   sizeof request - 1);
+  for (int i = 0; i < 100 && h.call == NULL; i++)
+    run_for (base, STEP_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (h.call);
+  while (passes < NEW_CONNECTIONS && h.disconnects == 0)
+    {
+      sockets[passes++] = connect_socket (s.address, PORT);
+      if (passes == 1)
+        shutdown (caller, SHUT_RDWR);
+      event_base_loop (base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    }
+  CU_ASSERT_EQUAL (h.disconnects, 1);
+  CU_ASSERT_EQUAL (passes, 1);
+  http_call_release (h.call);
+  http_server_free (server);
+  close (caller);
+  while (passes > 0)
+    close (sockets[--passes]);
+  event_base_free (base);
+}
+
 static const char *const bodies[]
     = { "",
         "{",
@@ -225,5 +286,7 @@
   CU_pSuite s = CU_add_suite ("http", NULL, NULL);
 
   CU_add_test (s, "a call that is pending at shutdown", test_held_at_shutdown);
+  CU_add_test (s, "the end of a connection is seen beside new ones",
+               test_end_beside_connects);
   CU_add_test (s, "malformed requests to a keeper", test_malformed_requests);
 }
