A restarted target's lease was renewed by its earlier clock

What callers see: where a target restarts under its id while tasks run there and gets a new owner at once, a task of a job whose entry is then lost may run beside the one of the caller's retry, if its stop is lost too.

Cause: the owner's long poll breaks with the restart, and the poll that it sends next, by which it finds the new incarnation out, asks for a lease end on the earlier clock. The target shortens it to the longest lease that it accepts (1 s in most deployments). The new owner takes the longest lease that an owner requests (0.85 s) for granted and starts tasks whose job leases end after that.

A poll after an unanswered call asks for no lease and does not wait: the target has to answer first, which takes a round trip, then the lease is renewed as before. An answer to a start or a stop whose clock was reset ends the renewals too, until a poll was answered by the expected incarnation.

--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -119,9 +119,23 @@
   r->setup->events->lost (r->setup->arg, r);
 }
 
+/* Whether the target's clock in REPLY shows that it has restarted.  */
+static bool
+is_of_later_incarnation (const struct target_runner *r,
+                         const struct port_reply *reply)
+{
+  return reply->has_clock
+         && target_clock_was_reset (&r->clock, reply->clock_ms,
+                                    reply->sent_ms);
+}
+
+/* A target that has restarted gets no starts and no leases by its earlier
+   clock until a poll tells which incarnation it is.  */
 static void
 record_answer (struct target_runner *r, const struct port_reply *reply)
 {
+  if (is_of_later_incarnation (r, reply))
+    r->target->phase = TARGET_SYNCING;
   if (reply->has_clock)
     target_clock_observe (&r->clock, reply->clock_ms, reply->received_ms);
   r->unanswered_calls = 0;
@@ -192,12 +206,16 @@
 }
 
 static enum start_outcome
-start_outcome_of (enum port_outcome o)
+start_outcome_of (const struct target_runner *r,
+                  const struct port_reply *reply)
 {
-  switch (o)
+  switch (reply->outcome)
     {
     case PORT_DONE:
-      return START_ACCEPTED;
+      /* A later incarnation shortens a lease by the earlier clock to its
+         longest one, not to the job's: the run has to be stopped.  */
+      return is_of_later_incarnation (r, reply) ? START_UNKNOWN
+                                                : START_ACCEPTED;
     case PORT_NO_CAPACITY:
       return START_NO_CAPACITY;
     case PORT_OLD_RUN:
@@ -219,23 +237,12 @@
     poll_target (r, now);
 }
 
-/* The start C was answered by a later incarnation of the target, whose clock
-   began anew: its lease may last longer than the job's.  The next poll finds
-   the incarnation out; until then the run is stopped.  */
-static void
-stop_misdirected (struct target_runner *r, int64_t now,
-                  const struct run_call *c)
-{
-  r->target->phase = TARGET_SYNCING;
-  run_scheduler_start_result (r->setup->scheduler, now, r->target, c->task,
-                              c->run, START_UNKNOWN);
-}
-
 static void
 on_started (void *arg, const struct port_reply *reply)
 {
   struct run_call *c = arg;
   struct target_runner *r = c->runner;
+  enum start_outcome outcome = start_outcome_of (r, reply);
   int64_t now = now_ms ();
 
   histogram_add (HISTOGRAM_RUN_START, now - reply->sent_ms);
@@ -262,16 +269,9 @@
       break;
     default:
       record_answer (r, reply);
-      if (reply->outcome == PORT_DONE && reply->has_clock
-          && target_clock_was_reset (&r->clock, reply->clock_ms,
-                                     reply->sent_ms))
-        {
-          stop_misdirected (r, now, c);
-          break;
-        }
       run_scheduler_start_result (r->setup->scheduler, now, r->target, c->task,
-                                  c->run, start_outcome_of (reply->outcome));
-      if (reply->outcome == PORT_DONE && !r->polling)
+                                  c->run, outcome);
+      if (outcome == START_ACCEPTED && !r->polling)
         poll_target (r, now);
     }
   if (!r->lost)
@@ -467,6 +467,15 @@
     }
 }
 
+/* Whether a poll may renew the lease.  After an unanswered call the target may
+   have restarted, with another clock: it has to answer first.  */
+static bool
+may_renew (const struct target_runner *r)
+{
+  return r->target->run_count != 0 && r->clock.known
+         && r->target->phase == TARGET_READY && r->unanswered_since_ms == 0;
+}
+
 /* How long a poll that requests a lease until LEASE_END_MS may wait for a run
    to end: at most half of the lease, so that the next poll renews it.  */
 static int64_t
@@ -474,7 +483,7 @@
 {
   int64_t wait = POLL_WAIT_MAX_MS;
 
-  if (r->target->phase != TARGET_READY || r->target->run_count == 0)
+  if (r->poll_again || !may_renew (r))
     return 0;
   if ((lease_end_ms - now) / 2 < wait)
     wait = (lease_end_ms - now) / 2;
@@ -503,12 +512,11 @@
   struct port_poll_request request
       = { .fencing_token = r->fencing_token,
           .acked_number = r->received_number,
-          .wait_ms = r->poll_again ? 0 : poll_wait_ms (r, lease_end, now) };
+          .wait_ms = poll_wait_ms (r, lease_end, now) };
 
   if (r->lost || r->polling)
     return;
-  if (r->target->run_count != 0 && r->clock.known
-      && r->target->phase == TARGET_READY && lease_end > now)
+  if (may_renew (r) && lease_end > now)
     request.lease_end_ms = request_lease (r, lease_end);
   evtimer_del (r->timer);
   r->polling = true;
--- a/tests/unit/fake_port.c
+++ b/tests/unit/fake_port.c
@@ -24,7 +24,8 @@
   struct event *timer;
   int64_t sent_ms;
   enum port_outcome outcome;
-  bool lost; /* the target never received it */
+  bool lost;         /* the target never received it */
+  uint32_t restarts; /* of the target when it received the call */
   struct port_poll_request request;
   port_done done;
   port_poll_done poll_done;
@@ -228,7 +229,8 @@
   (void)fd;
   (void)what;
   call_free (arg);
-  if (c.port->target->unresponsive || c.lost)
+  if (c.port->target->unresponsive || c.lost
+      || c.restarts != c.port->target->restarts)
     {
       reply.outcome = PORT_NO_ANSWER;
       reply.has_clock = false;
@@ -252,6 +254,7 @@
   c->kind = kind;
   c->arg = arg;
   c->sent_ms = now_ms ();
+  c->restarts = p->target->restarts;
   c->timer = evtimer_new (p->base, on_due, c);
   evtimer_add (c->timer, &soon);
   DL_APPEND (p->calls, c);
--- a/tests/unit/fake_port.h
+++ b/tests/unit/fake_port.h
@@ -51,8 +51,9 @@
 /* The target called ID, which is created if it does not exist.  */
 struct fake_target *fake_port_target (const char *id);
 
-/* Restarts T under its id: it knows nothing of before, and its clock starts
-   anew.  Ports that were opened before learn it from their next poll.  */
+/* Restarts T under its id: it knows nothing of before, its clock starts anew,
+   and the calls in flight get no answer.  Ports that were opened before learn
+   it from their next poll.  */
 void fake_port_restart (struct fake_target *t);
 
 /* Ends the run of TASK on T, if there is one, with result HOW.  */
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -22,7 +22,8 @@
   RETRY_MS = 1300,
   LEASE_LIMIT_MS = 1000,
   CLOCK_SLOW_PERCENT = 2,
-  JOB_LEASE_MS = 1200, /* as an entry grants it */
+  JOB_LEASE_MS = 1200,  /* as an entry grants it */
+  OWNER_LEASE_MS = 850, /* the longest that an owner requests */
   JOB_ID = 1,
   KEEPALIVE_MS = 100,
   ESTIMATE_MS = 20000,
@@ -496,6 +497,40 @@
   fixture_done (&f);
 }
 
+/* A target restarts under its id while a task runs there.  Its owner, which
+   goes by the earlier clock, renews the lease once before it finds out; then a
+   task of a job with little more left than the longest lease of owners starts
+   there under a new owner, and its entry is lost.  */
+static void
+test_renewal_of_restarted_target (void)
+{
+  struct job_spec other = make_job ("a");
+  struct job_spec late = make_job ("b");
+  struct fake_target *t = NULL;
+  struct fixture f;
+
+  fixture_init (&f);
+  f.dispatcher.setup.lease_ms = OWNER_LEASE_MS;
+  f.delegate.setup.lease_ms = OWNER_LEASE_MS;
+  t = fake_port_target ("t1");
+  t->lease_limit_ms = LEASE_LIMIT_MS;
+  send_job (&f.first, &other, now_ms ());
+  run_for (&f, BEFORE_LOSS_MS);
+  CU_ASSERT_EQUAL (fake_port_starts (), 1);
+  fake_port_restart (t);
+  run_for (&f, 10);
+  own_target (&f.delegate, "t1", 2);
+  run_for (&f, 5);
+  f.delegating.silent = true;
+  t->lose_stops = LOST;
+  send_job (&f.delegating, &late,
+            now_ms () - (JOB_LEASE_MS - OWNER_LEASE_MS - 5));
+  run_for (&f, 10);
+  CU_ASSERT_EQUAL (fake_port_starts (), 2);
+  check_lease (&f.delegating, "t1");
+  fixture_done (&f);
+}
+
 void
 suite_lease (void)
 {
@@ -519,4 +554,6 @@
                test_unknown_run);
   CU_add_test (s, "a task runs on under the clock of an earlier incarnation",
                test_restarted_target);
+  CU_add_test (s, "a lease is renewed by the clock of an earlier incarnation",
+               test_renewal_of_restarted_target);
 }
