Keeper: a disk full at the first start closed descriptor 0 of the process

What callers saw: a keeper whose disk was full when it started for the first time ended by itself 0.4 s later, again after each start; inside a process that goes on after an error of epoll_wait, nothing was answered any more.

Evidence: full_disks starts its keepers without standard input now. The unit test fails without the change, and the suites after it were deaf.

--- a/src/controller/log_journal.c
+++ b/src/controller/log_journal.c
@@ -209,6 +209,13 @@
     }
 }
 
+void
+log_journal_init (struct log_journal *j)
+{
+  memset (j, 0, sizeof *j);
+  journal_init (&j->journal);
+}
+
 bool
 log_journal_open (struct log_journal *j, struct replicated_log *log,
                   const char *vm, const char *folder, int64_t sync_delay_ms,
@@ -217,7 +224,7 @@
 {
   enum store_error status;
 
-  memset (j, 0, sizeof *j);
+  log_journal_init (j);
   j->log = log;
   j->vm = vm;
   j->events = events;
--- a/src/controller/log_journal.h
+++ b/src/controller/log_journal.h
@@ -32,6 +32,9 @@
   uint64_t disk_id; /* 0 if the journal has none */
 };
 
+/* Makes J a closed journal: it is not open before log_journal_open.  */
+void log_journal_init (struct log_journal *j);
+
 /* Opens the journal in FOLDER and restores LOG from it.  Events are recorded
    under the name VM, which must outlive J, as must LOG and EVENTS.
    SYNC_DELAY_MS is added to each sync.  Returns false with E set on
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -539,6 +539,7 @@
   k->boot_id = boot_id;
   k->last_tick_ms = now_ms ();
   k->receiving_since_ms = k->last_tick_ms;
+  log_journal_init (&k->journal);
   owner_plan_init (&k->plan);
   target_relay_init (&k->relay, k);
   k->network
--- a/src/store/journal.c
+++ b/src/store/journal.c
@@ -282,6 +282,14 @@
   return j->fd < 0 ? fail (j, "cannot open the journal") : STORE_OK;
 }
 
+void
+journal_init (struct journal *j)
+{
+  memset (j, 0, sizeof *j);
+  j->fd = -1;
+  j->folder_fd = -1;
+}
+
 enum store_error
 journal_open (struct journal *j, const char *folder, int64_t sync_delay_ms,
               journal_replay replay, void *arg)
@@ -290,9 +298,7 @@
   size_t length;
   char *text;
 
-  memset (j, 0, sizeof *j);
-  j->fd = -1;
-  j->folder_fd = -1;
+  journal_init (j);
   j->sync_delay_ms = sync_delay_ms;
   snprintf (j->folder, sizeof j->folder, "%s", folder);
   status = open_files (j);
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -52,6 +52,9 @@
    empty folder could vote twice in one term.  */
 enum store_error journal_create (const char *folder, struct error *e);
 
+/* Makes J a closed journal, which journal_close leaves as it is.  */
+void journal_init (struct journal *j);
+
 /* Opens the journal in FOLDER, locks the folder, truncates a torn tail, calls
    REPLAY with ARG for every record and makes them durable.  SYNC_DELAY_MS is
    added to each sync.  On failure J->error is set, and the caller must call
--- a/tests/disks/full_disks.c
+++ b/tests/disks/full_disks.c
@@ -155,8 +155,9 @@
     event_del (k->log_event);
 }
 
-/* Runs the program.  Its log goes through a pipe, since the file size limit
-   would also stop a log in a file.  */
+/* Runs the program as a supervisor may, without standard input.  Its log goes
+   through a pipe, since the file size limit would also stop a log in a
+   file.  */
 static void
 start_keeper (struct keeper *k, bool first)
 {
@@ -173,6 +174,7 @@
     {
       dup2 (fds[1], STDOUT_FILENO);
       dup2 (fds[1], STDERR_FILENO);
+      close (STDIN_FILENO);
       signal (SIGXFSZ, SIG_IGN);
       if (k->full)
         setrlimit (RLIMIT_FSIZE, &limit);
--- a/tests/unit/test_disks.c
+++ b/tests/unit/test_disks.c
@@ -1,9 +1,11 @@
 /* Tests of keepers whose disks are full or fail to sync, and have room
    again.  */
 #include <dirent.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include "base/now.h"
 #include "controller/log_journal.h"
 #include "tests/unit/deployment.h"
@@ -381,6 +383,24 @@
     }
 }
 
+/* A keeper that could not open its journal yet leaves the descriptors of
+   others alone.  */
+static void
+test_descriptor_of_others (void)
+{
+  struct changes c;
+  int fd = open ("/dev/null", O_RDONLY);
+
+  if (fd != STDIN_FILENO)
+    close (fd);
+  changes_init (&c);
+  fake_disk_fill (c.d.folders[0], 0);
+  deployment_start_keeper (&c.d, 0);
+  run_for (&c, FULL_MS);
+  CU_ASSERT (fcntl (STDIN_FILENO, F_GETFD) >= 0);
+  changes_done (&c);
+}
+
 /* The disks of all founders are full in turn, each when its keeper has just
    created its journal: they still form a quorum.  */
 static void
@@ -419,6 +439,8 @@
   CU_add_test (s,
                "a keeper whose disk was full at its first start never votes",
                test_full_at_first_start);
+  CU_add_test (s, "a keeper without a journal closes standard input",
+               test_descriptor_of_others);
   CU_add_test (s, "founders whose disks were full in turn form no quorum",
                test_founders_full_in_turn);
 }
