Keeper: others took one whose disk was full at the first start for another member

What callers saw: the disk of a keeper is full at its first start, then that of the leader: changes are refused for as long as the leader's disk is full, although the first one has room again.

The leader replaced the founder in the quorum by this other member. Once the keeper had its own disk ID, its votes and replies did not count until the leader had replaced the other one again, which it could not with a full disk.

--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -359,6 +359,7 @@
   log_journal_close (&k->journal);
   replicated_log_done (&k->log);
   k->failed = false;
+  k->last_heartbeat_ms = 0;
   if (!open_log (k, &e))
     {
       event_ring_add (EVENT_STORE_FAILED, k->settings->name, "%s", e.message);
--- a/src/controller/quorum_members.c
+++ b/src/controller/quorum_members.c
@@ -215,15 +215,20 @@
   return text;
 }
 
-/* Sends a heartbeat to the COUNT addresses TO, or as a reply on CONN.  */
+/* Sends a heartbeat to the COUNT addresses TO, or as a reply on CONN.  A
+   keeper without an open journal sends none: its disk ID is not known or not
+   durable, and others would take it for another member.  */
 static void
 send_heartbeat (struct quorum_keeper *k, const char **to, uint32_t count,
                 struct peer_conn *conn)
 {
   char control[ADDRESS_BYTES + 8];
-  char *voters = voters_text (k);
   struct peer_message m = { .type = PEER_KEEPER_HEARTBEAT };
+  char *voters;
 
+  if (k->failed)
+    return;
+  voters = voters_text (k);
   snprintf (control, sizeof control, "%s:%u", k->settings->control.address,
             k->settings->control.port);
   m.u.keeper_heartbeat = (struct peer_keeper_heartbeat){
--- a/tests/unit/test_disks.c
+++ b/tests/unit/test_disks.c
@@ -401,6 +401,27 @@
   changes_done (&c);
 }
 
+/* The disk of a keeper is full at its first start, and then that of the
+   leader: the vote of the first one counts.  */
+static void
+test_vote_after_first_start (void)
+{
+  struct changes c;
+  int64_t full_ms;
+
+  changes_init (&c);
+  fake_disk_fill (c.d.folders[0], 0);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&c.d, i);
+  deployment_run_until_leader (&c.d);
+  run_for (&c, FULL_MS);
+  fake_disk_mend (NULL);
+  full_ms = now_ms ();
+  fake_disk_fill (c.d.folders[leader_number (&c.d)], 0);
+  run_until_acked (&c, full_ms + FULL_MS);
+  changes_done (&c);
+}
+
 /* The disks of all founders are full in turn, each when its keeper has just
    created its journal: they still form a quorum.  */
 static void
@@ -441,6 +462,9 @@
                test_full_at_first_start);
   CU_add_test (s, "a keeper without a journal closes standard input",
                test_descriptor_of_others);
+  CU_add_test (s,
+               "the vote of a keeper whose disk was full at first is ignored",
+               test_vote_after_first_start);
   CU_add_test (s, "founders whose disks were full in turn form no quorum",
                test_founders_full_in_turn);
 }
