Keeper: a full disk held back the heartbeats of targets

What callers may see: targets whose heartbeats go to a keeper with a full disk are removed after 15 s, although each heartbeat is acknowledged.

Meanwhile it relayed no batch of heartbeats to the leader, but acknowledged those that repeat what the leader knows.

Evidence: the test fails without the change: with a full disk and a change each 60 ms, the leader had heard nothing for more than 0.8 s.

--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -389,6 +389,7 @@
     {
       if (now - k->failed_ms >= REOPEN_MS)
         reopen_log (k, now);
+      target_relay_tick (&k->relay, now);
       return;
     }
   replicated_log_tick (&k->log, now);
--- a/tests/unit/test_disks.c
+++ b/tests/unit/test_disks.c
@@ -23,6 +23,8 @@
   FULL_MS = 500,
   ROOM_MS = 200, /* from one disk to the next */
   ACK_LIMIT_MS = 4000,
+  RELAY_MS = 2000,
+  HEARTBEAT_AGE_MS = 800, /* of a target, at the leader */
   TEXT_BYTES = 4096
 };
 
@@ -422,6 +424,39 @@
   changes_done (&c);
 }
 
+/* A follower whose disk is full still relays the targets' heartbeats.  */
+static void
+test_relay_with_full_disk (void)
+{
+  struct changes c;
+  struct quorum_keeper *leader;
+  int64_t end;
+  int follower = 0;
+
+  changes_init (&c);
+  c.d.heartbeats_paused = false;
+  c.d.heartbeats_to_follower = true;
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&c.d, i);
+  deployment_run_until_leader (&c.d);
+  run_for (&c, RELAY_MS);
+  leader = deployment_leader (&c.d);
+  CU_ASSERT_EQUAL (leader->plan.target_count, TARGETS);
+  while (c.d.keepers[follower] != deployment_follower (&c.d))
+    follower++;
+  fake_disk_fill (c.d.folders[follower], 0);
+  end = now_ms () + RELAY_MS;
+  while (now_ms () < end)
+    {
+      run_step (&c);
+      for (uint32_t i = 0; i < leader->plan.target_count; i++)
+        CU_ASSERT (now_ms () - leader->plan.targets[i]->last_seen_ms
+                   < HEARTBEAT_AGE_MS);
+    }
+  CU_ASSERT_PTR_EQUAL (deployment_leader (&c.d), leader);
+  changes_done (&c);
+}
+
 /* The disks of all founders are full in turn, each when its keeper has just
    created its journal: they still form a quorum.  */
 static void
@@ -465,6 +500,8 @@
   CU_add_test (s,
                "the vote of a keeper whose disk was full at first is ignored",
                test_vote_after_first_start);
+  CU_add_test (s, "heartbeats relayed by a follower whose disk is full",
+               test_relay_with_full_disk);
   CU_add_test (s, "founders whose disks were full in turn form no quorum",
                test_founders_full_in_turn);
 }
