--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -359,6 +359,7 @@
   log_journal_close (&k->journal);
   replicated_log_done (&k->log);
   k->failed = false;
+  k->last_heartbeat_ms = 0;
   if (!open_log (k, &e))
     {
       event_ring_add (EVENT_STORE_FAILED, k->settings->name, "%s", e.message);
@@ -388,6 +389,7 @@
     {
       if (now - k->failed_ms >= REOPEN_MS)
         reopen_log (k, now);
+      target_relay_tick (&k->relay, now);
       return;
     }
   replicated_log_tick (&k->log, now);
@@ -539,6 +541,7 @@
   k->boot_id = boot_id;
   k->last_tick_ms = now_ms ();
   k->receiving_since_ms = k->last_tick_ms;
+  log_journal_init (&k->journal);
   owner_plan_init (&k->plan);
   target_relay_init (&k->relay, k);
   k->network
--- a/tests/unit/test_disks.c
+++ b/tests/unit/test_disks.c
@@ -1,9 +1,11 @@
 /* Tests of keepers whose disks are full or fail to sync, and have room
    again.  */
 #include <dirent.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include "base/now.h"
 #include "controller/log_journal.h"
 #include "tests/unit/deployment.h"
@@ -21,6 +23,8 @@
   FULL_MS = 500,
   ROOM_MS = 200, /* from one disk to the next */
   ACK_LIMIT_MS = 4000,
+  RELAY_MS = 2000,
+  HEARTBEAT_AGE_MS = 800, /* of a target, at the leader */
   TEXT_BYTES = 4096
 };
 
@@ -381,6 +385,78 @@
     }
 }
 
+/* A keeper that could not open its journal yet leaves the descriptors of
+   others alone.  */
+static void
+test_descriptor_of_others (void)
+{
+  struct changes c;
+  int fd = open ("/dev/null", O_RDONLY);
+
+  if (fd != STDIN_FILENO)
+    close (fd);
+  changes_init (&c);
+  fake_disk_fill (c.d.folders[0], 0);
+  deployment_start_keeper (&c.d, 0);
+  run_for (&c, FULL_MS);
+  CU_ASSERT (fcntl (STDIN_FILENO, F_GETFD) >= 0);
+  changes_done (&c);
+}
+
+/* The disk of a keeper is full at its first start, and then that of the
+   leader: the vote of the first one counts.  */
+static void
+test_vote_after_first_start (void)
+{
+  struct changes c;
+  int64_t full_ms;
+
+  changes_init (&c);
+  fake_disk_fill (c.d.folders[0], 0);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&c.d, i);
+  deployment_run_until_leader (&c.d);
+  run_for (&c, FULL_MS);
+  fake_disk_mend (NULL);
+  full_ms = now_ms ();
+  fake_disk_fill (c.d.folders[leader_number (&c.d)], 0);
+  run_until_acked (&c, full_ms + FULL_MS);
+  changes_done (&c);
+}
+
+/* A follower whose disk is full still relays the targets' heartbeats.  */
+static void
+test_relay_with_full_disk (void)
+{
+  struct changes c;
+  struct quorum_keeper *leader;
+  int64_t end;
+  int follower = 0;
+
+  changes_init (&c);
+  c.d.heartbeats_paused = false;
+  c.d.heartbeats_to_follower = true;
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&c.d, i);
+  deployment_run_until_leader (&c.d);
+  run_for (&c, RELAY_MS);
+  leader = deployment_leader (&c.d);
+  CU_ASSERT_EQUAL (leader->plan.target_count, TARGETS);
+  while (c.d.keepers[follower] != deployment_follower (&c.d))
+    follower++;
+  fake_disk_fill (c.d.folders[follower], 0);
+  end = now_ms () + RELAY_MS;
+  while (now_ms () < end)
+    {
+      run_step (&c);
+      for (uint32_t i = 0; i < leader->plan.target_count; i++)
+        CU_ASSERT (now_ms () - leader->plan.targets[i]->last_seen_ms
+                   < HEARTBEAT_AGE_MS);
+    }
+  CU_ASSERT_PTR_EQUAL (deployment_leader (&c.d), leader);
+  changes_done (&c);
+}
+
 /* The disks of all founders are full in turn, each when its keeper has just
    created its journal: they still form a quorum.  */
 static void
@@ -419,6 +495,13 @@
   CU_add_test (s,
                "a keeper whose disk was full at its first start never votes",
                test_full_at_first_start);
+  CU_add_test (s, "a keeper without a journal closes standard input",
+               test_descriptor_of_others);
+  CU_add_test (s,
+               "the vote of a keeper whose disk was full at first is ignored",
+               test_vote_after_first_start);
+  CU_add_test (s, "heartbeats relayed by a follower whose disk is full",
+               test_relay_with_full_disk);
   CU_add_test (s, "founders whose disks were full in turn form no quorum",
                test_founders_full_in_turn);
 }
