Keeper: changes waited for the full disk of a keeper that was to be added

What callers saw: a keeper is gone for good, and the disk of the one that is to replace it is full. From 2 s after the loss on changes were refused for as long as that disk was full, with two healthy keepers of three.

Cause: the leader added a voter that had stored nothing yet. With four voters three must store an entry, the change of the voters itself included: one is gone and one has no room.

Evidence: the test fails without the change (no change acknowledged for more than 4 s).

Fix: the keeper to be added is a learner first: it gets the log without a vote, and the change is proposed once it has stored what was committed when it became one. A spare whose disk stays full is tried again and again; another one is not chosen in its place.

--- a/src/controller/quorum_members.c
+++ b/src/controller/quorum_members.c
@@ -342,6 +342,20 @@
   return newest;
 }
 
+/* Whether the change C may be proposed.  The log could not commit while a
+   majority needs an added voter that stores nothing: it catches up before.  */
+static bool
+is_ready (struct quorum_keeper *k, const struct quorum_change *c)
+{
+  bool adds = c->kind == QUORUM_ADD;
+
+  replicated_log_set_learner (&k->log, adds ? (int)c->in : LOG_NO_MEMBER);
+  if (adds)
+    peer_network_connect_address (k->network, k->peers[c->in].member.address,
+                                  k->settings->peer.peer_port);
+  return !adds || replicated_log_is_caught_up (&k->log);
+}
+
 void
 quorum_members_propose_change (struct quorum_keeper *k, int64_t now)
 {
@@ -359,7 +373,7 @@
   c = quorum_plan_decide (members, (uint32_t)k->log.member_count,
                           (uint32_t)k->log.self, &goal, k->receiving_since_ms,
                           now);
-  if (c.kind == QUORUM_UNCHANGED)
+  if (!is_ready (k, &c) || c.kind == QUORUM_UNCHANGED)
     return;
   if (c.kind != QUORUM_REMOVE)
     k->peers[c.in].member.voter = true;
--- a/src/coord/replicated_log.c
+++ b/src/coord/replicated_log.c
@@ -52,6 +52,21 @@
   m->voter = voter;
 }
 
+void
+replicated_log_set_learner (struct replicated_log *l, int learner)
+{
+  if (learner != l->learner)
+    l->learner_index = l->commit_index;
+  l->learner = learner;
+}
+
+bool
+replicated_log_is_caught_up (const struct replicated_log *l)
+{
+  return l->learner != LOG_NO_MEMBER
+         && l->members[l->learner].match_index >= l->learner_index;
+}
+
 static uint64_t
 next_random (struct replicated_log *l)
 {
@@ -87,6 +102,7 @@
     l->members[i].voter = true;
   l->voted_for = LOG_NO_MEMBER;
   l->leader = LOG_NO_MEMBER;
+  l->learner = LOG_NO_MEMBER;
   l->compact_entries = COMPACT_ENTRIES_DEFAULT;
 }
 
@@ -249,6 +265,7 @@
 become_leader (struct replicated_log *l, int64_t now)
 {
   l->leader = l->self;
+  l->learner = LOG_NO_MEMBER;
   for (int i = 0; i < l->member_count; i++)
     {
       l->members[i].next_index = log_entries_last_index (&l->stored) + 1;
@@ -412,12 +429,20 @@
   msgpack_sbuffer_destroy (&packed);
 }
 
+/* Whether this leader sends MEMBER its entries.  */
+static bool
+replicates_to (const struct replicated_log *l, int member)
+{
+  return member != l->self
+         && (l->members[member].voter || member == l->learner);
+}
+
 static void
 broadcast_append (struct replicated_log *l, int64_t now)
 {
   l->round++;
   for (int i = 0; i < l->member_count; i++)
-    if (i != l->self && l->members[i].voter)
+    if (replicates_to (l, i))
       send_append (l, i, now);
 }
 
@@ -790,8 +815,7 @@
       return;
     }
   for (int i = 0; i < l->member_count; i++)
-    if (i != l->self && l->members[i].voter
-        && now - l->members[i].sent_ms >= l->heartbeat_ms)
+    if (replicates_to (l, i) && now - l->members[i].sent_ms >= l->heartbeat_ms)
       {
         l->round++;
         send_append (l, i, now);
--- a/src/coord/replicated_log.h
+++ b/src/coord/replicated_log.h
@@ -86,6 +86,8 @@
   /* volatile state */
   enum log_role role;
   int leader;
+  int learner; /* on the leader: gets the log without voting; or none */
+  uint64_t learner_index; /* commit index when it became the learner */
   uint64_t commit_index;
   uint64_t applied_index;
   uint64_t round; /* number of the latest append broadcast or heartbeat */
@@ -120,6 +122,13 @@
 void replicated_log_set_voter (struct replicated_log *l, int member,
                                bool voter);
 
+/* For the leader: sends LEARNER, which does not vote, the log as it does the
+   voters; LOG_NO_MEMBER ends this.  */
+void replicated_log_set_learner (struct replicated_log *l, int learner);
+
+/* Whether the learner has stored what was committed when it became one.  */
+bool replicated_log_is_caught_up (const struct replicated_log *l);
+
 /* Whether an entry of the current term is committed and all committed entries
    are applied.  Before that the applied state of a restarted member may be as
    old as its snapshot, also if it has been elected leader.  */
--- a/tests/unit/quorum_model.c
+++ b/tests/unit/quorum_model.c
@@ -743,7 +743,10 @@
   fill_members (m, n, members);
   c = quorum_plan_decide (members, (uint32_t)m->count, (uint32_t)n->self,
                           &m->goal, n->receiving_since_ms, m->now);
-  if (c.kind == QUORUM_UNCHANGED)
+  replicated_log_set_learner (&n->log, c.kind == QUORUM_ADD ? (int)c.in
+                                                            : LOG_NO_MEMBER);
+  if (c.kind == QUORUM_UNCHANGED
+      || (c.kind == QUORUM_ADD && !replicated_log_is_caught_up (&n->log)))
     return;
   if (c.kind != QUORUM_REMOVE)
     voters |= bit ((int)c.in);
--- a/tests/unit/test_disks.c
+++ b/tests/unit/test_disks.c
@@ -24,6 +24,9 @@
   ROOM_MS = 200, /* from one disk to the next */
   ACK_LIMIT_MS = 4000,
   RELAY_MS = 2000,
+  SPARE = SEEDS,
+  SPARE_KNOWN_MS = 1500,
+  SPARE_FULL_MS = 7000,
   HEARTBEAT_AGE_MS = 800, /* of a target, at the leader */
   TEXT_BYTES = 4096
 };
@@ -457,6 +460,40 @@
   changes_done (&c);
 }
 
+/* A keeper is gone, and the disk of the one that is to replace it is full:
+   changes are acknowledged throughout, and the keeper is replaced once there
+   is room.  */
+static void
+test_full_spare (void)
+{
+  struct changes c;
+  int64_t end;
+  int gone = 0;
+
+  changes_init (&c);
+  for (int i = 0; i < KEEPERS; i++)
+    deployment_start_keeper (&c.d, i);
+  deployment_run_until_leader (&c.d);
+  run_for (&c, SPARE_KNOWN_MS);
+  while (c.d.keepers[gone] != deployment_follower (&c.d))
+    gone++;
+  fake_disk_fill (c.d.folders[SPARE], 0);
+  deployment_stop_keeper (&c.d, gone);
+  end = now_ms () + SPARE_FULL_MS;
+  while (now_ms () < end)
+    {
+      run_step (&c);
+      CU_ASSERT (now_ms () - c.acked_ms < ACK_LIMIT_MS);
+    }
+  fake_disk_mend (NULL);
+  end = now_ms () + ACK_LIMIT_MS;
+  while (!c.d.keepers[SPARE]->peers[c.d.keepers[SPARE]->log.self].member.voter
+         && now_ms () < end)
+    run_step (&c);
+  CU_ASSERT (now_ms () < end);
+  changes_done (&c);
+}
+
 /* The disks of all founders are full in turn, each when its keeper has just
    created its journal: they still form a quorum.  */
 static void
@@ -502,6 +539,8 @@
                test_vote_after_first_start);
   CU_add_test (s, "heartbeats relayed by a follower whose disk is full",
                test_relay_with_full_disk);
+  CU_add_test (s, "changes wait for the full disk of a keeper to be added",
+               test_full_spare);
   CU_add_test (s, "founders whose disks were full in turn form no quorum",
                test_founders_full_in_turn);
 }
