Node soak: callers' connections break in the moment in which paths fail

The soak was blind to the shape of the users' record (27 tasks twice at once, in two failure domains): callers' connections ended only with an entry's process, and connections went silent only one path at a time.

New: callers' connections break at an entry that goes on (a FIN or a reset, one caller in six does not come back); the connections of a VM to all targets, to half of them or to other VMs go silent for good; both at most entries of one or two domains in one moment, with cuts, resets and pauses as well. A VM is cut off from the keepers only, so that its targets get other owners while it runs jobs. Targets lose some of the requests, are cut off from all VMs, drain and leave, or do not end their runs. Bursts of calls; all keepers killed at once; all VMs lose power at once; a keeper cut off from all VMs. A fault may follow at once, not only after 0.2 s. No check was changed.

--- a/tests/soak/fake_worker.c
+++ b/tests/soak/fake_worker.c
@@ -23,6 +23,7 @@
   LATE_SHORT_MS = 400,
   LATE_LONG_MS = 4000,
   SLOW_CLOCK_PERCENT = 98,
+  LOSSY_REQUESTS = 4, /* one in so many is lost */
   STATUS_OK = 200,
   STATUS_CONFLICT = 409,
   STATUS_MISDIRECTED = 421
@@ -403,6 +404,10 @@
         break;
       case WORKER_IGNORES:
         break;
+      case WORKER_LOSSY:
+        if (next_random (w, LOSSY_REQUESTS) != 0)
+          handle_request (w, req, path, body, from);
+        break;
       case WORKER_LATE:
         hold_request (w, path, body, from);
         break;
@@ -429,7 +434,7 @@
 
       if (fake_worker_clock_ms (w, now) > w->lease_end_ms)
         end_run (w, i, "lapsed");
-      else if (now >= r->end_ms)
+      else if (now >= r->end_ms && w->behaviour != WORKER_STANDS)
         end_run (w, i, w->behaviour == WORKER_FAILS ? "failed" : "done");
       else if (r->stop_ms != 0 && now >= r->stop_ms)
         end_run (w, i, "stopped");
@@ -469,6 +474,7 @@
   while (w->run_count != 0)
     end_run (w, 0, "crashed");
   clear_memory (w);
+  w->drain_until_ms = 0;
   w->started_ms = now;
   w->fencing_token = 0;
   w->lease_end_ms = 0;
@@ -488,7 +494,8 @@
   snprintf (address, sizeof address, "%s:%u", w->address, w->port);
   o = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:I,s:{s:i,s:i,s:i},s:[s],s:I}",
                  "service", "svc", "address", address, "zone", w->zone,
-                 "version", "v1", "slots", 8, "state", "ready", "born",
+                 "version", "v1", "slots", 8, "state",
+                 w->drain_until_ms == 0 ? "ready" : "draining", "born",
                  (json_int_t)w->started_ms, "capacity", "cpu",
                  WORKER_SLOTS * WORKER_TASK_CPU_MILLI, "mem-mb", 32768, "gpu",
                  0, "labels", "a", "seq", (json_int_t)++w->sequence);
--- a/tests/soak/fake_worker.h
+++ b/tests/soak/fake_worker.h
@@ -30,7 +30,9 @@
   WORKER_IGNORES,  /* neither executes nor replies */
   WORKER_RESETS,   /* closes the connection without executing */
   WORKER_LATE,     /* executes requests later, sends no reply */
-  WORKER_FAILS     /* every run fails */
+  WORKER_LOSSY,    /* ignores some of the requests */
+  WORKER_FAILS,    /* every run fails */
+  WORKER_STANDS    /* no run ends unless it is stopped or its lease expires */
 };
 
 struct worker_run
@@ -60,6 +62,7 @@
   int64_t clock_percent; /* speed of its clock, in percent of real time */
   uint64_t sequence;
   enum worker_behaviour behaviour;
+  int64_t drain_until_ms; /* 0 unless it drains; the soak then restarts it */
   uint64_t random;
 
   uint64_t fencing_token;
--- a/tests/soak/fault_proxy.c
+++ b/tests/soak/fault_proxy.c
@@ -340,15 +340,29 @@
   p->paths[from][to].delay_ms = ms;
 }
 
+/* Whether END, of a connection of P, is WANTED or of that kind.  */
+static bool
+is_end (const struct fault_proxy *p, int end, int wanted)
+{
+  switch (wanted)
+    {
+    case PROXY_ANY:
+      return true;
+    case PROXY_TARGETS:
+      return end >= 0 && p->is_target[end];
+    case PROXY_VMS:
+      return end >= 0 && !p->is_target[end];
+    default:
+      return end == wanted;
+    }
+}
+
 static bool
 is_between (const struct proxy_connection *c, int one, int other)
 {
-  if (one == PROXY_ANY)
-    return c->from == other || c->to == other;
-  if (other == PROXY_ANY)
-    return c->from == one || c->to == one;
-  return (c->from == one && c->to == other)
-         || (c->from == other && c->to == one);
+  return (is_end (c->proxy, c->from, one) && is_end (c->proxy, c->to, other))
+         || (is_end (c->proxy, c->from, other)
+             && is_end (c->proxy, c->to, one));
 }
 
 void
@@ -369,11 +383,13 @@
 }
 
 void
-fault_proxy_blackhole (struct fault_proxy *p, int one, int other)
+fault_proxy_blackhole (struct fault_proxy *p, int one, int other,
+                       uint32_t step)
 {
   struct proxy_connection *c;
+  uint32_t count = 0;
 
   DL_FOREACH (p->connections, c)
-  if (is_between (c, one, other))
+  if (is_between (c, one, other) && count++ % step == 0)
     c->blackholed = true;
 }
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -69,14 +69,19 @@
 
 enum
 {
-  PROXY_ANY = -1
+  PROXY_ANY = -1,
+  PROXY_TARGETS = -2, /* any target */
+  PROXY_VMS = -3      /* any VM */
 };
 
-/* Resets the connections between ONE and OTHER, which may be PROXY_ANY.  */
+/* Resets the connections between ONE and OTHER, which may be one of the
+   above.  */
 void fault_proxy_reset (struct fault_proxy *p, int one, int other);
 
-/* Stops forwarding on the present connections between ONE and OTHER, which may
-   be PROXY_ANY, for good, without closing them; new connections work.  */
-void fault_proxy_blackhole (struct fault_proxy *p, int one, int other);
+/* Stops forwarding on each STEPth of the present connections between ONE and
+   OTHER, which may be one of the above, for good, without closing them; new
+   connections work.  */
+void fault_proxy_blackhole (struct fault_proxy *p, int one, int other,
+                            uint32_t step);
 
 #endif
--- a/tests/soak/path_faults.c
+++ b/tests/soak/path_faults.c
@@ -7,7 +7,7 @@
 
 enum
 {
-  PATH_FAULT_LIMIT = 16,
+  PATH_FAULT_LIMIT = 64,
   PAIR_FAULT_LIMIT = 16
 };
 
@@ -47,6 +47,8 @@
       return from == f->from && to != from && to < nodes;
     case PATH_TARGETS:
       return from == f->from && to >= nodes;
+    case PATH_KEEPERS:
+      return from == f->from && to != from && to < (int)soak.keeper_count;
     default:
       return domain_of (from) == f->from && domain_of (to) != f->from;
     }
@@ -80,7 +82,8 @@
 print_fault (const struct path_fault *f)
 {
   static const char *const scopes[]
-      = { "path", "paths to VMs", "paths to targets", "domain" };
+      = { "path", "paths to VMs", "paths to targets", "paths to keepers",
+          "domain" };
   char to[64] = "";
 
   if (f->scope == PATH_PAIR)
--- a/tests/soak/path_faults.h
+++ b/tests/soak/path_faults.h
@@ -12,6 +12,7 @@
   PATH_PAIR,    /* from VM or target FROM to TO */
   PATH_PEERS,   /* from VM FROM to all other VMs */
   PATH_TARGETS, /* from VM FROM to all targets */
+  PATH_KEEPERS, /* from VM FROM to all keepers */
   PATH_DOMAIN   /* from failure domain FROM to all others */
 };
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -74,10 +74,13 @@
   uint32_t history_count;
 };
 
+struct call;
+
 /* One request of a caller for a job.  */
 struct attempt
 {
   struct node *entry;
+  struct call *call; /* NULL once it has ended */
   int64_t sent_ms;
   int64_t ended_ms; /* 0 while it has no answer */
   int status;       /* 0 without an answer */
@@ -220,9 +223,11 @@
 void soak_end_faults (int64_t now_ms, bool all);
 
 /* Faults that follow one another within a second at the VMs and targets of one
-   run, and faults of many VMs at the same time.  */
+   run, faults of many VMs at the same time, and callers whose connections
+   break at many entries in the moment in which paths of entries fail.  */
 void soak_start_series (int64_t now_ms);
 void soak_start_mass_fault (int64_t now_ms);
+void soak_start_caller_fault (int64_t now_ms);
 void soak_continue_series (int64_t now_ms);
 
 /* Returns a connection that is freed after one request.  */
@@ -231,6 +236,13 @@
 
 /* callers */
 void soak_send_calls (int64_t now_ms);
+
+/* Sends several times as many calls as usual for a while.  */
+void soak_start_burst (int64_t now_ms);
+
+/* Breaks the connections of callers to ENTRY, which goes on; most callers send
+   their jobs again.  */
+void soak_break_callers (struct node *entry);
 struct job *soak_find_job (const char *task);
 void soak_free_jobs (void);
 
--- a/tests/soak/soak_calls.c
+++ b/tests/soak/soak_calls.c
@@ -1,4 +1,5 @@
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -6,15 +7,25 @@
 #include "base/now.h"
 #include "tests/soak/soak.h"
 
+enum
+{
+  LEAVING_CALLERS = 6, /* one in so many does not send its job again */
+  BURST_FACTOR = 4,
+  BURST_MIN_MS = 300,
+  BURST_SPREAD_MS = 1500
+};
+
 /* The request of one attempt.  */
 struct call
 {
   struct job *job;
   uint32_t attempt;
+  struct evhttp_connection *connection;
 };
 
 static struct job *jobs;
 static int64_t next_call_us;
+static int64_t burst_until_ms;
 static uint32_t answered;
 static uint32_t served;
 static uint32_t final_requests;
@@ -93,6 +104,7 @@
   struct attempt *a = &j->attempts[c->attempt];
 
   free (c);
+  a->call = NULL;
   a->status = req == NULL ? 0 : evhttp_request_get_response_code (req);
   a->ended_ms = now_ms ();
   j->pending = false;
@@ -115,6 +127,42 @@
     }
 }
 
+/* Breaks the connection of attempt A of J: in half of the cases with a
+   reset.  */
+static void
+break_call (struct job *j, struct attempt *a)
+{
+  const struct linger now = { 1, 0 };
+  struct evhttp_connection *conn = a->call->connection;
+
+  if (soak_random_load (2) == 0)
+    setsockopt (bufferevent_getfd (evhttp_connection_get_bufferevent (conn)),
+                SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  evhttp_connection_free (conn);
+  free (a->call);
+  a->call = NULL;
+  a->ended_ms = now_ms ();
+  j->pending = soak_random_load (LEAVING_CALLERS) != 0;
+  if (j->pending)
+    resend_later (j);
+}
+
+void
+soak_break_callers (struct node *entry)
+{
+  struct job *j;
+  struct job *next;
+
+  soak_node_event (entry, "callers' connections break");
+  HASH_ITER (hh, jobs, j, next)
+  {
+    struct attempt *a = &j->attempts[j->attempt_count - 1];
+
+    if (a->entry == entry && a->call != NULL)
+      break_call (j, a);
+  }
+}
+
 static struct node *
 choose_entry (void)
 {
@@ -137,9 +185,12 @@
 
   j->attempts = realloc (j->attempts,
                          (j->attempt_count + 1) * sizeof (struct attempt));
-  *c = (struct call){ j, j->attempt_count++ };
+  *c = (struct call){ j, j->attempt_count++,
+                      soak_connect (entry->address, CALLER_PORT,
+                                    DEADLINE_MS + 2 * ANSWER_SLACK_MS) };
   j->attempts[c->attempt]
       = (struct attempt){ .entry = entry,
+                          .call = c,
                           .sent_ms = now_ms (),
                           .stopping = entry->stopping || entry->pid == 0 };
   j->pending = true;
@@ -154,9 +205,7 @@
                        j->attempt_count, j->length_ms, j->task_count,
                        WORKER_TASK_CPU_MILLI, j->length_ms);
   snprintf (text, sizeof text, "/jobs/%s", j->id);
-  evhttp_make_request (soak_connect (entry->address, CALLER_PORT,
-                                     DEADLINE_MS + 2 * ANSWER_SLACK_MS),
-                       req, EVHTTP_REQ_POST, text);
+  evhttp_make_request (c->connection, req, EVHTTP_REQ_POST, text);
 }
 
 static void
@@ -173,6 +222,20 @@
   send_call (j);
 }
 
+void
+soak_start_burst (int64_t now)
+{
+  burst_until_ms = now + BURST_MIN_MS + soak_random_load (BURST_SPREAD_MS);
+  soak_log ("burst of calls", "");
+}
+
+static uint32_t
+calls_per_second (int64_t now)
+{
+  return now < burst_until_ms ? soak.calls_per_second * BURST_FACTOR
+                              : soak.calls_per_second;
+}
+
 void
 soak_send_calls (int64_t now)
 {
@@ -184,7 +247,7 @@
          && soak_elapsed_ms ()
                 < soak.seconds * 1000 + SETTLE_MS + FINAL_PHASE_MS)
     {
-      next_call_us += 1000000 / soak.calls_per_second;
+      next_call_us += 1000000 / calls_per_second (now);
       send_new_job ();
     }
 }
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -7,6 +7,12 @@
 #include "base/now.h"
 #include "tests/soak/path_faults.h"
 
+enum
+{
+  DRAIN_MS
+  = 2000 /* the shortest time from its notice to the end of a target */
+};
+
 static int64_t wiped_ms;
 
 /* Returns the number of keepers without a fault.  Faults hit one keeper at a
@@ -100,7 +106,7 @@
       fault_proxy_reset (&soak.proxy, f.from, f.to);
       break;
     case 1:
-      fault_proxy_blackhole (&soak.proxy, f.from, f.to);
+      fault_proxy_blackhole (&soak.proxy, f.from, f.to, 1);
       break;
     case 2:
       path_faults_start (&f);
@@ -111,44 +117,79 @@
     }
 }
 
-void
-soak_end_faults (int64_t now, bool all)
+static void
+restart_worker (uint32_t i)
 {
-  path_faults_end (now, all);
-  for (uint32_t i = 0; i < soak.keeper_count; i++)
-    if (soak.nodes[i].disk_full && soak.nodes[i].pid != 0
-        && (all || now >= soak.nodes[i].disk_full_until_ms))
-      set_disk_full (&soak.nodes[i], false);
+  struct fake_worker *w = &soak.workers[i];
+
+  fake_worker_restart (w, now_ms ());
+  fault_proxy_reset (&soak.proxy, soak_worker_index (i), PROXY_ANY);
+  soak_log ("reborn", w->id);
 }
 
+/* Cuts target I off from all VMs; its runs and heartbeats go on.  */
 static void
-inject_worker_fault (void)
+cut_worker (int64_t now, uint32_t i)
+{
+  struct path_fault f = { .scope = PATH_PEERS, .from = soak_worker_index (i) };
+
+  f.both = soak_random_fault (2) == 0;
+  f.until_ms = now + 300 + soak_random_fault (3000);
+  path_faults_start (&f);
+}
+
+static void
+inject_worker_fault (int64_t now)
 {
   uint32_t i = soak_random_fault (soak.worker_count);
   struct fake_worker *w = &soak.workers[i];
+  uint32_t kind = soak_random_fault (8);
 
   if (w->behaviour != WORKER_NORMAL)
     w->behaviour = WORKER_NORMAL;
-  else if (soak_random_fault (6) == 0)
+  else if (kind == 0)
+    restart_worker (i);
+  else if (kind == 1 && w->drain_until_ms == 0)
     {
-      fake_worker_restart (w, now_ms ());
-      fault_proxy_reset (&soak.proxy, soak_worker_index (i), PROXY_ANY);
-      soak_log ("reborn", w->id);
+      w->drain_until_ms = now + DRAIN_MS + soak_random_fault (2000);
+      soak_log ("drains", w->id);
     }
+  else if (kind == 2)
+    cut_worker (now, i);
   else
     {
-      w->behaviour = (enum worker_behaviour) (1 + soak_random_fault (5));
+      w->behaviour = (enum worker_behaviour) (1 + soak_random_fault (7));
       soak_log ("misbehaves from now on", w->id);
     }
 }
 
+static void
+end_drains (int64_t now, bool all)
+{
+  for (uint32_t i = 0; i < soak.worker_count; i++)
+    if (soak.workers[i].drain_until_ms != 0
+        && (all || now >= soak.workers[i].drain_until_ms))
+      restart_worker (i);
+}
+
+void
+soak_end_faults (int64_t now, bool all)
+{
+  path_faults_end (now, all);
+  end_drains (now, all);
+  for (uint32_t i = 0; i < soak.keeper_count; i++)
+    if (soak.nodes[i].disk_full && soak.nodes[i].pid != 0
+        && (all || now >= soak.nodes[i].disk_full_until_ms))
+      set_disk_full (&soak.nodes[i], false);
+}
+
 /* Makes a target mishandle the requests of the VM that has started a run
    there.  */
 static void
 inject_pair_fault (int64_t now)
 {
   const struct live_run *l = soak_random_run ();
-  enum worker_behaviour b = WORKER_NO_REPLY + soak_random_fault (4);
+  enum worker_behaviour b = WORKER_NO_REPLY + soak_random_fault (5);
   int64_t until_ms = now + 300 + soak_random_fault (3000);
 
   if (l != NULL)
@@ -188,10 +229,10 @@
   soak.fault_due_ms
       = now + soak.fault_gap_ms / 2 + soak_random_fault (soak.fault_gap_ms);
   soak.faults++;
-  switch (soak_random_fault (12))
+  switch (soak_random_fault (15))
     {
     case 0:
-      inject_worker_fault ();
+      inject_worker_fault (now);
       break;
     case 1:
     case 2:
@@ -213,6 +254,13 @@
     case 10:
       soak_start_series (now);
       break;
+    case 11:
+    case 12:
+      soak_start_caller_fault (now);
+      break;
+    case 13:
+      soak_start_burst (now);
+      break;
     default:
       soak_start_mass_fault (now);
     }
--- a/tests/soak/soak_nodes.c
+++ b/tests/soak/soak_nodes.c
@@ -207,7 +207,7 @@
 void
 soak_power_off_node (struct node *n)
 {
-  fault_proxy_blackhole (&soak.proxy, n->index, PROXY_ANY);
+  fault_proxy_blackhole (&soak.proxy, n->index, PROXY_ANY, 1);
   soak_node_event (n, "loses power");
   soak_kill_node (n);
 }
--- a/tests/soak/soak_series.c
+++ b/tests/soak/soak_series.c
@@ -7,7 +7,6 @@
 enum
 {
   PLAN_LIMIT = 64,
-  FOLLOW_MIN_MS = 200,
   FOLLOW_MAX_MS = 900,
   FOLLOW_COUNT_MAX = 3,
   CUT_MIN_MS = 400,
@@ -22,10 +21,15 @@
   SERIES_POWER_OFF,
   SERIES_PAUSE,
   SERIES_STOP,
-  SERIES_RESET,      /* the connections of VM */
-  SERIES_CUT_PEERS,  /* VM from the other VMs */
-  SERIES_CUT_PATH,   /* the path from VM to OTHER */
-  SERIES_CUT_TARGETS /* VM from all targets */
+  SERIES_BREAK_CALLERS,   /* the connections of callers to VM */
+  SERIES_RESET,           /* the connections of VM */
+  SERIES_SILENCE_PEERS,   /* those to other VMs, for good */
+  SERIES_SILENCE_TARGETS, /* those to targets, for good */
+  SERIES_SILENCE_HALF,    /* every second of those to targets */
+  SERIES_CUT_PEERS,       /* VM from the other VMs */
+  SERIES_CUT_KEEPERS,     /* VM from the keepers, which may replace it */
+  SERIES_CUT_PATH,        /* the path from VM to OTHER */
+  SERIES_CUT_TARGETS      /* VM from all targets */
 };
 
 /* A fault that is due at a later time.  */
@@ -79,10 +83,28 @@
     case SERIES_STOP:
       soak_stop_node (n);
       break;
+    case SERIES_BREAK_CALLERS:
+      soak_break_callers (n);
+      break;
     case SERIES_RESET:
       soak_node_event (n, "connections reset");
       fault_proxy_reset (&soak.proxy, n->index, PROXY_ANY);
       break;
+    case SERIES_SILENCE_PEERS:
+      soak_node_event (n, "connections to VMs go silent");
+      fault_proxy_blackhole (&soak.proxy, n->index, PROXY_VMS, 1);
+      break;
+    case SERIES_SILENCE_TARGETS:
+      soak_node_event (n, "connections to targets go silent");
+      fault_proxy_blackhole (&soak.proxy, n->index, PROXY_TARGETS, 1);
+      break;
+    case SERIES_SILENCE_HALF:
+      soak_node_event (n, "half of the connections to targets go silent");
+      fault_proxy_blackhole (&soak.proxy, n->index, PROXY_TARGETS, 2);
+      break;
+    case SERIES_CUT_KEEPERS:
+      start_cut (now, PATH_KEEPERS, n->index, 0);
+      break;
     case SERIES_CUT_PEERS:
       start_cut (now, PATH_PEERS, n->index, 0);
       break;
@@ -112,11 +134,11 @@
 plan_follow_up (int64_t now, const struct live_run *l)
 {
   static const enum series_kind kinds[]
-      = { SERIES_PAUSE,    SERIES_KILL,     SERIES_POWER_OFF,
-          SERIES_CUT_PATH, SERIES_CUT_PATH, SERIES_CUT_TARGETS };
+      = { SERIES_PAUSE,           SERIES_KILL,          SERIES_POWER_OFF,
+          SERIES_CUT_PATH,        SERIES_CUT_PATH,      SERIES_CUT_TARGETS,
+          SERIES_SILENCE_TARGETS, SERIES_SILENCE_PEERS, SERIES_CUT_KEEPERS };
   uint32_t draw = soak_random_fault (sizeof kinds / sizeof kinds[0]);
-  int64_t due_ms = now + FOLLOW_MIN_MS
-                   + soak_random_fault (FOLLOW_MAX_MS - FOLLOW_MIN_MS);
+  int64_t due_ms = now + soak_random_fault (FOLLOW_MAX_MS);
   bool to_target = soak_random_fault (2) == 0;
   int other = to_target
                   ? soak_worker_index ((uint32_t)(l->worker - soak.workers))
@@ -129,8 +151,9 @@
 soak_start_series (int64_t now)
 {
   static const enum series_kind kinds[]
-      = { SERIES_KILL,  SERIES_POWER_OFF, SERIES_POWER_OFF,
-          SERIES_PAUSE, SERIES_RESET,     SERIES_CUT_PEERS };
+      = { SERIES_KILL,          SERIES_POWER_OFF,    SERIES_POWER_OFF,
+          SERIES_PAUSE,         SERIES_RESET,        SERIES_CUT_PEERS,
+          SERIES_BREAK_CALLERS, SERIES_BREAK_CALLERS };
   const struct live_run *l = soak_random_run ();
   uint32_t draw = soak_random_fault (sizeof kinds / sizeof kinds[0]);
   uint32_t count = 1 + soak_random_fault (FOLLOW_COUNT_MAX);
@@ -171,6 +194,15 @@
     }
 }
 
+/* Injects a fault of KIND at all VMs from FIRST up to END at once; their disks
+   keep what they hold.  */
+static void
+hit_all (int64_t now, uint32_t first, uint32_t end, enum series_kind kind)
+{
+  for (uint32_t i = first; i < end; i++)
+    inject (now, kind, &soak.nodes[i], 0);
+}
+
 void
 soak_start_mass_fault (int64_t now)
 {
@@ -182,7 +214,7 @@
     KINDS = sizeof kinds / sizeof kinds[0]
   };
   uint32_t domain = soak_random_fault (soak.domain_count);
-  uint32_t draw = soak_random_fault (KINDS + 2);
+  uint32_t draw = soak_random_fault (KINDS + 6);
 
   printf ("%" PRId64 " ms: mass fault %u in zone-%u\n", soak_elapsed_ms (),
           draw, domain);
@@ -190,6 +222,44 @@
     hit_domain (now, domain, kinds[draw], false);
   else if (draw == KINDS)
     hit_domain (now, domain, SERIES_STOP, true);
+  else if (draw == KINDS + 1)
+    hit_all (now, 0, soak.keeper_count, SERIES_KILL);
+  else if (draw == KINDS + 2)
+    hit_all (now, 0, soak.node_count, SERIES_POWER_OFF);
+  else if (draw == KINDS + 3)
+    start_cut (now, PATH_PEERS, (int)soak_random_fault (soak.keeper_count), 0);
   else
     start_cut (now, PATH_DOMAIN, (int)domain, 0);
 }
+
+/* Breaks the connections of callers to most of the entries of one failure
+   domain, or of two, and starts a fault of the paths of most of them in the
+   same moment.  */
+void
+soak_start_caller_fault (int64_t now)
+{
+  static const enum series_kind kinds[] = { SERIES_SILENCE_TARGETS,
+                                            SERIES_SILENCE_HALF,
+                                            SERIES_SILENCE_PEERS,
+                                            SERIES_CUT_TARGETS,
+                                            SERIES_CUT_PEERS,
+                                            SERIES_RESET,
+                                            SERIES_PAUSE };
+  uint32_t draw = soak_random_fault (sizeof kinds / sizeof kinds[0]);
+  uint32_t one = soak_random_fault (soak.domain_count);
+  uint32_t other = soak_random_fault (soak.domain_count);
+
+  printf ("%" PRId64 " ms: callers' fault %u in zone-%u and zone-%u\n",
+          soak_elapsed_ms (), draw, one, other);
+  for (uint32_t i = soak.keeper_count; i < soak.node_count; i++)
+    {
+      struct node *n = &soak.nodes[i];
+
+      if (n->domain != one && n->domain != other)
+        continue;
+      if (soak_random_fault (4) != 0)
+        inject (now, kinds[draw], n, 0);
+      if (soak_random_fault (4) != 0)
+        inject (now, SERIES_BREAK_CALLERS, n, 0);
+    }
+}
