An assignment lost with its connection is sent again

Callers saw, after a failure domain had been cut off, that the targets of the other one had no dispatcher: of 152 requests in the 12 to 16 s after the last fault 34 were refused, 16 of them by one entry that refused all (503 "no_target"), 18 because the dispatcher of the other domain had to serve both (503 "share").

Cause: the leader gave 16 targets to an entry and sent it the assignment on a connection that was cut in this direction and was then reset. The entry's next heartbeat, on a new connection, showed an old assignment, but entry_links had set the link's assignment_number to 0 for the new connection, so the heartbeat's number was not lower and nothing was sent until the plan changed again. A lost assignment was only noticed while its connection stayed.

Why it works: the link keeps the number of the last assignment sent in this term, so the first heartbeat on a new connection that reports an older one gets it again, with the dispatchers.

--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -152,7 +152,6 @@
       if (l->conn != NULL)
         peer_conn_release (l->conn);
       l->conn = peer_conn_hold (from);
-      l->assignment_number = 0;
       l->config_version = h->config_version;
       l->voters_digest = 0;
       l->dispatchers_digest = 0;
--- a/tests/unit/test_keepers.c
+++ b/tests/unit/test_keepers.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 #include "base/now.h"
+#include "controller/entry_links.h"
 #include "controller/quorum_members.h"
 #include "coord/dispatcher_subset.h"
 #include "tests/unit/deployment.h"
@@ -13,6 +14,7 @@
 {
   NON_VOTER = KEEPERS - 1, /* neither a seed nor a voter */
   LEADER_CHANGES_MAX = 5,
+  SETTLED_MS = 1000,
   MANY_ENTRIES = 300,
   MANY_DOMAINS = 3,
   MANY_DISPATCHERS = 120
@@ -165,6 +167,43 @@
   deployment_done (&d);
 }
 
+/* An assignment that was lost with its connection is sent again on the next
+   one.  */
+static void
+test_lost_assignment_is_sent_again (void)
+{
+  struct deployment d;
+  struct quorum_keeper *k;
+  struct job_entry *e;
+  int64_t end;
+  uint64_t term;
+  uint64_t lost;
+
+  deployment_init (&d);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&d, i);
+  for (int i = 0; i < ENTRIES; i++)
+    deployment_start_entry (&d, i);
+  deployment_run_until_owned (&d);
+  end = now_ms () + SETTLED_MS;
+  while (now_ms () < end)
+    deployment_run_step (&d);
+  deployment_run_until_leader (&d);
+  k = deployment_leader (&d);
+  e = d.entries[0];
+  term = k->log.term;
+  lost = ++k->assignment_counter;
+  entry_links_find_or_add (k, e->settings->peer.vm)->assignment_number = lost;
+  for (uint32_t i = 0; i < e->keeper_count; i++)
+    peer_network_reset (e->network, e->keepers[i]);
+  end = now_ms () + WAIT_MS;
+  while (e->assignment_number < lost && k->log.term == term && now_ms () < end)
+    deployment_run_step (&d);
+  if (k->log.term == term)
+    CU_ASSERT (e->assignment_number >= lost);
+  deployment_done (&d);
+}
+
 /* A keeper whose log cannot be opened at its start is no member: it must not
    look itself up among the peers, but sends heartbeats as a keeper that does
    not vote.  */
@@ -275,6 +314,8 @@
                test_no_member_without_log);
   CU_add_test (s, "a running entry is not unassigned",
                test_running_entry_is_not_unassigned);
+  CU_add_test (s, "an assignment lost with its connection is sent again",
+               test_lost_assignment_is_sent_again);
   CU_add_test (s, "a keeper that does not vote finds the leader",
                test_non_voter_finds_leader);
   CU_add_test (s, "only changed targets are logged",
