--- a/tests/unit/lease_ports.c
+++ b/tests/unit/lease_ports.c
@@ -75,7 +75,8 @@
   int64_t now = world_clock (w, vm);
   struct call c = { .kind = CALL_POLL, .target = target, .token = p->token };
 
-  if (p->target.phase == TARGET_READY && p->target.run_count != 0)
+  if (p->target.phase == TARGET_READY && p->target.run_count != 0
+      && p->unanswered_since_ms == 0)
     c.lease_end_ms = request_lease (w, p, now, w->lease_ms);
   p->polling = true;
   p->poll_sent_ms = now;
@@ -269,6 +270,8 @@
   p->next_poll_ms
       = world_clock (w, vm)
         + (unknown != 0 ? SYNC_PAUSE_MS : world_random (w, POLL_PAUSE_MAX_MS));
+  if (unknown == 0 && c->lease_end_ms == 0 && p->target.run_count != 0)
+    p->next_poll_ms = 0;
 }
 
 static void
