--- a/tests/soak/soak_nodes.c
+++ b/tests/soak/soak_nodes.c
@@ -1,8 +1,11 @@
 #include "tests/soak/soak.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <inttypes.h>
 #include <limits.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -190,6 +193,7 @@
   n->disk_full = false;
   n->until_ms = 0;
   n->start_ms = now_ms ();
+  n->listen_ms = 0;
   record_event (n, "started");
 }
 
@@ -231,6 +235,42 @@
   soak_node_event (n, "sent SIGTERM");
 }
 
+/* Whether entry N accepts connections of callers.  */
+static bool
+listens (const struct node *n)
+{
+  struct sockaddr_in to
+      = { .sin_family = AF_INET, .sin_port = htons (CALLER_PORT) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  struct pollfd p = { .fd = fd, .events = POLLOUT };
+  bool connected;
+
+  inet_pton (AF_INET, n->address, &to.sin_addr);
+  connected = connect (fd, (struct sockaddr *)&to, sizeof to) == 0
+              || (errno == EINPROGRESS && poll (&p, 1, 0) == 1
+                  && (p.revents & POLLERR) == 0);
+  close (fd);
+  return connected;
+}
+
+/* Notes when entry N begins to listen after its start, which takes long on a
+   busy machine.  */
+static void
+update_start (struct node *n, int64_t now)
+{
+  int64_t began_ms = n->start_ms > n->fault_ms ? n->start_ms : n->fault_ms;
+
+  if (soak_is_keeper (n) || soak_is_disturbed (n) || n->listen_ms != 0)
+    return;
+  if (listens (n))
+    n->listen_ms = now;
+  else if (now - began_ms > START_UP_MS)
+    {
+      soak_violation ("a started process does not listen", n->address);
+      n->listen_ms = now;
+    }
+}
+
 static void
 update_node (struct node *n, int64_t now)
 {
@@ -283,6 +323,7 @@
       if (n->stalled_until_ms != 0 && now >= n->stalled_until_ms)
         end_stall (n);
       update_node (n, now);
+      update_start (n, now);
     }
 }
 
