Tests: full disks: a limit that was set after it had been removed

What the test saw: seed 206 with four keepers, no change acknowledged for 4 s twice, on a machine with a load of 30: two disks were full at once.

Cause: a keeper that starts with a full disk limited itself after the fork. This one came to it 1.1 s later (PROCESS_STARTED), after its disk had been given room, and stayed full until its next turn, 26 s later (STORE_FAILED).

Fix: it inherits the limit, so that the order is that of the test.

Also: the folders' place is an option, since in three runs on one real disk the syncs of all keepers took up to 3.8 s until the same moment (LOOP_STALLED at all of them within 0.12 s; seed 109, one violation each), and the addresses are none that the soak uses.

--- a/tests/disks/full_disks.c
+++ b/tests/disks/full_disks.c
@@ -71,6 +71,7 @@
 static struct
 {
   const char *program;
+  const char *parent; /* folder in which FOLDER is made */
   uint64_t seed;
   int net; /* 127.0.N.x is used */
   int64_t seconds;
@@ -80,7 +81,7 @@
 
   struct event_base *base;
   struct keeper keepers[KEEPER_LIMIT];
-  char folder[64];
+  char folder[PATH_BYTES / 4];
   uint64_t random;
   int64_t begin_ms;
   int64_t change_due_ms;
@@ -92,8 +93,9 @@
   uint32_t turns;
   uint32_t violations;
 } test = { .program = "build/ragwort-node",
+           .parent = "/tmp",
            .seed = 1,
-           .net = 205,
+           .net = 245,
            .seconds = 30,
            .keeper_count = 3,
            .lost = 1,
@@ -156,11 +158,12 @@
 }
 
 /* Runs the program as a supervisor may, without standard input.  Its log goes
-   through a pipe, since the file size limit would also stop a log in a
-   file.  */
+   through a pipe, since the file size limit would also stop a log in a file.
+   It inherits the limit, which make_room may then remove at any time.  */
 static void
 start_keeper (struct keeper *k, bool first)
 {
+  const struct rlimit none = { RLIM_INFINITY, RLIM_INFINITY };
   const struct rlimit limit = { k->limit, RLIM_INFINITY };
   char path[PATH_BYTES];
   int fds[2];
@@ -169,6 +172,8 @@
   write_settings (k, path, first);
   if (pipe2 (fds, O_CLOEXEC) != 0)
     abort ();
+  if (k->full)
+    setrlimit (RLIMIT_FSIZE, &limit);
   k->pid = fork ();
   if (k->pid == 0)
     {
@@ -176,11 +181,10 @@
       dup2 (fds[1], STDERR_FILENO);
       close (STDIN_FILENO);
       signal (SIGXFSZ, SIG_IGN);
-      if (k->full)
-        setrlimit (RLIMIT_FSIZE, &limit);
       execl (test.program, test.program, path, (char *)NULL);
       _exit (127);
     }
+  setrlimit (RLIMIT_FSIZE, &none);
   close (fds[1]);
   if (k->log_event != NULL)
     {
@@ -431,9 +435,9 @@
 init_keepers (void)
 {
   int full = (int)next_random (2 * (uint32_t)test.keeper_count);
-  static const char pattern[] = "/tmp/ragwort-disks-XXXXXX";
 
-  memcpy (test.folder, pattern, sizeof pattern);
+  snprintf (test.folder, sizeof test.folder, "%s/ragwort-disks-XXXXXX",
+            test.parent);
   if (mkdtemp (test.folder) == NULL)
     abort ();
   for (int i = 0; i < test.keeper_count; i++)
@@ -480,8 +484,10 @@
 
 static const struct argp_option options[]
     = { { "seed", 's', "N", 0, "Seed of the faults and changes (1)", 0 },
-        { "net", 'n', "N", 0, "Use 127.0.N.x (205)", 0 },
+        { "net", 'n', "N", 0, "Use 127.0.N.x (245)", 0 },
         { "seconds", 't', "S", 0, "How long disks fill (30)", 0 },
+        { "folder", 'f', "DIR", 0, "Where the keepers' folders are (/tmp)",
+          0 },
         { "keepers", 'k', "N", 0, "Number of keepers (3)", 0 },
         { "lost", 'l', "N", 0, "Keepers that may be lost at once (1)", 0 },
         { "change-ms", 'c', "MS", 0, "Interval of the changes (250)", 0 },
@@ -501,6 +507,9 @@
     case 't':
       test.seconds = atoi (arg);
       return 0;
+    case 'f':
+      test.parent = arg;
+      return 0;
     case 'k':
       test.keeper_count = atoi (arg);
       if (test.keeper_count < SEEDS || test.keeper_count > KEEPER_LIMIT)
