Replica group: a failed sync started one for every unsynced member

What callers may see: the entry that syncs two others which can't be reached, or refuse, is busy with nothing else.

Cause: after a failed run all unsynced members got a new one, also those whose own run was under way or was to be repeated: with two of them their number doubled every 25 ms.

Fix: a failed run is repeated for its own member, if that is still unsynced and this entry is still the one to sync it.

--- a/src/controller/replica_controller.c
+++ b/src/controller/replica_controller.c
@@ -254,6 +254,7 @@
 };
 
 static void sync_continue (struct sync_run *r);
+static void sync_start (struct entry *n, const char *vm);
 
 static void
 sync_finish (struct sync_run *r)
@@ -276,6 +277,17 @@
   sync_continue (r);
 }
 
+/* Whether the member of R still needs it.  */
+static bool
+is_needed (const struct sync_run *r)
+{
+  const struct submission_register *s = &r->entry->submissions;
+  const struct group_member *m = group_member_find (&s->group, r->vm);
+
+  return s->group.incarnation == r->incarnation && m != NULL && !m->synced
+         && submission_register_is_sync_source (s);
+}
+
 static void
 on_sync_again (evutil_socket_t fd, short what, void *arg)
 {
@@ -283,8 +295,8 @@
 
   (void)fd;
   (void)what;
-  if (r->entry->submissions.group.incarnation == r->incarnation)
-    replica_sync_others (r->entry);
+  if (is_needed (r))
+    sync_start (r->entry, r->vm);
   sync_finish (r);
 }
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -65,6 +65,7 @@
   suite_base ();
   suite_coord ();
   suite_register ();
+  suite_replica ();
   suite_log ();
   suite_control ();
   suite_store ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -15,6 +15,7 @@
 void suite_base (void);
 void suite_coord (void);
 void suite_register (void);
+void suite_replica (void);
 void suite_log (void);
 void suite_control (void);
 void suite_store (void);
