--- a/Makefile
+++ b/Makefile
@@ -98,7 +98,7 @@
 
 # node-soak: the duration of the faults, the seeds and the program's options.
 SOAK_SECONDS ?= 8
-SOAK_SEEDS ?= 1
+SOAK_SEEDS ?= 2714
 SOAK_OPTIONS ?=
 
 node-soak: all
--- a/tests/node_soak.sh
+++ b/tests/node_soak.sh
@@ -10,7 +10,7 @@
 out=$(mktemp -d)
 export SOAK_OPTIONS="${SOAK_OPTIONS:-}"
 printf '%s\n' "$@" | xargs -P "${LANES:-1}" -n 1 sh -c \
-  'if "$0/node_soak" --net "$(((($3 - 1) % 70) * 3 + 31))" --seed "$3" \
+  'if "$0/node_soak" --net "$(((($3 - 1) % 55) * 3 + 31))" --seed "$3" \
       --seconds "$1" $SOAK_OPTIONS "$0/ragwort-node" > "$2/$3" 2>&1; then
     tail -n 1 "$2/$3"
   else
