--- a/tests/unit/deployment.c
+++ b/tests/unit/deployment.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 #include "base/now.h"
 #include "platform/service_config_json.h"
+#include "tests/unit/fake_clock.h"
 #include "tests/unit/fake_port.h"
 #include "tests/unit/suites.h"
 
@@ -15,6 +16,7 @@
   PEER_PORT = 17720,
   CONTROL_PORT = 17721,
   STEP_MS = 20,
+  PASSES_PER_MS = 4, /* for messages and their replies */
   HEARTBEAT_MS = 300
 };
 
@@ -198,6 +200,18 @@
   send_heartbeats (d);
 }
 
+void
+deployment_run_simulated_step (struct deployment *d)
+{
+  for (int ms = 0; ms < STEP_MS; ms++)
+    {
+      fake_clock_advance (1);
+      for (int i = 0; i < PASSES_PER_MS; i++)
+        event_base_loop (d->base, EVLOOP_NONBLOCK);
+    }
+  send_heartbeats (d);
+}
+
 static uint32_t
 targets_owned (const struct deployment *d)
 {
--- a/tests/unit/deployment.h
+++ b/tests/unit/deployment.h
@@ -54,6 +54,9 @@
    they are due.  */
 void deployment_run_step (struct deployment *d);
 
+/* The same on a stopped clock (fake_clock), which it advances.  */
+void deployment_run_simulated_step (struct deployment *d);
+
 /* Runs until all targets have an owner, or until there is a leader.  The test
    fails and ends there if that takes longer than WAIT_MS: what follows would
    use a leader that does not exist.  */
--- a/tests/unit/test_disks.c
+++ b/tests/unit/test_disks.c
@@ -9,6 +9,7 @@
 #include "base/now.h"
 #include "controller/log_journal.h"
 #include "tests/unit/deployment.h"
+#include "tests/unit/fake_clock.h"
 #include "tests/unit/fake_disk.h"
 #include "tests/unit/suites.h"
 
@@ -229,12 +230,18 @@
 }
 
 static void
-run_step (struct changes *c)
+begin_step (struct changes *c)
 {
   for (int i = 0; i < KEEPERS; i++)
     if (c->d.keepers[i] != NULL)
       c->d.keepers[i]->log.compact_entries = COMPACT_ENTRIES;
   send_change (c, now_ms ());
+}
+
+static void
+run_step (struct changes *c)
+{
+  begin_step (c);
   deployment_run_step (&c->d);
 }
 
@@ -448,14 +455,17 @@
   while (c.d.keepers[follower] != deployment_follower (&c.d))
     follower++;
   fake_disk_fill (c.d.folders[follower], 0);
+  fake_clock_stop ();
   end = now_ms () + RELAY_MS;
   while (now_ms () < end)
     {
-      run_step (&c);
+      begin_step (&c);
+      deployment_run_simulated_step (&c.d);
       for (uint32_t i = 0; i < leader->plan.target_count; i++)
         CU_ASSERT (now_ms () - leader->plan.targets[i]->last_seen_ms
                    < HEARTBEAT_AGE_MS);
     }
+  fake_clock_resume ();
   CU_ASSERT_PTR_EQUAL (deployment_leader (&c.d), leader);
   changes_done (&c);
 }
