--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -577,6 +577,10 @@
     async def limited():
         return await asyncio.wait_for(play(folder, trouble), limit_s)
 
+    def ended(number, frame):
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, ended)   # so that all processes are ended
     try:
         if not os.access(os.path.join(ROOT, PROGRAM), os.X_OK):
             print("%s is not built" % PROGRAM)
