--- a/src/base/event_ring.c
+++ b/src/base/event_ring.c
@@ -4,8 +4,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/now.h"
+#include "base/utf8.h"
 
 enum
 {
@@ -101,6 +103,7 @@
   e->info = info_of[number];
   e->task = NO_TASK;
   copy_truncated (e->key, key, sizeof e->key);
+  utf8_repair_line (e->key);
   return e;
 }
 
@@ -137,6 +140,7 @@
   va_start (args, format);
   vsnprintf (e->detail, sizeof e->detail, format, args);
   va_end (args);
+  utf8_repair_line (e->detail);
   log_if_enabled (e);
 }
 
@@ -152,6 +156,7 @@
   e->task = (int32_t)index;
   e->state = state;
   copy_truncated (e->detail, location, sizeof e->detail);
+  utf8_repair_line (e->detail);
   log_if_enabled (e);
 }
 
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -14,6 +14,8 @@
        "new settings are invalid; the previous ones stay in force",           \
        "correct the settings file")                                           \
   ROW (105, LOOP_STALLED, WARN, "event loop stalled", "check the VM")         \
+  ROW (106, JSON_NOT_BUILT, ERROR, "JSON value could not be built",           \
+       "report it with the detail; an answer was 500 or a message left out")  \
   ROW (200, JOB_ACCEPTED, INFO, "job accepted", "nothing")                    \
   ROW (201, JOB_REPEATED, INFO, "job resubmitted, answered from its record",  \
        "nothing")                                                             \
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -12,12 +12,14 @@
 #include <event2/listener.h>
 #include <utlist.h>
 #include "base/counters.h"
+#include "base/json_text.h"
 #include "base/now.h"
 
 enum
 {
   BACKLOG = 1024,
   ERROR_TEXT_BYTES = 4200,
+  STATUS_INTERNAL = 500,
 
   /* A body of up to this many times the limit is read in full and refused with
      an answer; beyond that evhtp closes the connection without one.  */
@@ -437,8 +439,15 @@
 void
 http_call_answer_json (struct http_call *c, int status, json_t *value)
 {
-  char *text = json_dumps (value, JSON_COMPACT);
+  char *text;
 
+  if (value == NULL)
+    {
+      http_call_refuse (c, STATUS_INTERNAL, "no_answer", NULL,
+                        "the answer could not be built");
+      return;
+    }
+  text = json_encode (value);
   json_decref (value);
   http_call_answer (c, status, text);
   free (text);
@@ -447,13 +456,13 @@
 char *
 http_error_text (const char *code, const char *outcome, const char *message)
 {
-  json_t *o
-      = json_pack ("{s:{s:s s:s}}", "error", "code", code, "message", message);
+  json_t *o = json_build ("{s:{s:s s:o}}", "error", "code", code, "message",
+                          json_from_text (message));
   char *text;
 
   if (outcome != NULL)
-    json_object_set_new (o, "outcome", json_string (outcome));
-  text = json_dumps (o, JSON_COMPACT);
+    json_object_set_new (o, "outcome", json_from_text (outcome));
+  text = json_encode (o);
   json_decref (o);
   return text;
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -105,7 +105,8 @@
 /* Answers with STATUS and the text JSON.  */
 void http_call_answer (struct http_call *c, int status, const char *json);
 
-/* Answers with STATUS and VALUE, and drops the caller's reference to VALUE. */
+/* Answers with STATUS and VALUE, and drops the caller's reference to VALUE.  A
+   VALUE of NULL, which could not be built, is answered with status 500.  */
 void http_call_answer_json (struct http_call *c, int status, json_t *value);
 
 /* Answers with STATUS and an error.  OUTCOME says whether the request may have
@@ -114,7 +115,8 @@
                        const char *outcome, const char *format, ...)
     __attribute__ ((format (printf, 5, 6)));
 
-/* Returns the JSON text of an error, which the caller frees.  */
+/* Returns the JSON text of an error, which the caller frees.  Bytes of MESSAGE
+   that are not UTF-8 become '?'.  */
 char *http_error_text (const char *code, const char *outcome,
                        const char *message);
 
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -5,7 +5,9 @@
 #include <string.h>
 #include "base/event_ring.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "base/settings.h"
+#include "base/utf8.h"
 #include "coord/environment.h"
 #include "tests/unit/suites.h"
 
@@ -174,6 +176,65 @@
   free (text);
 }
 
+static void
+expect_repaired (const char *text, const char *expected)
+{
+  char buffer[64];
+
+  snprintf (buffer, sizeof buffer, "%s", text);
+  utf8_repair (buffer);
+  CU_ASSERT_STRING_EQUAL (buffer, expected);
+  CU_ASSERT (utf8_is_text (buffer, strlen (buffer)));
+  CU_ASSERT_EQUAL (utf8_is_text (text, strlen (text)),
+                   strcmp (text, expected) == 0);
+}
+
+/* The bytes that utf8_is_text accepts are those that jansson accepts.  */
+static void
+test_utf8 (void)
+{
+  char buffer[] = "a\nb\x7f\xc3";
+
+  expect_repaired ("", "");
+  expect_repaired ("\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80",
+                   "\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80");
+  expect_repaired ("a\xc3", "a?");
+  expect_repaired ("\xe2\x82", "??");
+  expect_repaired ("\xc0\xaf", "??");
+  expect_repaired ("\xe0\x80\xaf", "???");
+  expect_repaired ("\xed\xa0\x80", "???");
+  expect_repaired ("\xf4\x90\x80\x80", "????");
+  expect_repaired ("\xff\xa9z", "??z");
+  CU_ASSERT_FALSE (utf8_is_text ("a\0b", 3));
+  utf8_repair_line (buffer);
+  CU_ASSERT_STRING_EQUAL (buffer, "a b ?");
+  for (int i = 0; i < 0x10000; i++)
+    {
+      const char two[] = { (char)(i >> 8), (char)i, '\0' };
+      json_t *o = json_string (two);
+
+      CU_ASSERT_EQUAL (utf8_is_text (two, strlen (two)), o != NULL);
+      json_decref (o);
+    }
+}
+
+/* Text that is no UTF-8 never makes a value NULL, and a value that can't be
+   built is written as "null".  */
+static void
+test_json_text (void)
+{
+  json_t *o = json_from_text ("v\xc3");
+  char *text = json_encode (o);
+
+  CU_ASSERT_STRING_EQUAL (text, "\"v?\"");
+  free (text);
+  json_decref (o);
+  CU_ASSERT_PTR_NULL (json_build ("{s:s}", "a", "v\xc3"));
+  text = json_encode (NULL);
+  CU_ASSERT_STRING_EQUAL (text, "null");
+  free (text);
+}
+
 void
 suite_base (void)
 {
@@ -184,5 +245,7 @@
   CU_add_test (s, "invalid settings are reported", test_settings);
   CU_add_test (s, "invalid environment configurations are reported",
                test_environment);
+  CU_add_test (s, "UTF-8 is checked and repaired", test_utf8);
+  CU_add_test (s, "no text makes a JSON value fail unseen", test_json_text);
   CU_add_test (s, "docs/EVENTS.md matches the event table", test_catalogue);
 }
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -241,6 +241,73 @@
     }
 }
 
+/* Sends REQUEST of LENGTH bytes to the control API of a keeper with settings
+   S.  Returns the status of the answer, 0 if there was none.  */
+static int
+status_of (struct deployment *d, const struct node_settings *s,
+           const char *request, size_t length)
+{
+  struct bufferevent *bev = connect_and_send (
+      d->base, s->control.address, s->control.port, request, length);
+  struct evbuffer *in = bufferevent_get_input (bev);
+  int64_t end = now_ms () + ANSWER_MS;
+  int status = 0;
+
+  while (evbuffer_get_length (in) == 0 && now_ms () < end)
+    run_for (d->base, 1);
+  if (evbuffer_get_length (in) != 0)
+    sscanf ((const char *)evbuffer_pullup (in, -1), "HTTP/1.1 %d", &status);
+  bufferevent_free (bev);
+  return status;
+}
+
+/* Starts the founding keepers and waits for a leader.  */
+static void
+start_keepers (struct deployment *d)
+{
+  deployment_init (d);
+  d->heartbeats_paused = true;
+  for (int i = 0; i < SEEDS; i++)
+    {
+      d->keeper_settings[i].peer.connections = 500;
+      d->keeper_settings[i].peer.idle_timeout_ms = ANSWER_MS;
+      deployment_start_keeper (d, i);
+    }
+  deployment_run_until_leader (d);
+}
+
+/* The JSON reader's message quotes the body up to the byte that it refuses and
+   so ends within a character: the keepers answer 400 and go on.  Guards
+   against a keeper that ends by SIGSEGV (review case 1).  */
+static void
+test_body_refused_within_character (void)
+{
+  static const char body[] = "{\"version\": \"v\\\xc3\xa9\"}";
+  static const char *const lines[]
+      = { "PUT /v1/instances/t1 HTTP/1.1", "PUT /v1/config HTTP/1.1" };
+  struct deployment d;
+  struct control_api api;
+  struct error e;
+  char request[REQUEST_BYTES];
+
+  start_keepers (&d);
+  CU_ASSERT_FATAL (control_api_start (&api, d.base,
+                                      deployment_leader (&d)->settings,
+                                      deployment_leader (&d), &e));
+  for (size_t l = 0; l < sizeof lines / sizeof lines[0]; l++)
+    {
+      int n = snprintf (request, sizeof request,
+                        "%s\r\nHost: h\r\nContent-Length: %zu\r\n\r\n%s",
+                        lines[l], sizeof body - 1, body);
+
+      CU_ASSERT_EQUAL (
+          status_of (&d, deployment_leader (&d)->settings, request, (size_t)n),
+          400);
+    }
+  control_api_done (&api);
+  deployment_done (&d);
+}
+
 /* Malformed requests neither crash a keeper nor change its configuration or
    its targets.  */
 static void
@@ -252,15 +319,7 @@
   struct error e;
   char long_line[REQUEST_BYTES];
 
-  deployment_init (&d);
-  d.heartbeats_paused = true;
-  for (int i = 0; i < SEEDS; i++)
-    {
-      d.keeper_settings[i].peer.connections = 500;
-      d.keeper_settings[i].peer.idle_timeout_ms = ANSWER_MS;
-      deployment_start_keeper (&d, i);
-    }
-  deployment_run_until_leader (&d);
+  start_keepers (&d);
   s = deployment_leader (&d)->settings;
   CU_ASSERT_FATAL (
       control_api_start (&api, d.base, s, deployment_leader (&d), &e));
@@ -289,4 +348,6 @@
   CU_add_test (s, "the end of a connection is seen beside new ones",
                test_end_beside_connects);
   CU_add_test (s, "malformed requests to a keeper", test_malformed_requests);
+  CU_add_test (s, "a body that is refused within a character",
+               test_body_refused_within_character);
 }
