--- a/src/controller/target_relay.c
+++ b/src/controller/target_relay.c
@@ -7,6 +7,7 @@
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "base/now.h"
 #include "controller/quorum_keeper.h"
 #include "coord/run_target_json.h"
@@ -65,7 +66,7 @@
              call_done done, void *arg)
 {
   struct peer_message m = { .type = PEER_CALL };
-  char *text = json_dumps (body, JSON_COMPACT);
+  char *text = json_encode (body);
 
   m.u.call = (struct peer_call){ .method = METHOD_TARGET_REPORTS,
                                  .team = slice_of (""),
@@ -108,11 +109,17 @@
           const struct run_target_spec *spec, bool leaves, relay_done done,
           void *arg)
 {
-  struct relay_call *c = calloc (1, sizeof *c);
-  json_t *body = leaves ? json_pack ("{s:[s]}", "left", spec->id)
-                        : json_pack ("{s:[o]}", "whole",
-                                     run_target_spec_to_json (spec));
+  struct relay_call *c;
+  json_t *body = leaves ? json_build ("{s:[s]}", "left", spec->id)
+                        : json_build ("{s:[o]}", "whole",
+                                      run_target_spec_to_json (spec));
 
+  if (body == NULL)
+    {
+      done (arg, false);
+      return;
+    }
+  c = calloc (1, sizeof *c);
   *c = (struct relay_call){ r, leader->term, leaves, *spec, done, arg };
   call_leader (r, leader->member.address, body, on_call_done, c);
   json_decref (body);
@@ -213,7 +220,7 @@
     case REPORT_NONE:
       return;
     case REPORT_HEARTBEAT:
-      json_array_append_new (heartbeats, json_string (t->spec.id));
+      json_array_append_new (heartbeats, json_from_text (t->spec.id));
       json_array_append_new (heartbeats, json_integer (now - t->last_seen_ms));
       break;
     case REPORT_FULL:
@@ -236,7 +243,7 @@
   json_t *full_specs = json_array ();
   json_t *heartbeats = json_array ();
   json_t *body
-      = json_pack ("{s:o s:o}", "whole", full_specs, "heard", heartbeats);
+      = json_build ("{s:o s:o}", "whole", full_specs, "heard", heartbeats);
   struct target_report *t;
   struct target_report *next;
 
@@ -283,7 +290,7 @@
       int64_t age = json_integer_value (json_array_get (heartbeats, i + 1));
 
       if (id != NULL && !owner_plan_refresh_target (&k->plan, now - age, id))
-        json_array_append_new (unknown, json_string (id));
+        json_array_append_new (unknown, json_from_text (id));
     }
   return unknown;
 }
@@ -307,7 +314,7 @@
                       o) if (json_is_string (o))
       quorum_keeper_remove_target (k, json_string_value (o));
   unknown = apply_heartbeats (k, now, json_object_get (body, "heard"));
-  text = json_dumps (unknown, JSON_COMPACT);
+  text = json_encode (unknown);
   json_decref (unknown);
   return text;
 }
--- a/src/coord/run_target_json.c
+++ b/src/coord/run_target_json.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 #include "base/json_check.h"
+#include "base/json_text.h"
 
 json_t *
 run_target_spec_to_json (const struct run_target_spec *t)
@@ -10,8 +11,8 @@
   json_t *labels = json_array ();
 
   for (uint32_t i = 0; i < t->label_count; i++)
-    json_array_append_new (labels, json_string (t->labels[i]));
-  return json_pack (
+    json_array_append_new (labels, json_from_text (t->labels[i]));
+  return json_build (
       "{s:s s:s s:s s:s s:I s:I s:I s:I s:I s:I s:b s:o}", "id", t->id,
       "address", t->address, "service", t->service, "domain", t->domain,
       "born", (json_int_t)t->started_ms, "sequence", (json_int_t)t->sequence,
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -14,6 +14,7 @@
 #include "base/counters.h"
 #include "base/json_text.h"
 #include "base/now.h"
+#include "base/utf8.h"
 
 enum
 {
@@ -121,6 +122,53 @@
     }
 }
 
+static bool
+is_text (const char *text)
+{
+  return text == NULL || utf8_is_text (text, strlen (text));
+}
+
+/* Returns the name of a part of C's request that handlers may pass on as text
+   and that is no UTF-8, or NULL if there is none.  A body is checked by its
+   decoder.  */
+static const char *
+find_invalid_text (const struct http_call *c)
+{
+  static const char *const headers[] = { "Host", "Authorization" };
+
+  if (!is_text (c->path))
+    return "path";
+  if (!is_text (c->query))
+    return "query";
+  for (size_t i = 0; i < sizeof headers / sizeof headers[0]; i++)
+    if (!is_text (http_call_header (c, headers[i])))
+      return headers[i];
+  return NULL;
+}
+
+/* Refuses C if no handler can serve it.  Returns whether it did.  */
+static bool
+refuse_unservable (struct http_call *c)
+{
+  uint32_t maximum = c->server->body_bytes_maximum;
+  const char *invalid = find_invalid_text (c);
+
+  if (c->body_length > maximum)
+    {
+      http_call_refuse (c, 413, "body_too_large", "not_run",
+                        "the body has %zu bytes, of at most %u",
+                        c->body_length, maximum);
+      return true;
+    }
+  if (invalid != NULL)
+    {
+      http_call_refuse (c, 400, "not_text", "not_run", "%s: is not UTF-8",
+                        invalid);
+      return true;
+    }
+  return false;
+}
+
 static void
 on_request (evhtp_request_t *request, void *arg)
 {
@@ -151,11 +199,7 @@
                           (evhtp_hook)on_request_fini, c);
   /* The idle timeout must not close a connection whose request is pending.  */
   bufferevent_set_timeouts (request->conn->bev, NULL, NULL);
-  if (length > s->body_bytes_maximum)
-    http_call_refuse (c, 413, "body_too_large", "not_run",
-                      "the body has %zu bytes, of at most %u", length,
-                      s->body_bytes_maximum);
-  else
+  if (!refuse_unservable (c))
     s->handler (s->arg, c);
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,7 +1,9 @@
 /* The HTTP server, on libevhtp.  Every request becomes a reference-counted
    http_call, which may be answered at any later time.  If the caller
    disconnects first, its disconnected callback runs and the answer is dropped.
- */
+
+   A request whose path, query, Host or Authorization is not UTF-8 is refused
+   here with status 400: handlers may treat these as text.  */
 #ifndef NET_HTTP_SERVER_H
 #define NET_HTTP_SERVER_H
 
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -308,6 +308,40 @@
   deployment_done (&d);
 }
 
+/* A heartbeat and a leave whose id in the path is no UTF-8 are refused by a
+   keeper that doesn't lead and would relay them.  Guards against a follower
+   that ends by SIGSEGV (review case 3).  */
+static void
+test_id_not_utf8_at_follower (void)
+{
+  static const char body[]
+      = "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+        "\"slots\":1,\"state\":\"ready\",\"seq\":1,"
+        "\"capacity\":{\"cpu\":1,\"mem-mb\":1}}";
+  static const char *const methods[] = { "PUT", "DELETE" };
+  struct deployment d;
+  struct quorum_keeper *k;
+  struct control_api api;
+  struct error e;
+  char request[REQUEST_BYTES];
+
+  start_keepers (&d);
+  k = deployment_follower (&d);
+  CU_ASSERT_FATAL (control_api_start (&api, d.base, k->settings, k, &e));
+  for (size_t i = 0; i < sizeof methods / sizeof methods[0]; i++)
+    {
+      int n = snprintf (request, sizeof request,
+                        "%s /v1/instances/i-\xc3\x28 HTTP/1.1\r\nHost: h\r\n"
+                        "Content-Length: %zu\r\n\r\n%s",
+                        methods[i], sizeof body - 1, body);
+
+      CU_ASSERT_EQUAL (status_of (&d, k->settings, request, (size_t)n), 400);
+    }
+  CU_ASSERT_EQUAL (deployment_leader (&d)->plan.target_count, 0);
+  control_api_done (&api);
+  deployment_done (&d);
+}
+
 /* Malformed requests neither crash a keeper nor change its configuration or
    its targets.  */
 static void
@@ -350,4 +384,6 @@
   CU_add_test (s, "malformed requests to a keeper", test_malformed_requests);
   CU_add_test (s, "a body that is refused within a character",
                test_body_refused_within_character);
+  CU_add_test (s, "a target's id that is no UTF-8 at a follower",
+               test_id_not_utf8_at_follower);
 }
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -209,6 +209,29 @@
   deployment_done (&d);
 }
 
+/* A target whose id is no UTF-8 can't be described to the leader: it is not
+   acknowledged, and the follower goes on.  */
+static void
+test_id_not_relayable (void)
+{
+  struct deployment d;
+  struct run_target_spec t = make_target (1, false);
+  int heard = 0;
+  int left = 0;
+
+  start_all (&d);
+  memcpy (t.id, "i-\xc3", sizeof "i-\xc3");
+  target_relay_handle_heartbeat (&deployment_follower (&d)->relay, now_ms (),
+                                 &t, on_relay_done, &heard);
+  target_relay_handle_leave (&deployment_follower (&d)->relay, t.id,
+                             on_relay_done, &left);
+  CU_ASSERT_EQUAL (heard, -1);
+  CU_ASSERT_EQUAL (left, -1);
+  run_for (&d, 200);
+  CU_ASSERT_PTR_NULL (owner_plan_target (&deployment_leader (&d)->plan, t.id));
+  deployment_done (&d);
+}
+
 void
 suite_relay (void)
 {
@@ -221,6 +244,8 @@
   CU_add_test (s, "draining survives a restart",
                test_draining_survives_restart);
   CU_add_test (s, "a leave relayed by a follower", test_relayed_leave);
+  CU_add_test (s, "an id that is no UTF-8 is not relayed",
+               test_id_not_relayable);
   CU_add_test (s, "no leader, no acknowledgement",
                test_no_leader_no_acknowledgement);
 }
