JSON is built in one module, and texts of peers are checked where they enter

Found by asking, for each text from outside, which call gives NULL for it and who looks: json_pack, json_string and json_dumps stood at 89 places in 25 files, none looked at. Read, not shown: a text of a peer that is no UTF-8 in any frame; a log entry of an unknown type, which cleared the voters; a payload that could not be encoded, which was sent as an empty one (a start that nobody asked for).

Peers' frames have texts and bytes; a text that is no UTF-8 or has a NUL refuses the frame.

--- a/src/base/event_ring.c
+++ b/src/base/event_ring.c
@@ -165,11 +165,11 @@
 {
   char buffer[2 * DETAIL_BYTES];
 
-  return json_pack ("{s:I s:I s:s s:i s:s s:s s:s s:s}", "wall_ms",
-                    (json_int_t)e->wall_ms, "clock", (json_int_t)e->clock,
-                    "vm", ring_vm, "number", e->info->number, "event",
-                    e->info->name, "text", e->info->text, "key", e->key,
-                    "detail", detail_text (e, buffer, sizeof buffer));
+  return json_build ("{s:I s:I s:s s:i s:s s:s s:s s:s}", "wall_ms",
+                     (json_int_t)e->wall_ms, "clock", (json_int_t)e->clock,
+                     "vm", ring_vm, "number", e->info->number, "event",
+                     e->info->name, "text", e->info->text, "key", e->key,
+                     "detail", detail_text (e, buffer, sizeof buffer));
 }
 
 json_t *
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -149,6 +149,9 @@
        "nothing")                                                             \
   ROW (605, STORE_FAILED, ERROR,                                              \
        "journal write failed; ragwortd stops, ragwort-node tries again",      \
-       "free disk space or replace the disk; start the keeper if it stopped")
+       "free disk space or replace the disk; start the keeper if it stopped") \
+  ROW (606, STATE_REFUSED, ERROR,                                             \
+       "stored state or log entry of unknown form left out",                  \
+       "check the versions of the keepers' programs")
 
 #endif
--- a/src/controller/config_controller.c
+++ b/src/controller/config_controller.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include "base/counters.h"
 #include "base/event_ring.h"
+#include "base/json_text.h"
 #include "base/now.h"
 #include "controller/dispatch_controller.h"
 
@@ -148,9 +149,9 @@
 {
   struct peer_message m = { .type = PEER_REPLY };
   json_t *o
-      = json_pack ("{s:I s:O?}", "number", (json_int_t)n->environment.number,
-                   "document", n->environment.config);
-  char *text = json_dumps (o, JSON_COMPACT);
+      = json_build ("{s:I s:O?}", "number", (json_int_t)n->environment.number,
+                    "document", n->environment.config);
+  char *text = json_encode (o);
 
   m.u.reply.id = call->id;
   m.u.reply.status = 200;
--- a/src/controller/entry.c
+++ b/src/controller/entry.c
@@ -8,6 +8,7 @@
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "base/now.h"
 #include "controller/config_controller.h"
 #include "controller/dispatch_controller.h"
@@ -31,7 +32,7 @@
 static json_t *
 target_json (const struct target *t, int64_t now)
 {
-  return json_pack (
+  return json_build (
       "{s:s s:s s:s s:i s:i s:i s:b s:b s:b s:f}", "target", t->id, "rack",
       t->announcement.rack, "domain", t->announcement.domain, "slots",
       (int)t->announcement.slots, "in_use", (int)t->in_use, "reserved",
@@ -48,7 +49,7 @@
 
   for (struct submission *s = n->open; s != NULL; s = s->open_next)
     open++;
-  return json_pack (
+  return json_build (
       "{s:s s:s s:s s:s s:b s:b s:I s:s s:I s:b s:I s:I s:I s:I s:I s:o}",
       "vm", n->settings->vm, "role", "entry", "domain", n->settings->domain,
       "environment", n->settings->environment, "draining",
@@ -168,7 +169,7 @@
   else if (!n->submissions.synced)
     state = "joining";
   http_call_answer_json (c, strcmp (state, "serving") == 0 ? 200 : 503,
-                         json_pack ("{s:s}", "state", state));
+                         json_build ("{s:s}", "state", state));
 }
 
 static void
@@ -186,7 +187,7 @@
     json_array_append_new (array, target_json (t, now));
   http_call_answer_json (
       c, 200,
-      json_pack ("{s:s s:o}", "vm", n->settings->vm, "targets", array));
+      json_build ("{s:s s:o}", "vm", n->settings->vm, "targets", array));
 }
 
 static void
@@ -216,8 +217,8 @@
       json_decref (o);
       return;
     }
-  json_object_set_new (o, "type", json_string ("config"));
-  text = json_dumps (o, JSON_COMPACT);
+  json_object_set_new (o, "type", json_from_text ("config"));
+  text = json_encode (o);
   config_propose (n, text, strlen (text), answer_call, http_call_hold (c));
   free (text);
   json_decref (o);
--- a/src/controller/entry_assignment.c
+++ b/src/controller/entry_assignment.c
@@ -7,6 +7,7 @@
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "coord/run_target_json.h"
 
 /* The targets assigned to this entry with their fencing tokens and states, as
@@ -29,7 +30,7 @@
           json_integer (dispatcher_owned_state (&n->dispatcher, t)));
       json_array_append_new (array, o);
     }
-  text = json_dumps (array, JSON_COMPACT);
+  text = json_encode (array);
   json_decref (array);
   return text;
 }
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include "base/event_ring.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "base/now.h"
 #include "controller/quorum_members.h"
 #include "coord/dispatcher_subset.h"
@@ -110,8 +111,8 @@
     return;
   array = json_array ();
   for (uint32_t i = 0; i < count; i++)
-    json_array_append_new (array, json_string (voters[i]));
-  text = json_dumps (array, JSON_COMPACT);
+    json_array_append_new (array, json_from_text (voters[i]));
+  text = json_encode (array);
   m.u.keepers.text = slice_of (text);
   if (peer_conn_send (l->conn, &m))
     l->voters_digest = digest;
@@ -202,9 +203,9 @@
   json_t *array = json_array ();
 
   for (uint32_t i = 0; i < subset->count; i++)
-    json_array_append_new (array, json_pack ("{s:s s:s}", "vm",
-                                             subset->entries[i]->vm, "domain",
-                                             subset->entries[i]->domain));
+    json_array_append_new (array, json_build ("{s:s s:s}", "vm",
+                                              subset->entries[i]->vm, "domain",
+                                              subset->entries[i]->domain));
   json_object_set_new (assignment, "dispatchers", array);
 }
 
@@ -246,7 +247,7 @@
     append_dispatchers (&subset, assignment);
   l->dispatchers_digest = subset.digest;
   append_targets (k, e->vm, assignment);
-  text = json_dumps (assignment, JSON_COMPACT);
+  text = json_encode (assignment);
   send_assignment (k, l, text);
   event_ring_add (EVENT_VIEW_SENT, e->vm,
                   "term=%" PRIu64 " number=%" PRIu64 " targets=%u",
@@ -310,7 +311,7 @@
 
   json_object_foreach (k->applied_targets, id,
                        o) if (owner_plan_target (&k->plan, id) == NULL)
-      json_array_append_new (list, json_string (id));
+      json_array_append_new (list, json_from_text (id));
   return list;
 }
 
@@ -336,10 +337,10 @@
       k->targets_logged_digest = digest;
       k->targets_logged_ms = now;
     }
-  quorum_keeper_propose (
-      k,
-      json_pack ("{s:s s:o s:o}", "type", "targets", "put", put, "drop", drop),
-      now, &k->targets_index);
+  quorum_keeper_propose (k,
+                         json_build ("{s:s s:o s:o}", "type", "targets", "put",
+                                     put, "drop", drop),
+                         now, &k->targets_index);
 }
 
 /* When the set of dispatchers has changed, marks the entries whose subset of
--- a/src/controller/keeper.c
+++ b/src/controller/keeper.c
@@ -7,6 +7,7 @@
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "base/now.h"
 #include "controller/operator_api.h"
 
@@ -53,7 +54,7 @@
 view_text (const struct keeper *k)
 {
   json_t *o = control_view_to_json (&k->state.view);
-  char *text = json_dumps (o, JSON_COMPACT);
+  char *text = json_encode (o);
 
   json_decref (o);
   return text;
@@ -271,24 +272,24 @@
         list = unresponsive;
       else if (h->config_number == k->state.view.config_number)
         list = applied;
-      json_array_append_new (list, json_string (h->vm));
+      json_array_append_new (list, json_from_text (h->vm));
     }
-  return json_pack ("{s:o s:o s:o}", "taken", applied, "waiting", waiting,
-                    "silent", unresponsive);
+  return json_build ("{s:o s:o s:o}", "taken", applied, "waiting", waiting,
+                     "silent", unresponsive);
 }
 
 static void
 answer_show (struct keeper *k, struct peer_conn *from, uint64_t id)
 {
   json_t *rollout = rollout_json (k);
-  json_t *o = json_pack (
+  json_t *o = json_build (
       "{s:I s:s s:b s:O s:O s:O? s:o}", "number",
       (json_int_t)k->state.view.config_number, "sha256",
       k->state.view.config_sha256, "in_force",
       json_array_size (json_object_get (rollout, "waiting")) == 0, "spread",
       rollout, "history", k->state.history, "document", k->state.config,
       "view", control_view_to_json (&k->state.view));
-  char *text = json_dumps (o, JSON_COMPACT);
+  char *text = json_encode (o);
 
   json_decref (rollout);
   json_decref (o);
@@ -329,7 +330,7 @@
     }
   json_object_set_new (o, "wall_ms",
                        json_integer ((json_int_t)now_wall_ms ()));
-  text = json_dumps (o, JSON_COMPACT);
+  text = json_encode (o);
   /* The index is set before the proposal: a quorum of one applies the entry
      within the call.  */
   p->index = log_entries_last_index (&k->log.stored) + 1;
@@ -357,10 +358,10 @@
       receive_propose (k, from, call);
       return;
     }
-  o = json_pack ("{s:I s:O?}", "number",
-                 (json_int_t)k->state.view.config_number, "document",
-                 k->state.config);
-  text = json_dumps (o, JSON_COMPACT);
+  o = json_build ("{s:I s:O?}", "number",
+                  (json_int_t)k->state.view.config_number, "document",
+                  k->state.config);
+  text = json_encode (o);
   reply_text (from, call->id, STATUS_OK, text);
   free (text);
   json_decref (o);
@@ -411,11 +412,11 @@
 propose_synced (struct keeper *k, const struct group *g,
                 const struct entry_heartbeat *h)
 {
-  json_t *o = json_pack ("{s:s s:s s:I s:s s:I}", "type", "synced", "domain",
-                         g->domain, "incarnation", (json_int_t)g->incarnation,
-                         "vm", h->vm, "boot_id", (json_int_t)h->boot_id);
+  json_t *o = json_build ("{s:s s:s s:I s:s s:I}", "type", "synced", "domain",
+                          g->domain, "incarnation", (json_int_t)g->incarnation,
+                          "vm", h->vm, "boot_id", (json_int_t)h->boot_id);
 
-  propose_group_change (k, json_dumps (o, JSON_COMPACT));
+  propose_group_change (k, json_encode (o));
   json_decref (o);
 }
 
@@ -475,7 +476,7 @@
   static const char *const roles[]
       = { "follower", "pre_candidate", "candidate", "leader" };
 
-  return json_pack (
+  return json_build (
       "{s:s s:s s:s s:s s:I s:s s:I s:I s:I s:o}", "vm", k->settings->vm,
       "role", "keeper", "domain", k->settings->domain, "quorum",
       roles[k->log.role], "term", (json_int_t)k->log.term, "leader",
--- a/src/controller/keeper_state.c
+++ b/src/controller/keeper_state.c
@@ -6,6 +6,7 @@
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 
 static void
 set_config (struct quorum_keeper *k, uint64_t version, const char *text)
@@ -35,12 +36,20 @@
                   version, index, k->log.term);
 }
 
+/* Replaces the known voters by LIST.  What is not a list changes nothing: an
+   entry or a snapshot without one is of another program.  */
 static void
-set_applied (json_t **applied, json_t *list)
+set_voters (struct quorum_keeper *k, json_t *list)
 {
+  if (!json_is_array (list))
+    {
+      event_ring_add (EVENT_STATE_REFUSED, k->settings->name, "voters: %s",
+                      "not a list");
+      return;
+    }
   json_incref (list);
-  json_decref (*applied);
-  *applied = list;
+  json_decref (k->applied_voters);
+  k->applied_voters = list;
 }
 
 static void
@@ -91,8 +100,11 @@
     apply_config (k, index, o);
   else if (strcmp (type, "targets") == 0)
     apply_targets (k, o);
+  else if (strcmp (type, "voters") == 0)
+    set_voters (k, json_object_get (o, "list"));
   else
-    set_applied (&k->applied_voters, json_object_get (o, "list"));
+    event_ring_add (EVENT_STATE_REFUSED, k->settings->name,
+                    "index=%" PRIu64 " type=%s", index, type);
 }
 
 void
@@ -108,12 +120,15 @@
 keeper_state_snapshot (void *arg, uint32_t *length)
 {
   struct quorum_keeper *k = arg;
-  json_t *o = json_pack (
+  json_t *o = json_build (
       "{s:I s:s s:O s:o}", "version", (json_int_t)k->config_version, "text",
       k->config_text == NULL ? "" : k->config_text, "voters",
       k->applied_voters, "targets", targets_list (k));
-  char *text = json_dumps (o, JSON_COMPACT);
+  char *text;
 
+  if (o == NULL)
+    return NULL;
+  text = json_encode (o);
   json_decref (o);
   *length = (uint32_t)strlen (text);
   return text;
@@ -130,7 +145,7 @@
   (void)index;
   if (version > k->config_version)
     set_config (k, version, json_get_text (o, "text", ""));
-  set_applied (&k->applied_voters, json_object_get (o, "voters"));
+  set_voters (k, json_object_get (o, "voters"));
   json_object_clear (k->applied_targets);
   put_targets (k, json_object_get (o, "targets"));
   json_decref (o);
--- a/src/controller/operator_api.c
+++ b/src/controller/operator_api.c
@@ -3,6 +3,7 @@
 #include <openssl/crypto.h>
 #include <stdlib.h>
 #include <string.h>
+#include "base/json_text.h"
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "coord/environment.h"
@@ -41,8 +42,8 @@
 handle_counters (const struct operator_source *o, struct http_call *c)
 {
   http_call_answer_json (c, 200,
-                         json_pack ("{s:s s:o}", "vm", o->settings->vm,
-                                    "counters", counters_json ()));
+                         json_build ("{s:s s:o}", "vm", o->settings->vm,
+                                     "counters", counters_json ()));
 }
 
 static void
@@ -57,8 +58,8 @@
 
   http_call_answer_json (
       c, 200,
-      json_pack ("{s:s s:o}", "vm", o->settings->vm, "events",
-                 event_ring_json (by_key ? key : NULL, max_events)));
+      json_build ("{s:s s:o}", "vm", o->settings->vm, "events",
+                  event_ring_json (by_key ? key : NULL, max_events)));
 }
 
 static void
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -10,6 +10,7 @@
 #include "base/event_ring.h"
 #include "base/histogram.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "base/now.h"
 #include "controller/entry_links.h"
 #include "controller/keeper_state.h"
@@ -246,8 +247,11 @@
 quorum_keeper_propose (struct quorum_keeper *k, json_t *command, int64_t now,
                        uint64_t *index)
 {
-  char *text = json_dumps (command, JSON_COMPACT);
+  char *text;
 
+  if (command == NULL)
+    return;
+  text = json_encode (command);
   *index
       = replicated_log_propose (&k->log, now, text, (uint32_t)strlen (text));
   free (text);
@@ -272,21 +276,26 @@
                           void *arg)
 {
   struct keeper_call *c;
+  json_t *command;
 
   if (!quorum_keeper_leads (k))
     {
       done (arg, CONFIG_UNCONFIRMED, NULL);
       return;
     }
+  command = json_build ("{s:s s:I s:s}", "type", "document", "version",
+                        (json_int_t)version, "text",
+                        version <= k->config_version ? "" : text);
+  if (command == NULL)
+    {
+      done (arg, CONFIG_UNCONFIRMED, NULL);
+      return;
+    }
   c = call_new (k, now, done, arg);
   /* The index is set before the proposal: a quorum of one applies the entry
      within the call.  */
   c->index = log_entries_last_index (&k->log.stored) + 1;
-  quorum_keeper_propose (k,
-                         json_pack ("{s:s s:I s:s}", "type", "document",
-                                    "version", (json_int_t)version, "text",
-                                    version <= k->config_version ? "" : text),
-                         now, &(uint64_t){ 0 });
+  quorum_keeper_propose (k, command, now, &(uint64_t){ 0 });
 }
 
 void
@@ -426,11 +435,11 @@
   char *text;
 
   for (uint32_t i = 0; i < s->seed_count; i++)
-    json_array_append_new (voters, json_pack ("{s:s s:i}", "address",
-                                              s->seeds[i].address, "disk",
-                                              FOUNDER_DISK_ID));
-  command = json_pack ("{s:s s:o}", "type", "voters", "list", voters);
-  text = json_dumps (command, JSON_COMPACT);
+    json_array_append_new (voters, json_build ("{s:s s:i}", "address",
+                                               s->seeds[i].address, "disk",
+                                               FOUNDER_DISK_ID));
+  command = json_build ("{s:s s:o}", "type", "voters", "list", voters);
+  text = json_encode (command);
   json_decref (command);
   replicated_log_restore_entry (&k->log, 1, FOUNDING_TERM, text,
                                 (uint32_t)strlen (text));
--- a/src/controller/quorum_members.c
+++ b/src/controller/quorum_members.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 #include "base/event_ring.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "base/now.h"
 
 enum
@@ -103,8 +104,9 @@
   for (int n = 0; n < k->log.member_count; n++)
     if (k->peers[n].member.voter)
       json_array_append_new (
-          array, json_pack ("{s:s s:I}", "address", k->peers[n].member.address,
-                            "disk", (json_int_t)k->peers[n].member.disk_id));
+          array,
+          json_build ("{s:s s:I}", "address", k->peers[n].member.address,
+                      "disk", (json_int_t)k->peers[n].member.disk_id));
   return array;
 }
 
@@ -205,12 +207,12 @@
       for (int i = 0; i < k->log.member_count; i++)
         if (k->peers[i].member.voter)
           json_array_append_new (array,
-                                 json_string (k->peers[i].member.address));
+                                 json_from_text (k->peers[i].member.address));
     }
   else
     for (uint32_t i = 0; i < k->reported_voter_count; i++)
-      json_array_append_new (array, json_string (k->reported_voters[i]));
-  text = json_dumps (array, JSON_COMPACT);
+      json_array_append_new (array, json_from_text (k->reported_voters[i]));
+  text = json_encode (array);
   json_decref (array);
   return text;
 }
@@ -386,7 +388,7 @@
                   c.kind == QUORUM_ADD ? 0
                                        : now - members[c.out].last_seen_ms);
   quorum_keeper_propose (
-      k, json_pack ("{s:s s:o}", "type", "voters", "list", voters_json (k)),
+      k, json_build ("{s:s s:o}", "type", "voters", "list", voters_json (k)),
       now, &k->change_index);
 }
 
--- a/src/controller/target_controller.c
+++ b/src/controller/target_controller.c
@@ -7,6 +7,7 @@
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "base/now.h"
 #include "controller/dispatch_controller.h"
 #include "net/target_client.h"
@@ -278,7 +279,7 @@
 static void
 hand_over (struct entry *n, struct target *t, const char *vm)
 {
-  json_t *o = json_pack (
+  json_t *o = json_build (
       "{s:s s:s s:i s:s s:s s:i s:i s:i s:I}", "target", t->announcement.name,
       "address", t->announcement.address, "port", (int)t->announcement.port,
       "domain", t->announcement.domain, "rack", t->announcement.rack, "slots",
@@ -286,7 +287,7 @@
       (int)t->announcement.connections, "running",
       (int)(t->in_use + t->reserved), "lease_ms",
       (json_int_t)t->announcement.lease_ms);
-  char *body = json_dumps (o, JSON_COMPACT);
+  char *body = json_encode (o);
   struct hand_over *h = malloc (sizeof *h);
 
   h->entry = n;
--- a/src/coord/control_state.c
+++ b/src/coord/control_state.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "coord/environment.h"
 
 enum
@@ -47,7 +48,7 @@
 static struct control_result
 result_json (int status, json_t *o)
 {
-  struct control_result r = { status, json_dumps (o, JSON_COMPACT) };
+  struct control_result r = { status, json_encode (o) };
 
   json_decref (o);
   return r;
@@ -56,8 +57,8 @@
 static json_t *
 error_json (const char *code, const char *message)
 {
-  return json_pack ("{s:{s:s s:s}}", "error", "code", code, "message",
-                    message);
+  return json_build ("{s:{s:s s:o}}", "error", "code", code, "message",
+                     json_from_text (message));
 }
 
 /* The stored answer to REQUEST_ID, or NULL.  A repeated operator request gets
@@ -80,9 +81,9 @@
                const char *sha256, const struct control_result *r)
 {
   json_array_append_new (c->requests,
-                         json_pack ("{s:s s:s s:i s:s}", "request_id",
-                                    request_id, "sha256", sha256, "status",
-                                    r->status, "answer", r->answer));
+                         json_build ("{s:s s:s s:i s:s}", "request_id",
+                                     request_id, "sha256", sha256, "status",
+                                     r->status, "answer", r->answer));
   if (json_array_size (c->requests) > CONTROL_REQUEST_LIMIT)
     json_array_remove (c->requests, 0);
 }
@@ -104,7 +105,7 @@
   json_object_set_new (o, "number",
                        json_integer ((json_int_t)c->view.config_number));
   json_object_set_new (o, "accepted_by",
-                       json_string (json_get_text (last, "operator", "")));
+                       json_from_text (json_get_text (last, "operator", "")));
   return result_json (STATUS_CONFLICT, o);
 }
 
@@ -122,16 +123,16 @@
   snprintf (v->config_sha256, sizeof v->config_sha256, "%s", sha256);
   json_array_append_new (
       c->history,
-      json_pack ("{s:I s:s s:s s:s s:I}", "number",
-                 (json_int_t)v->config_number, "sha256", sha256, "operator",
-                 json_get_text (command, "operator", ""), "promoted_from",
-                 json_get_text (command, "promoted_from", ""), "wall_ms",
-                 (json_int_t)json_get_integer (command, "wall_ms", 0)));
+      json_build ("{s:I s:s s:s s:s s:I}", "number",
+                  (json_int_t)v->config_number, "sha256", sha256, "operator",
+                  json_get_text (command, "operator", ""), "promoted_from",
+                  json_get_text (command, "promoted_from", ""), "wall_ms",
+                  (json_int_t)json_get_integer (command, "wall_ms", 0)));
   if (json_array_size (c->history) > CONTROL_HISTORY_LIMIT)
     json_array_remove (c->history, 0);
-  return result_json (STATUS_OK, json_pack ("{s:I s:s}", "number",
-                                            (json_int_t)v->config_number,
-                                            "sha256", sha256));
+  return result_json (STATUS_OK, json_build ("{s:I s:s}", "number",
+                                             (json_int_t)v->config_number,
+                                             "sha256", sha256));
 }
 
 /* Checks the configuration in COMMAND and activates it if it is valid and the
@@ -219,7 +220,7 @@
 {
   struct control_view next;
   json_t *wrapper
-      = json_pack ("{s:[O]}", "groups", json_object_get (command, "group"));
+      = json_build ("{s:[O]}", "groups", json_object_get (command, "group"));
   bool valid = control_view_from_json (&next, wrapper);
   struct group *g;
 
@@ -279,14 +280,24 @@
   return r;
 }
 
+/* Returns a new reference to O, or an empty array if O is none.  */
+static json_t *
+array_or_empty (json_t *o)
+{
+  return json_is_array (o) ? json_incref (o) : json_array ();
+}
+
 char *
 control_state_save (const struct control_state *c, uint32_t *length)
 {
-  json_t *o = json_pack (
+  json_t *o = json_build (
       "{s:o s:O? s:O s:O}", "view", control_view_to_json (&c->view),
       "document", c->config, "requests", c->requests, "history", c->history);
-  char *text = json_dumps (o, JSON_COMPACT);
+  char *text;
 
+  if (o == NULL)
+    return NULL;
+  text = json_encode (o);
   json_decref (o);
   *length = (uint32_t)strlen (text);
   return text;
@@ -302,8 +313,8 @@
   json_decref (c->requests);
   json_decref (c->history);
   c->config = json_is_object (config) ? json_incref (config) : NULL;
-  c->requests = json_incref (json_object_get (o, "requests"));
-  c->history = json_incref (json_object_get (o, "history"));
+  c->requests = array_or_empty (json_object_get (o, "requests"));
+  c->history = array_or_empty (json_object_get (o, "history"));
   control_view_from_json (&c->view, json_object_get (o, "view"));
   json_decref (o);
 }
@@ -318,10 +329,10 @@
 
   v.groups[0] = *next;
   view = control_view_to_json (&v);
-  o = json_pack ("{s:s s:I s:O}", "type", "group", "wall_ms",
-                 (json_int_t)wall_ms, "group",
-                 json_array_get (json_object_get (view, "groups"), 0));
-  text = json_dumps (o, JSON_COMPACT);
+  o = json_build ("{s:s s:I s:O}", "type", "group", "wall_ms",
+                  (json_int_t)wall_ms, "group",
+                  json_array_get (json_object_get (view, "groups"), 0));
+  text = json_encode (o);
   json_decref (o);
   json_decref (view);
   return text;
--- a/src/coord/control_state.h
+++ b/src/coord/control_state.h
@@ -40,9 +40,11 @@
                                            uint64_t index, const char *text,
                                            uint32_t length);
 
-/* Returns the state as JSON text, which the caller frees, and restores the
-   state from such a text.  */
+/* Returns the state as JSON text, which the caller frees, or NULL if it can't
+   be written.  */
 char *control_state_save (const struct control_state *c, uint32_t *length);
+
+/* Restores the state from such a text.  What the text lacks is empty.  */
 void control_state_load (struct control_state *c, const char *text,
                          uint32_t length);
 
--- a/src/coord/control_view.c
+++ b/src/coord/control_view.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "coord/rendezvous.h"
 
 const struct group *
@@ -60,14 +61,14 @@
   for (uint32_t i = 0; i < g->member_count; i++)
     json_array_append_new (
         members,
-        json_pack ("{s:s s:I s:b s:b}", "vm", g->members[i].vm, "boot_id",
-                   (json_int_t)g->members[i].boot_id, "synced",
-                   g->members[i].synced, "draining", g->members[i].draining));
-  return json_pack ("{s:s s:I s:I s:I s:o}", "domain", g->domain,
-                    "incarnation", (json_int_t)g->incarnation,
-                    "complete_since", (json_int_t)g->complete_since,
-                    "complete_since_wall_ms",
-                    (json_int_t)g->complete_since_wall_ms, "members", members);
+        json_build ("{s:s s:I s:b s:b}", "vm", g->members[i].vm, "boot_id",
+                    (json_int_t)g->members[i].boot_id, "synced",
+                    g->members[i].synced, "draining", g->members[i].draining));
+  return json_build (
+      "{s:s s:I s:I s:I s:o}", "domain", g->domain, "incarnation",
+      (json_int_t)g->incarnation, "complete_since",
+      (json_int_t)g->complete_since, "complete_since_wall_ms",
+      (json_int_t)g->complete_since_wall_ms, "members", members);
 }
 
 json_t *
@@ -77,9 +78,9 @@
 
   for (uint32_t i = 0; i < v->group_count; i++)
     json_array_append_new (groups, group_to_json (&v->groups[i]));
-  return json_pack ("{s:I s:I s:s s:o}", "version", (json_int_t)v->version,
-                    "config_number", (json_int_t)v->config_number,
-                    "config_sha256", v->config_sha256, "groups", groups);
+  return json_build ("{s:I s:I s:s s:o}", "version", (json_int_t)v->version,
+                     "config_number", (json_int_t)v->config_number,
+                     "config_sha256", v->config_sha256, "groups", groups);
 }
 
 static bool
--- a/src/coord/environment.c
+++ b/src/coord/environment.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "base/json_text.h"
 
 enum
 {
@@ -206,7 +207,7 @@
 void
 environment_sha256 (const json_t *config, char *sha256)
 {
-  char *text = json_dumps (config, JSON_COMPACT | JSON_SORT_KEYS);
+  char *text = json_encode_with (config, JSON_COMPACT | JSON_SORT_KEYS);
 
   sha256_text (text, strlen (text), sha256);
   free (text);
--- a/src/coord/replicated_log.c
+++ b/src/coord/replicated_log.c
@@ -466,6 +466,8 @@
       && stored_bytes (l) < COMPACT_BYTES)
     return;
   data = l->output->take_snapshot (l->arg, &length);
+  if (data == NULL)
+    return;
   log_entries_set_snapshot (&l->stored, l->applied_index,
                             log_entries_term_at (&l->stored, l->applied_index),
                             data, length);
--- a/src/coord/replicated_log.h
+++ b/src/coord/replicated_log.h
@@ -43,7 +43,7 @@
   void (*send) (void *arg, int to, struct peer_message *m);
 
   /* The state machine.  take_snapshot returns allocated memory, which the log
-     frees.  */
+     frees, or NULL: then the log is compacted later.  */
   void (*apply) (void *arg, uint64_t index, const struct log_entry *e);
   char *(*take_snapshot) (void *arg, uint32_t *length);
   void (*load_snapshot) (void *arg, uint64_t index, const char *data,
--- a/src/coord/submission.c
+++ b/src/coord/submission.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <xxhash.h>
 #include "base/json_check.h"
+#include "base/json_text.h"
 
 struct submission *
 submission_new (const char *team, const char *key)
@@ -60,7 +61,7 @@
 char *
 submission_canonical_text (const json_t *value)
 {
-  return json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+  return json_encode_with (value, JSON_COMPACT | JSON_SORT_KEYS);
 }
 
 struct submission_digest
@@ -77,9 +78,7 @@
   json_t *payload = json_object_get (o, "payload");
 
   snprintf (t->kind, sizeof t->kind, "%s", json_get_text (o, "kind", ""));
-  t->payload = payload == NULL
-                   ? strdup ("null")
-                   : json_dumps (payload, JSON_COMPACT | JSON_ENCODE_ANY);
+  t->payload = payload == NULL ? strdup ("null") : json_encode (payload);
   t->outcome = outcome_not_run (PROOF_STILL_QUEUED);
 }
 
--- a/src/filter/filter_home.c
+++ b/src/filter/filter_home.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "base/json_text.h"
 #include "base/counters.h"
 #include "base/now.h"
 #include "filter/request.h"
@@ -121,8 +122,8 @@
 {
   if (r->allocated_body != NULL)
     return;
-  json_object_set_new (r->root, "key", json_string (r->key.text));
-  r->allocated_body = json_dumps (r->root, JSON_COMPACT);
+  json_object_set_new (r->root, "key", json_from_text (r->key.text));
+  r->allocated_body = json_encode (r->root);
 }
 
 static void
--- a/src/filter/filter_idempotency.c
+++ b/src/filter/filter_idempotency.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include "base/counters.h"
 #include "base/event_ring.h"
+#include "base/json_text.h"
 #include "base/now.h"
 #include "filter/request.h"
 
@@ -92,11 +93,11 @@
   json_t *payload = json_object_get (r->root, "payload");
 
   if (!r->single)
-    return json_pack ("{s:O}", "tasks", json_object_get (r->root, "tasks"));
-  return json_pack ("{s:O s:[{s:O s:O}]}", "idempotent",
-                    json_object_get (r->root, "idempotent"), "tasks", "kind",
-                    json_object_get (r->root, "kind"), "payload",
-                    payload == NULL ? json_null () : payload);
+    return json_build ("{s:O}", "tasks", json_object_get (r->root, "tasks"));
+  return json_build ("{s:O s:[{s:O s:O}]}", "idempotent",
+                     json_object_get (r->root, "idempotent"), "tasks", "kind",
+                     json_object_get (r->root, "kind"), "payload",
+                     payload == NULL ? json_null () : payload);
 }
 
 static void
--- a/src/net/peer_message.c
+++ b/src/net/peer_message.c
@@ -1,13 +1,15 @@
 #include "net/peer_message.h"
 
 #include <stddef.h>
+#include "base/utf8.h"
 
 enum field_kind
 {
   FIELD_END,
   FIELD_UNSIGNED,
   FIELD_SIGNED,
-  FIELD_BYTES
+  FIELD_BYTES,
+  FIELD_TEXT /* UTF-8 without a NUL byte, sent like bytes */
 };
 
 struct field
@@ -28,6 +30,10 @@
   {                                                                           \
     FIELD_BYTES, offsetof (struct peer_message, u.member)                     \
   }
+#define T(member)                                                             \
+  {                                                                           \
+    FIELD_TEXT, offsetof (struct peer_message, u.member)                      \
+  }
 
 enum
 {
@@ -42,7 +48,7 @@
 
 static const struct message_format formats[PEER_MESSAGE_TYPES] = {
   [PEER_HELLO] = { true,
-                   { U (hello.version), B (hello.environment), B (hello.vm),
+                   { U (hello.version), T (hello.environment), T (hello.vm),
                      U (hello.boot_id), B (hello.nonce) } },
   [PEER_HEARTBEAT]
   = { true,
@@ -63,40 +69,40 @@
   [PEER_GROUP_HEARTBEAT_REPLY]
   = { true,
       { U (group_heartbeat_reply.is_leader), U (group_heartbeat_reply.term),
-        B (group_heartbeat_reply.leader),
+        T (group_heartbeat_reply.leader),
         U (group_heartbeat_reply.state_version),
-        B (group_heartbeat_reply.state) } },
+        T (group_heartbeat_reply.state) } },
   [PEER_CALL] = { false,
-                  { U (call.id), U (call.method), B (call.team), B (call.key),
-                    I (call.timeout_ms), B (call.body) } },
+                  { U (call.id), U (call.method), T (call.team), T (call.key),
+                    I (call.timeout_ms), T (call.body) } },
   [PEER_REPLY] = { false,
                    { U (reply.id), U (reply.status), U (reply.free_capacity),
-                     B (reply.body) } },
+                     T (reply.body) } },
   [PEER_RECORD_PUT]
   = { false,
       { U (record_put.id), U (record_put.incarnation),
-        U (record_put.accepted_incarnation), B (record_put.key),
-        B (record_put.team), U (record_put.digest_high),
+        U (record_put.accepted_incarnation), T (record_put.key),
+        T (record_put.team), U (record_put.digest_high),
         U (record_put.digest_low), I (record_put.issued_wall_ms),
-        I (record_put.deadline_wall_ms), B (record_put.executor),
+        I (record_put.deadline_wall_ms), T (record_put.executor),
         U (record_put.executor_boot_id), U (record_put.start_watermark),
-        U (record_put.state), B (record_put.body), B (record_put.answer) } },
+        U (record_put.state), T (record_put.body), T (record_put.answer) } },
   [PEER_RECORD_ADVANCE]
   = { false,
       { U (record_advance.id), U (record_advance.incarnation),
-        B (record_advance.key), U (record_advance.start_watermark) } },
+        T (record_advance.key), U (record_advance.start_watermark) } },
   [PEER_RECORD_DONE]
   = { false,
-      { U (record_done.id), U (record_done.incarnation), B (record_done.key),
-        U (record_done.state), B (record_done.answer) } },
+      { U (record_done.id), U (record_done.incarnation), T (record_done.key),
+        U (record_done.state), T (record_done.answer) } },
   [PEER_RECORD_SYNCED]
   = { false,
       { U (record_synced.id), U (record_synced.incarnation),
         I (record_synced.evicted_wall_ms) } },
   [PEER_TASK_RUN] = { false,
-                      { U (task_run.id), B (task_run.task), B (task_run.kind),
-                        B (task_run.payload), I (task_run.timeout_ms) } },
-  [PEER_TASK_STOP] = { false, { B (task_stop.task) } },
+                      { U (task_run.id), T (task_run.task), T (task_run.kind),
+                        T (task_run.payload), I (task_run.timeout_ms) } },
+  [PEER_TASK_STOP] = { false, { T (task_stop.task) } },
   [PEER_VOTE] = { true,
                   { U (vote.term), U (vote.last_index), U (vote.last_term),
                     U (vote.pre_vote) } },
@@ -119,28 +125,28 @@
   = { true,
       { U (keeper_heartbeat.disk_id), U (keeper_heartbeat.term),
         U (keeper_heartbeat.is_leader), U (keeper_heartbeat.is_reply),
-        B (keeper_heartbeat.domain), B (keeper_heartbeat.control_address),
-        U (keeper_heartbeat.voters_term), B (keeper_heartbeat.voters) } },
+        T (keeper_heartbeat.domain), T (keeper_heartbeat.control_address),
+        U (keeper_heartbeat.voters_term), T (keeper_heartbeat.voters) } },
   [PEER_ENTRY_HEARTBEAT]
   = { true,
       { U (entry_heartbeat.boot_id), U (entry_heartbeat.assignment_term),
         U (entry_heartbeat.assignment_number),
         U (entry_heartbeat.config_version), U (entry_heartbeat.leaving),
-        U (entry_heartbeat.unassigned), B (entry_heartbeat.domain),
-        B (entry_heartbeat.targets) } },
+        U (entry_heartbeat.unassigned), T (entry_heartbeat.domain),
+        T (entry_heartbeat.targets) } },
   [PEER_ASSIGNMENT]
   = { true,
-      { U (assignment.term), U (assignment.number), B (assignment.text) } },
+      { U (assignment.term), U (assignment.number), T (assignment.text) } },
   [PEER_SERVICE_CONFIG]
-  = { true, { U (service_config.version), B (service_config.text) } },
-  [PEER_KEEPERS] = { true, { B (keepers.text) } },
+  = { true, { U (service_config.version), T (service_config.text) } },
+  [PEER_KEEPERS] = { true, { T (keepers.text) } },
   [PEER_JOB] = { false,
-                 { U (job.id), I (job.echo_ms), I (job.lease_ms), B (job.key),
-                   B (job.queue), B (job.service), U (job.priority),
+                 { U (job.id), I (job.echo_ms), I (job.lease_ms), T (job.key),
+                   T (job.queue), T (job.service), U (job.priority),
                    U (job.attempts), I (job.age_ms), I (job.deadline_ms),
                    I (job.floor_ms), U (job.stretch_milli), U (job.is_part),
                    U (job.part_step), U (job.part_first), U (job.part_run),
-                   B (job.steps), B (job.payload) } },
+                   B (job.steps), T (job.payload) } },
   [PEER_JOB_END]
   = { false,
       { U (job_end.id), U (job_end.result), I (job_end.retry_ms),
@@ -156,6 +162,7 @@
 #undef U
 #undef I
 #undef B
+#undef T
 
 static uint32_t
 count_fields (const struct field *f)
@@ -183,6 +190,7 @@
       msgpack_pack_int64 (p, *(const int64_t *)at);
       break;
     case FIELD_BYTES:
+    case FIELD_TEXT:
       s = (const struct slice *)at;
       msgpack_pack_bin (p, s->length);
       msgpack_pack_bin_body (p, s->data, s->length);
@@ -227,10 +235,12 @@
       *(int64_t *)at = o->via.i64;
       return true;
     case FIELD_BYTES:
+    case FIELD_TEXT:
       if (o->type != MSGPACK_OBJECT_BIN)
         return false;
       *(struct slice *)at = (struct slice){ o->via.bin.ptr, o->via.bin.size };
-      return true;
+      return f->kind == FIELD_BYTES
+             || utf8_is_text (o->via.bin.ptr, o->via.bin.size);
     case FIELD_END:
       break;
     }
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -380,7 +380,8 @@
 void peer_message_pack (const struct peer_message *m, msgpack_sbuffer *buffer);
 
 /* Decodes M from LENGTH bytes at DATA; slices of M point into DATA.  Returns
-   false if DATA is not exactly one complete message of a known type.  */
+   false if DATA is not exactly one complete message of a known type, or if a
+   text in it is not UTF-8.  */
 bool peer_message_unpack (struct peer_message *m, const char *data,
                           size_t length);
 
--- a/src/tool/command.c
+++ b/src/tool/command.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "base/json_check.h"
+#include "base/json_text.h"
 
 enum
 {
@@ -55,7 +56,7 @@
 void
 command_print_json (const json_t *value)
 {
-  char *text = json_dumps (value, JSON_INDENT (2) | JSON_ENCODE_ANY);
+  char *text = json_encode_with (value, JSON_INDENT (2));
 
   puts (text == NULL ? "null" : text);
   free (text);
--- a/src/tool/command_config.c
+++ b/src/tool/command_config.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "base/now.h"
 #include "coord/environment.h"
 #include "tool/command.h"
@@ -193,9 +194,9 @@
   snprintf (request_id, sizeof request_id, "ctl-%" PRIx64, random);
   json_object_set_new (
       command, "request_id",
-      json_string (o->request_id == NULL ? request_id : o->request_id));
-  json_object_set_new (command, "operator", json_string (o->operator_name));
-  text = json_dumps (command, JSON_COMPACT);
+      json_from_text (o->request_id == NULL ? request_id : o->request_id));
+  json_object_set_new (command, "operator", json_from_text (o->operator_name));
+  text = json_encode (command);
   http_client_call (o->servers[0], "POST", "/v1/config/accept", o->token, text,
                     o->timeout_ms, &r);
   free (text);
@@ -241,8 +242,8 @@
       json_decref (config);
       return TOOL_UNREACHABLE;
     }
-  command = json_pack ("{s:I s:o}", "expect", (json_int_t)expect, "document",
-                       config);
+  command = json_build ("{s:I s:o}", "expect", (json_int_t)expect, "document",
+                        config);
   status = send_config (o, command);
   json_decref (command);
   return status;
@@ -271,10 +272,10 @@
       http_response_done (&r);
       return TOOL_FAILED;
     }
-  command = json_pack ("{s:I s:O s:s s:s}", "expect", (json_int_t)expect,
-                       "document", json_object_get (r.body, "document"),
-                       "promoted_from", "trial", "promoted_sha256",
-                       json_get_text (r.body, "sha256", ""));
+  command = json_build ("{s:I s:O s:s s:s}", "expect", (json_int_t)expect,
+                        "document", json_object_get (r.body, "document"),
+                        "promoted_from", "trial", "promoted_sha256",
+                        json_get_text (r.body, "sha256", ""));
   http_response_done (&r);
   status = send_config (o, command);
   json_decref (command);
--- a/src/tool/command_job.c
+++ b/src/tool/command_job.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "tool/command.h"
 #include "tool/http_client.h"
 
@@ -51,7 +52,7 @@
 
   json_array_foreach (array, i, o)
   {
-    char *text = json_dumps (o, JSON_COMPACT | JSON_ENCODE_ANY);
+    char *text = json_encode (o);
 
     printf ("  %zu: %s\n", i, text);
     free (text);
@@ -110,9 +111,9 @@
   body = json_loads (text, 0, &e);
   if (o->key != NULL && json_is_object (body))
     {
-      json_object_set_new (body, "key", json_string (o->key));
+      json_object_set_new (body, "key", json_from_text (o->key));
       free (text);
-      text = json_dumps (body, JSON_COMPACT);
+      text = json_encode (body);
     }
   json_decref (body);
   http_client_call (o->servers[0], "POST", path, o->token, text, o->timeout_ms,
--- a/src/tool/command_operate.c
+++ b/src/tool/command_operate.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include "base/event_ring.h"
 #include "base/json_check.h"
+#include "base/json_text.h"
 #include "coord/environment.h"
 #include "tool/command.h"
 #include "tool/http_client.h"
@@ -91,7 +92,7 @@
 
     if (json_is_object (value) || strcmp (name, "vm") == 0)
       continue;
-    text = json_dumps (value, JSON_ENCODE_ANY);
+    text = json_encode_with (value, 0);
     printf ("  %-16s %s\n", name, text);
     free (text);
   }
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "base/utf8.h"
 #include "tool/command.h"
 
 const char *argp_program_version = "ragwortctl 0.1";
@@ -169,6 +170,18 @@
   return NULL;
 }
 
+/* Ends the program if an argument is no UTF-8: servers take only that.  */
+static void
+check_arguments (int argc, char **argv)
+{
+  for (int i = 1; i < argc; i++)
+    if (!utf8_is_text (argv[i], strlen (argv[i])))
+      {
+        fprintf (stderr, "ragwortctl: argument %d is not UTF-8\n", i);
+        exit (TOOL_USAGE);
+      }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -194,6 +207,7 @@
                                 option_rows[i].argument, 0,
                                 option_rows[i].help,     0 };
   signal (SIGPIPE, SIG_IGN);
+  check_arguments (argc, argv);
   argp_parse (&parser, argc, argv, 0, NULL, &o);
   if (o.token == NULL)
     o.token = getenv ("RAGWORT_TOKEN");
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -235,6 +235,29 @@
   free (text);
 }
 
+/* The detail of an event is cut within a character, its key has bytes of no
+   UTF-8 and its text a newline: it is listed, on one line.  */
+static void
+test_event_of_odd_text (void)
+{
+  char detail[700];
+  const char *listed;
+  json_t *events;
+
+  for (size_t i = 0; i + 3 < sizeof detail; i += 2)
+    memcpy (detail + i, "\xc3\xa9", 3);
+  event_ring_init ("test", EVENT_ERROR);
+  event_ring_add (EVENT_PEER_REFUSED, "k\xff", "\n%s", detail);
+  events = event_ring_json ("k?", 1);
+  CU_ASSERT_EQUAL (json_array_size (events), 1);
+  listed = json_string_value (
+      json_object_get (json_array_get (events, 0), "detail"));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (listed);
+  CU_ASSERT_EQUAL (listed[0], ' ');
+  json_decref (events);
+  event_ring_done ();
+}
+
 void
 suite_base (void)
 {
@@ -247,5 +270,6 @@
                test_environment);
   CU_add_test (s, "UTF-8 is checked and repaired", test_utf8);
   CU_add_test (s, "no text makes a JSON value fail unseen", test_json_text);
+  CU_add_test (s, "an event of odd text is listed", test_event_of_odd_text);
   CU_add_test (s, "docs/EVENTS.md matches the event table", test_catalogue);
 }
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -207,6 +207,51 @@
   log_entries_done (&k.log.stored);
 }
 
+/* The report on a configuration names the field at fault, cut to a limit that
+   can lie within a character; the operator gets the report all the same.  */
+static void
+test_fault_cut_within_character (void)
+{
+  static const char before[]
+      = "{\"type\":\"config\",\"request_id\":\"r\",\"operator\":\"o\","
+        "\"expect\":0,\"document\":{";
+  char text[600];
+  struct control_state c;
+  struct control_result r;
+  size_t n = sizeof before - 1;
+
+  memcpy (text, before, n);
+  text[n++] = '"';
+  text[n++] = 'x';
+  for (int i = 0; i < 100; i++)
+    n += (size_t)sprintf (text + n, "\xc3\xa9");
+  n += (size_t)sprintf (text + n, "\":1}}");
+  control_state_init (&c, "trial");
+  r = control_state_apply (&c, 1, text, (uint32_t)n);
+  CU_ASSERT_EQUAL (r.status, 400);
+  CU_ASSERT_PTR_NOT_NULL (strstr (r.answer, "unknown field"));
+  free (r.answer);
+  control_state_done (&c);
+}
+
+/* A snapshot that lacks its lists, as another program may have written it, is
+   read as one with empty lists, and can be written again.  */
+static void
+test_snapshot_without_lists (void)
+{
+  struct control_state c;
+  uint32_t length;
+  char *saved;
+
+  control_state_init (&c, "trial");
+  control_state_load (&c, "{\"view\":5}", 10);
+  CU_ASSERT_EQUAL (accept_config (&c, "r1", "anna", 0, 20), 200);
+  saved = control_state_save (&c, &length);
+  CU_ASSERT (saved != NULL && strstr (saved, "\"r1\"") != NULL);
+  free (saved);
+  control_state_done (&c);
+}
+
 void
 suite_control (void)
 {
@@ -219,4 +264,7 @@
   CU_add_test (s, "the control view as JSON and back", test_view_json);
   CU_add_test (s, "a new leader whose state is not current does not answer",
                test_new_leader_does_not_answer);
+  CU_add_test (s, "a report that is cut within a character",
+               test_fault_cut_within_character);
+  CU_add_test (s, "a snapshot without its lists", test_snapshot_without_lists);
 }
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -92,6 +92,34 @@
   msgpack_sbuffer_destroy (&b);
 }
 
+/* A text that is no UTF-8, or has a NUL byte, is refused with its message;
+   bytes may hold anything.  */
+static void
+test_text_not_utf8 (void)
+{
+  static const char entries[] = { '\xff', '\0' };
+  struct peer_message calls[] = { example (), example (), example () };
+  struct peer_message append = { .type = PEER_APPEND };
+  struct peer_message got;
+  msgpack_sbuffer b;
+
+  calls[0].u.call.key = slice_of ("k\xc3");
+  calls[1].u.call.body = slice_of ("{\"a\":\"\xff\"}");
+  calls[2].u.call.team = (struct slice){ "a\0b", 3 };
+  for (size_t i = 0; i < sizeof calls / sizeof calls[0]; i++)
+    {
+      msgpack_sbuffer_init (&b);
+      peer_message_pack (&calls[i], &b);
+      CU_ASSERT_FALSE (peer_message_unpack (&got, b.data, b.size));
+      msgpack_sbuffer_destroy (&b);
+    }
+  append.u.append.entries = (struct slice){ entries, sizeof entries };
+  msgpack_sbuffer_init (&b);
+  peer_message_pack (&append, &b);
+  CU_ASSERT (peer_message_unpack (&got, b.data, b.size));
+  msgpack_sbuffer_destroy (&b);
+}
+
 static void
 test_frame_seal (void)
 {
@@ -126,5 +154,6 @@
   CU_add_test (s, "oversized lengths allocate no memory",
                test_oversized_lengths);
   CU_add_test (s, "malformed messages are refused", test_malformed);
+  CU_add_test (s, "a text that is no UTF-8 is refused", test_text_not_utf8);
   CU_add_test (s, "seals refuse replays and changes", test_frame_seal);
 }
