A seeded run of spoilt bytes at each port, path, header and body, in make check

Change: tests/spoilt_bytes.py starts three keepers and two entries of ragwort-node, an entry and a keeper of ragwortd, a sound and an odd target, and sends spoilt requests to the control, callers', readiness and metrics ports, spoilt texts in sealed frames to the peer ports; the odd target's answers, settings under a running process, checked files, arguments and stored files are spoilt too. No process may end, each answer is JSON, and the desired state and sound jobs are served on.

--- a/Makefile
+++ b/Makefile
@@ -86,6 +86,7 @@
 	@SEEDS="$(SEEDS)" LANES=$(LANES) sh tests/run_scenarios.sh $(BUILD)
 	@sh tests/check_examples.sh $(BUILD)
 	@python3 tests/test_tools.py
+	@python3 tests/spoilt_bytes.py $(BUILD) $(SPOILT_ROUNDS) $(SPOILT_SEEDS)
 	@SOAK_OPTIONS="$(SOAK_OPTIONS)" \
 	  sh tests/node_soak.sh $(BUILD) $(SOAK_SECONDS) $(SOAK_SEEDS)
 	@sh tests/full_disks.sh $(BUILD) $(DISK_SECONDS) $(DISK_SEEDS)
@@ -113,6 +114,13 @@
 full-disks: all
 	@sh tests/full_disks.sh $(BUILD) $(DISK_SECONDS) $(DISK_SEEDS)
 
+# spoilt: spoilt bytes at every port; the requests of a part, and the seeds.
+SPOILT_ROUNDS ?= 300
+SPOILT_SEEDS ?= 1
+
+spoilt: all
+	@python3 tests/spoilt_bytes.py $(BUILD) $(SPOILT_ROUNDS) $(SPOILT_SEEDS)
+
 soak: all
 	@sh tests/soak.sh $(BUILD) $(SEED) $(MINUTES)
 
@@ -141,6 +149,7 @@
 	@echo "full-disks keepers' disks full in turn: DISK_SECONDS=s DISK_SEEDS='1 2'"
 	@echo "node-soak faults against ragwort-node: SOAK_SECONDS=s SOAK_SEEDS='1 2'"
 	@echo "          SOAK_OPTIONS='--profile large' (node_soak --help)"
+	@echo "spoilt    spoilt bytes at every port: SPOILT_ROUNDS=n SPOILT_SEEDS='1 2'"
 	@echo "prove     show that each scenario fails with its mechanism off"
 	@echo "soak      random faults: SEED=n MINUTES=m"
 	@echo "bench     measure; QUICK=1 in under 50 s"
@@ -148,4 +157,4 @@
 	@echo "capacity  measure the slopes of docs/CAPACITY.md again"
 	@echo "lint      formatter and linter"
 
-.PHONY: all soak node-soak full-disks prove bench capacity setup check check-programs demo lint format clean help
+.PHONY: all soak node-soak full-disks spoilt prove bench capacity setup check check-programs demo lint format clean help
