--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -94,6 +94,9 @@
        "nothing")                                                             \
   ROW (335, CALLER_REFUSED, INFO, "caller's request refused",                 \
        "read the reason")                                                     \
+  ROW (346, JOB_SOUGHT, INFO,                                                 \
+       "a job to be withdrawn was sought at all entries",                     \
+       "if its result is uncertain, check the entries and their links")       \
   ROW (336, COORDINATOR_LOST, WARN,                                           \
        "entry that served callers is lost; its jobs are stopped", "nothing")  \
   ROW (340, DISPATCH_STOPPED, INFO,                                           \
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -148,6 +148,7 @@
 
   if (l == NULL || !slice_copy (h->domain, domain, sizeof domain))
     return;
+  l->heard_ms = now;
   if (l->conn != from)
     {
       if (l->conn != NULL)
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -13,6 +13,7 @@
 #include "controller/entry_assignment.h"
 #include "controller/job_events.h"
 #include "controller/entry_leases.h"
+#include "controller/entry_withdrawal.h"
 #include "controller/routed_job.h"
 
 enum
@@ -398,6 +399,10 @@
     case PEER_SERVICE_CONFIG:
       entry_assignment_receive_config (n, from->vm, &m->u.service_config);
       break;
+    case PEER_CALL:
+      if (m->u.call.method == METHOD_WITHDRAW)
+        entry_withdrawal_handle_call (n, now, from, &m->u.call);
+      break;
     case PEER_JOB_END:
       receive_end (n, now, from->vm, &m->u.job_end);
       break;
@@ -546,6 +551,7 @@
 {
   if (n->network == NULL)
     return;
+  n->stopped = true;
   event_free (n->tick);
   delegation_controller_done (&n->delegation);
   while (n->jobs != NULL)
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -88,6 +88,7 @@
   /* stopping */
   bool leaving;
   int64_t leaving_since_ms;
+  bool stopped; /* no further calls to peers */
 };
 
 /* Starts the entry: listens for peers and connects to the seeds.  BASE and S
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -13,6 +13,7 @@
 #include "base/json_text.h"
 #include "base/now.h"
 #include "controller/entry_links.h"
+#include "controller/job_withdrawal.h"
 #include "controller/keeper_state.h"
 #include "controller/quorum_members.h"
 
@@ -184,6 +185,11 @@
     case PEER_CALL:
       if (m->u.call.method == METHOD_TARGET_REPORTS)
         target_relay_handle_call (&k->relay, now_ms (), from, &m->u.call);
+      else if (m->u.call.method == METHOD_WITHDRAW)
+        job_withdrawal_handle_call (k, now_ms (), from, &m->u.call);
+      return;
+    case PEER_REPLY:
+      job_withdrawal_handle_reply (k, now_ms (), &m->u.reply);
       return;
     case PEER_KEEPER_HEARTBEAT:
       quorum_members_receive_heartbeat (k, from, &m->u.keeper_heartbeat);
@@ -394,6 +400,7 @@
   if (now - k->last_tick_ms > RECEIVE_GAP_MS)
     k->receiving_since_ms = now;
   k->last_tick_ms = now;
+  job_withdrawal_tick (k, now);
   if (k->failed)
     {
       if (now - k->failed_ms >= REOPEN_MS)
@@ -591,6 +598,7 @@
   event_free (k->tick);
   event_free (k->pass);
   end_calls (k, CONFIG_UNCONFIRMED);
+  job_withdrawal_done (k);
   for (uint32_t i = 0; i < k->link_count; i++)
     if (k->links[i].conn != NULL)
       peer_conn_release (k->links[i].conn);
--- a/src/controller/quorum_keeper.h
+++ b/src/controller/quorum_keeper.h
@@ -63,6 +63,7 @@
   int64_t config_sent_ms;
   uint64_t dispatchers_digest; /* of the dispatchers sent; 0: none */
   uint64_t voters_digest;      /* of the voters sent; 0: none */
+  int64_t heard_ms;            /* when its last heartbeat was received */
 };
 
 struct quorum_keeper
@@ -108,6 +109,11 @@
 
   struct target_relay relay;
 
+  /* searches for the entries of jobs to be withdrawn */
+  struct withdrawal *withdrawals;
+  uint32_t withdrawal_count;
+  uint64_t withdrawal_number; /* of the latest one */
+
   int64_t last_tick_ms;
   int64_t last_heartbeat_ms;  /* 0: send one at the next tick */
   int64_t receiving_since_ms; /* start, or end of the last long stall */
--- /dev/null
+++ b/src/coord/job_search.c
@@ -0,0 +1,18 @@
+#include "coord/job_search.h"
+
+void
+job_search_add (struct job_search *s, bool found)
+{
+  s->answered++;
+  s->found = s->found || found;
+}
+
+enum job_search_result
+job_search_result (const struct job_search *s, int64_t now)
+{
+  if (s->found)
+    return JOB_SEARCH_FOUND;
+  if (s->answered >= s->expected)
+    return s->complete ? JOB_SEARCH_NONE : JOB_SEARCH_UNSURE;
+  return now < s->deadline_ms ? JOB_SEARCH_PENDING : JOB_SEARCH_UNSURE;
+}
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -52,15 +52,17 @@
 /* The method of a PEER_CALL, with the fields of the call that it uses.  */
 enum peer_method
 {
-  METHOD_SUBMIT = 1,    /* body: job; key, team */
-  METHOD_REQUEST,       /* body: single request; key, team */
-  METHOD_ANNOUNCE,      /* body: announcement of a target */
-  METHOD_LEAVE,         /* body: announcement of a target that leaves */
-  METHOD_CANCEL,        /* key, team */
-  METHOD_LOOKUP,        /* key, team; returns the job's answer, never waits */
-  METHOD_PROPOSE,       /* body: a control command for the keepers' leader */
-  METHOD_CONFIG_FETCH,  /* returns the configuration in force */
-  METHOD_TARGET_REPORTS /* body: target reports received by another keeper */
+  METHOD_SUBMIT = 1,     /* body: job; key, team */
+  METHOD_REQUEST,        /* body: single request; key, team */
+  METHOD_ANNOUNCE,       /* body: announcement of a target */
+  METHOD_LEAVE,          /* body: announcement of a target that leaves */
+  METHOD_CANCEL,         /* key, team */
+  METHOD_LOOKUP,         /* key, team; returns the job's answer, never waits */
+  METHOD_PROPOSE,        /* body: a control command for the keepers' leader */
+  METHOD_CONFIG_FETCH,   /* returns the configuration in force */
+  METHOD_TARGET_REPORTS, /* body: target reports received by another keeper */
+  METHOD_WITHDRAW /* key: a job to be withdrawn; from an entry to a keeper, and
+                     from that keeper to all entries */
 };
 
 struct peer_hello
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -79,6 +79,7 @@
   suite_relay ();
   suite_http ();
   suite_callers ();
+  suite_withdrawal ();
   suite_deployment ();
   suite_keepers ();
   suite_disks ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -30,6 +30,7 @@
 void suite_relay (void);
 void suite_http (void);
 void suite_callers (void);
+void suite_withdrawal (void);
 void suite_deployment (void);
 void suite_keepers (void);
 void suite_delegation (void);
--- /dev/null
+++ b/tests/unit/test_withdrawal.c
@@ -0,0 +1,194 @@
+/* Withdrawal of a job by an entry that does not hold it.  */
+#include <stdio.h>
+#include <string.h>
+#include "base/now.h"
+#include "controller/entry_withdrawal.h"
+#include "coord/job_search.h"
+#include "tests/unit/deployment.h"
+#include "tests/unit/fake_port.h"
+#include "tests/unit/suites.h"
+
+enum
+{
+  NO_RESULT = -1,
+
+  /* Keepers are certain of the entries from 2 s after their start.  */
+  KEEPERS_SETTLE_MS = 2200
+};
+
+static const char key[] = "0123456789abcdef";
+
+/* What the caller of a job and that of its withdrawal were told.  */
+struct callers
+{
+  uint32_t answers;
+  enum job_result job_result;
+  int withdrawal;
+};
+
+static void
+on_answered (void *arg, const struct job_answer *a)
+{
+  struct callers *c = arg;
+
+  c->answers++;
+  c->job_result = a->result;
+}
+
+static void
+on_withdrawn (void *arg, enum withdrawal_result result)
+{
+  struct callers *c = arg;
+
+  c->withdrawal = (int)result;
+}
+
+static void
+run_for (struct deployment *d, int64_t ms)
+{
+  int64_t end = now_ms () + ms;
+
+  while (now_ms () < end)
+    deployment_run_step (d);
+}
+
+static void
+start_all (struct deployment *d)
+{
+  deployment_init (d);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (d, i);
+  for (int i = 0; i < ENTRIES; i++)
+    deployment_start_entry (d, i);
+  deployment_run_until_owned (d);
+}
+
+/* Has entry 1 withdraw the job KEY and returns the result.  */
+static int
+withdraw_at_other (struct deployment *d, struct callers *c)
+{
+  int64_t end = now_ms () + WAIT_MS;
+
+  c->withdrawal = NO_RESULT;
+  entry_withdrawal_start (d->entries[1], key, on_withdrawn, c);
+  while (c->withdrawal == NO_RESULT && now_ms () < end)
+    deployment_run_step (d);
+  return c->withdrawal;
+}
+
+/* Submits a job of two tasks to entry 0 and waits until both run.  */
+static void
+submit_job (struct deployment *d, struct callers *c)
+{
+  struct job_spec spec = { .attempts = 3,
+                           .stretch_milli = 1600,
+                           .floor_ms = 5000,
+                           .deadline_ms = LONG_WAIT_MS,
+                           .step_count = 1 };
+  int64_t end = now_ms () + WAIT_MS;
+  uint32_t before = fake_port_starts ();
+
+  snprintf (spec.key, sizeof spec.key, "%s", key);
+  snprintf (spec.queue, sizeof spec.queue, "q");
+  snprintf (spec.service, sizeof spec.service, "svc");
+  spec.steps[0]
+      = (struct job_step){ .count = 2, .cpu_milli = 1000, .estimate_ms = 200 };
+  spec.payload = slice_of ("");
+  job_entry_submit (d->entries[0], now_ms (), now_ms (), &spec, on_answered,
+                    c);
+  while (fake_port_starts () < before + 2 && now_ms () < end)
+    deployment_run_step (d);
+  CU_ASSERT_EQUAL (fake_port_starts (), before + 2);
+}
+
+static uint32_t
+count_running (void)
+{
+  return fake_port_running ("0123456789abcdef.0.0.0")
+         + fake_port_running ("0123456789abcdef.0.0.1");
+}
+
+/* A caller that cancels its job at another entry than the one that holds it:
+   the job is withdrawn and its runs end.  Guards against an answer that no
+   such job exists while its tasks are started on (review case 2).  */
+static void
+test_withdrawn_at_other_entry (void)
+{
+  struct deployment d;
+  struct callers c = { 0 };
+
+  start_all (&d);
+  run_for (&d, KEEPERS_SETTLE_MS);
+  submit_job (&d, &c);
+  CU_ASSERT_EQUAL (count_running (), 2);
+  CU_ASSERT_EQUAL (withdraw_at_other (&d, &c), WITHDRAWAL_DONE);
+  run_for (&d, 300);
+  CU_ASSERT_EQUAL (c.answers, 1);
+  CU_ASSERT_EQUAL (c.job_result, JOB_UNKNOWN);
+  CU_ASSERT_EQUAL (count_running (), 0);
+  CU_ASSERT_EQUAL (withdraw_at_other (&d, &c), WITHDRAWAL_NO_JOB);
+  deployment_done (&d);
+}
+
+/* That no entry holds a job is said only if all entries have answered: not by
+   keepers that have just started, and not just after an entry was lost.  */
+static void
+test_not_certain (void)
+{
+  struct deployment d;
+  struct callers c = { 0 };
+
+  start_all (&d);
+  CU_ASSERT_EQUAL (withdraw_at_other (&d, &c), WITHDRAWAL_UNSURE);
+  run_for (&d, KEEPERS_SETTLE_MS);
+  CU_ASSERT_EQUAL (withdraw_at_other (&d, &c), WITHDRAWAL_NO_JOB);
+  deployment_stop_entry (&d, 0);
+  run_for (&d, 100);
+  CU_ASSERT_EQUAL (withdraw_at_other (&d, &c), WITHDRAWAL_UNSURE);
+  deployment_done (&d);
+}
+
+/* An entry that stops while it waits for the keepers tells its caller that the
+   result is not certain.  */
+static void
+test_stop_while_asked (void)
+{
+  struct deployment d;
+  struct callers c = { .withdrawal = NO_RESULT };
+
+  start_all (&d);
+  entry_withdrawal_start (d.entries[1], key, on_withdrawn, &c);
+  deployment_stop_entry (&d, 1);
+  CU_ASSERT_EQUAL (c.withdrawal, WITHDRAWAL_UNSURE);
+  deployment_done (&d);
+}
+
+static void
+test_search_result (void)
+{
+  struct job_search s = { .expected = 2, .complete = true, .deadline_ms = 10 };
+
+  CU_ASSERT_EQUAL (job_search_result (&s, 0), JOB_SEARCH_PENDING);
+  job_search_add (&s, false);
+  CU_ASSERT_EQUAL (job_search_result (&s, 9), JOB_SEARCH_PENDING);
+  CU_ASSERT_EQUAL (job_search_result (&s, 10), JOB_SEARCH_UNSURE);
+  job_search_add (&s, false);
+  CU_ASSERT_EQUAL (job_search_result (&s, 10), JOB_SEARCH_NONE);
+  s.complete = false;
+  CU_ASSERT_EQUAL (job_search_result (&s, 9), JOB_SEARCH_UNSURE);
+  s.answered = 0;
+  job_search_add (&s, true);
+  CU_ASSERT_EQUAL (job_search_result (&s, 9), JOB_SEARCH_FOUND);
+}
+
+void
+suite_withdrawal (void)
+{
+  CU_pSuite s = CU_add_suite ("withdrawal", NULL, NULL);
+
+  CU_add_test (s, "what the answers of entries prove", test_search_result);
+  CU_add_test (s, "a job withdrawn at another entry",
+               test_withdrawn_at_other_entry);
+  CU_add_test (s, "that no entry holds a job is certain", test_not_certain);
+  CU_add_test (s, "an entry that stops while it asks", test_stop_while_asked);
+}
