--- a/src/coord/job_spec.c
+++ b/src/coord/job_spec.c
@@ -65,6 +65,12 @@
   return n;
 }
 
+uint32_t
+job_spec_step_number (const struct job_spec *s, uint32_t i)
+{
+  return s->part.is_part ? s->part.step : i;
+}
+
 uint64_t
 job_spec_work (const struct job_spec *s)
 {
--- a/src/coord/job_spec.h
+++ b/src/coord/job_spec.h
@@ -99,6 +99,9 @@
 
 uint32_t job_spec_task_count (const struct job_spec *s);
 
+/* The number within the complete job of step I of S, which may be a part.  */
+uint32_t job_spec_step_number (const struct job_spec *s, uint32_t i);
+
 /* The declared work of all tasks in thousandths of a core times ms.  */
 uint64_t job_spec_work (const struct job_spec *s);
 
--- a/src/coord/run_admission.c
+++ b/src/coord/run_admission.c
@@ -25,17 +25,23 @@
   return REFUSAL_NONE;
 }
 
-/* The number of tasks of STEP, at most LIMIT, that could start on T now.  */
+/* The number of tasks of step I of SPEC, at most LIMIT, that could start on T
+   now.  */
 static uint32_t
-fitting_on (const struct run_target *t, const struct job_step *step,
-            int64_t lease_end_ms, uint32_t limit, int64_t now)
+fitting_on (const struct run_target *t, const struct job_spec *spec,
+            uint32_t i, uint32_t limit, int64_t now)
 {
+  const struct job_step *step = &spec->steps[i];
+  int64_t lease_end_ms = now + spec->lease_ms;
+  uint32_t room = run_target_step_room (t, spec, i);
   uint64_t n = limit;
 
   if (!run_target_may_start (t, step, lease_end_ms, now))
     return 0;
   if (step->cpu_milli != 0)
     n = (t->spec.cpu_milli - t->cpu_used) / step->cpu_milli;
+  if (n > room)
+    n = room;
   return n < limit ? (uint32_t)n : limit;
 }
 
@@ -54,8 +60,7 @@
         continue;
       for (uint32_t t = 0; t < s->target_count && left != 0; t++)
         if (strcmp (s->targets[t]->spec.service, spec->service) == 0)
-          left -= fitting_on (s->targets[t], step, now + spec->lease_ms, left,
-                              now);
+          left -= fitting_on (s->targets[t], spec, i, left, now);
       fitting += step->count - left;
     }
   return fitting;
--- a/src/coord/run_target.c
+++ b/src/coord/run_target.c
@@ -37,18 +37,29 @@
   return run_target_has_label (t, step->data_rack);
 }
 
-bool
-run_target_below_step_limit (const struct run_target *t,
-                             const struct run_job *job,
-                             const struct job_step *step, uint32_t number)
+/* Whether R is a run of step NUMBER of the job KEY, or of a part of it.  */
+static bool
+is_run_of_step (const struct run_ref *r, const char *key, uint32_t number)
 {
+  const struct job_spec *spec = &r->job->spec;
+
+  return strcmp (spec->key, key) == 0
+         && job_spec_step_number (spec, r->job->tasks[r->task].step) == number;
+}
+
+uint32_t
+run_target_step_room (const struct run_target *t, const struct job_spec *spec,
+                      uint32_t i)
+{
+  const struct job_step *step = &spec->steps[i];
+  uint32_t number = job_spec_step_number (spec, i);
   uint32_t n = 0;
 
   if (step->max_per_target == 0)
-    return true;
-  for (uint32_t i = 0; i < t->run_count; i++)
-    n += t->runs[i].job == job && job->tasks[t->runs[i].task].step == number;
-  return n < step->max_per_target;
+    return UINT32_MAX;
+  for (uint32_t r = 0; r < t->run_count; r++)
+    n += is_run_of_step (&t->runs[r], spec->key, number);
+  return n < step->max_per_target ? step->max_per_target - n : 0;
 }
 
 bool
--- a/src/coord/run_target.h
+++ b/src/coord/run_target.h
@@ -80,12 +80,10 @@
 bool run_target_has_data (const struct run_target *t,
                           const struct job_step *step);
 
-/* Whether T may get one more run of STEP, which has index NUMBER in JOB, by
-   the step's own limit of runs on a target.  */
-bool run_target_below_step_limit (const struct run_target *t,
-                                  const struct run_job *job,
-                                  const struct job_step *step,
-                                  uint32_t number);
+/* The number of further runs of step I of SPEC that T may get by the step's
+   own limit of runs on a target.  The runs of all parts of the job count.  */
+uint32_t run_target_step_room (const struct run_target *t,
+                               const struct job_spec *spec, uint32_t i);
 
 /* Whether a task of STEP fits on T when nothing else runs there.  */
 bool run_target_could_run (const struct run_target *t,
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -156,6 +156,58 @@
   run_scheduler_done (&s);
 }
 
+/* Submits task FIRST of step NUMBER, of which one may run on a target, as a
+   delegated part of job "a".  Returns whether it was started.  */
+static bool
+submit_part (struct run_scheduler *s, uint32_t number, uint32_t first)
+{
+  struct job_spec spec = { .key = "a",
+                           .queue = "q",
+                           .service = "svc",
+                           .attempts = 3,
+                           .stretch_milli = 1600,
+                           .floor_ms = 60,
+                           .deadline_ms = 3000,
+                           .lease_ms = LEASE_MS,
+                           .step_count = 1,
+                           .part = { true, number, first, 0 } };
+  enum refusal_reason reason;
+  int64_t retry_ms;
+  const struct run_job *j;
+
+  spec.steps[0] = (struct job_step){ .count = 1,
+                                     .cpu_milli = TASK_CPU,
+                                     .estimate_ms = TASK_MS,
+                                     .max_per_target = 1 };
+  spec.payload = slice_of ("");
+  j = run_scheduler_submit (s, NOW, &spec, s, &reason, &retry_ms);
+  if (j == NULL)
+    {
+      CU_ASSERT_EQUAL (reason, REFUSAL_FULL);
+      return false;
+    }
+  run_scheduler_pass (s, NOW);
+  return j->waiting_count == 0;
+}
+
+/* The limit of a step holds for all its parts that one dispatcher was lent.
+   What does not fit within it is refused at once.  Guards against two tasks of
+   a step with anti-affinity 1 on one target (review case 4).  */
+static void
+test_max_per_target_over_parts (void)
+{
+  struct run_scheduler s;
+
+  init_scheduler (&s, 2);
+  for (uint32_t i = 0; i < 3; i++)
+    CU_ASSERT (submit_part (&s, 0, i));
+  for (uint32_t i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (s.targets[i]->run_count, 1);
+  CU_ASSERT_FALSE (submit_part (&s, 0, 3));
+  CU_ASSERT (submit_part (&s, 1, 0));
+  run_scheduler_done (&s);
+}
+
 /* The data rack and the limit are decoded from a job request and survive
    packing and unpacking of the steps.  */
 static void
@@ -224,6 +276,8 @@
   CU_add_test (s, "tasks do not wait for an unknown rack", test_unknown_rack);
   CU_add_test (s, "tasks of a step on a target are limited",
                test_max_per_target);
+  CU_add_test (s, "the limit of a step holds for all its parts",
+               test_max_per_target_over_parts);
   CU_add_test (s, "rack and limit are decoded and packed", test_fields);
   CU_add_test (s, "settings with fractions", test_fractions);
 }
