A follower accepts entries only once all that it stored is durable

Cause: the last index decided whether to sync. A follower whose uncommitted entries are replaced by as many of a new leader accepted them unsynced; so did one that had read, after a restart, what its process had written and not synced (found here on the way: kill of a process, then loss of power). A majority that rests on such an answer can lose an acknowledged configuration.

Change: a flag, set by each write and by a start, and one sync before the reply if it is set; the leader's own entries go the same way.

--- a/src/coord/replicated_log.c
+++ b/src/coord/replicated_log.c
@@ -155,6 +155,9 @@
 {
   reset_election (l, now);
   l->election_at_ms = now + (l->election_at_ms - now) / 2;
+  /* What was read may have been written by a process that ended before its
+     sync.  */
+  l->unsynced = log_entries_last_index (&l->stored) != 0;
 }
 
 void
@@ -241,6 +244,20 @@
     }
 }
 
+/* Makes the stored entries durable.  Must precede every reply, and every count
+   towards a majority, that rests on them.  Returns false if storage failed. */
+static bool
+sync_stored (struct replicated_log *l)
+{
+  if (l->failed)
+    return false;
+  if (l->unsynced && !l->output->sync (l->store_arg))
+    l->failed = true;
+  else
+    l->unsynced = false;
+  return !l->failed;
+}
+
 static bool
 append_own (struct replicated_log *l, const char *data, uint32_t length)
 {
@@ -248,13 +265,12 @@
 
   log_entries_add (&l->stored, l->term, data, length);
   notify_stored_changed (l);
+  l->unsynced = true;
   if (!l->output->save_entry (l->store_arg, index,
-                              log_entries_at (&l->stored, index))
-      || !l->output->sync (l->store_arg))
-    {
-      l->failed = true;
-      return false;
-    }
+                              log_entries_at (&l->stored, index)))
+    l->failed = true;
+  if (!sync_stored (l))
+    return false;
   l->members[l->self].match_index = index;
   return true;
 }
@@ -545,6 +561,7 @@
 
   if (index <= l->stored.base_index || known == term)
     return true;
+  l->unsynced = true;
   if (known != 0)
     {
       if (!l->output->save_truncate (l->store_arg, index))
@@ -562,7 +579,6 @@
 store_entries (struct replicated_log *l, uint64_t previous,
                struct slice entries)
 {
-  uint64_t before = log_entries_last_index (&l->stored);
   uint64_t index = previous;
   msgpack_unpacked term;
   msgpack_unpacked data;
@@ -593,10 +609,7 @@
   msgpack_unpacked_destroy (&data);
   if (valid)
     notify_stored_changed (l);
-  if (valid && log_entries_last_index (&l->stored) != before
-      && !l->output->sync (l->store_arg))
-    l->failed = true;
-  return valid && !l->failed ? index : 0;
+  return valid ? index : 0;
 }
 
 static void
@@ -638,7 +651,7 @@
   match = a->entries.length == 0
               ? a->previous_index
               : store_entries (l, a->previous_index, a->entries);
-  if (match == 0 && a->entries.length != 0)
+  if ((match == 0 && a->entries.length != 0) || !sync_stored (l))
     return;
   if (a->commit_index > l->commit_index)
     {
--- a/src/coord/replicated_log.h
+++ b/src/coord/replicated_log.h
@@ -94,7 +94,8 @@
   int64_t leader_last_seen_ms;
   int64_t election_at_ms;
   int64_t last_tick_ms;
-  bool failed; /* storage failed; takes no further part */
+  bool unsynced; /* the store may hold entries that are not durable */
+  bool failed;   /* storage failed; takes no further part */
 
   /* timing */
   int64_t heartbeat_ms;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -67,6 +67,7 @@
   suite_register ();
   suite_replica ();
   suite_log ();
+  suite_log_sync ();
   suite_control ();
   suite_store ();
   suite_net ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -17,6 +17,7 @@
 void suite_register (void);
 void suite_replica (void);
 void suite_log (void);
+void suite_log_sync (void);
 void suite_control (void);
 void suite_store (void);
 void suite_disks (void);
