--- a/src/base/json_text.c
+++ b/src/base/json_text.c
@@ -54,3 +54,12 @@
 {
   return json_encode_with (value, JSON_COMPACT);
 }
+
+char *
+json_encode_new (json_t *value)
+{
+  char *text = json_encode (value);
+
+  json_decref (value);
+  return text;
+}
--- a/src/base/json_text.h
+++ b/src/base/json_text.h
@@ -17,10 +17,14 @@
    become '?'.  */
 json_t *json_from_text (const char *text);
 
-/* Returns VALUE as compact JSON text, which the caller frees.  FLAGS is 0 or
-   more flags of json_dumps.  Never NULL: a value that cannot be written is
-   "null", with an event.  */
+/* Returns VALUE as JSON text, which the caller frees.  Never NULL: a value
+   that cannot be written is "null", with an event.  FLAGS are those of
+   json_dumps.  */
 char *json_encode_with (const json_t *value, size_t flags);
+
+/* The same as compact text.  json_encode_new drops the caller's reference to
+   VALUE.  */
 char *json_encode (const json_t *value);
+char *json_encode_new (json_t *value);
 
 #endif
--- a/src/controller/config_controller.c
+++ b/src/controller/config_controller.c
@@ -147,16 +147,12 @@
 config_receive_fetch (struct entry *n, struct peer_conn *from,
                       const struct peer_call *call)
 {
-  struct peer_message m = { .type = PEER_REPLY };
   json_t *o
       = json_build ("{s:I s:O?}", "number", (json_int_t)n->environment.number,
                     "document", n->environment.config);
   char *text = json_encode (o);
 
-  m.u.reply.id = call->id;
-  m.u.reply.status = 200;
-  m.u.reply.body = slice_of (text);
-  peer_conn_send (from, &m);
+  peer_conn_reply (from, call->id, 200, text);
   free (text);
   json_decref (o);
 }
--- a/src/controller/entry.c
+++ b/src/controller/entry.c
@@ -300,12 +300,8 @@
 answer_peer (void *arg, int status, const char *json)
 {
   struct peer_answer *a = arg;
-  struct peer_message m = { .type = PEER_REPLY };
 
-  m.u.reply.id = a->id;
-  m.u.reply.status = (uint64_t)status;
-  m.u.reply.body = slice_of (json);
-  peer_conn_send (a->to, &m);
+  peer_conn_reply (a->to, a->id, status, json);
   peer_conn_release (a->to);
   free (a);
 }
--- a/src/controller/entry_assignment.c
+++ b/src/controller/entry_assignment.c
@@ -16,7 +16,6 @@
 owned_targets_text (const struct job_entry *n)
 {
   json_t *array = json_array ();
-  char *text;
 
   for (uint32_t i = 0; i < n->target_count; i++)
     {
@@ -30,9 +29,7 @@
           json_integer (dispatcher_owned_state (&n->dispatcher, t)));
       json_array_append_new (array, o);
     }
-  text = json_encode (array);
-  json_decref (array);
-  return text;
+  return json_encode_new (array);
 }
 
 void
--- a/src/controller/entry_withdrawal.c
+++ b/src/controller/entry_withdrawal.c
@@ -89,15 +89,11 @@
                               struct peer_conn *from,
                               const struct peer_call *c)
 {
-  struct peer_message m = { .type = PEER_REPLY };
   char key[JOB_KEY_BYTES];
   struct routed_job *j
       = slice_copy (c->key, key, sizeof key) ? job_entry_find (n, key) : NULL;
 
   if (j != NULL)
     job_entry_withdraw (n, now, j);
-  m.u.reply.id = c->id;
-  m.u.reply.status = j != NULL ? STATUS_OK : STATUS_GONE;
-  m.u.reply.body = slice_of ("");
-  peer_conn_send (from, &m);
+  peer_conn_reply (from, c->id, j != NULL ? STATUS_OK : STATUS_GONE, "");
 }
--- a/src/controller/job_withdrawal.c
+++ b/src/controller/job_withdrawal.c
@@ -37,17 +37,6 @@
   struct withdrawal *next;
 };
 
-static void
-reply (struct peer_conn *to, uint64_t call_id, int status)
-{
-  struct peer_message m = { .type = PEER_REPLY };
-
-  m.u.reply.id = call_id;
-  m.u.reply.status = (uint64_t)status;
-  m.u.reply.body = slice_of ("");
-  peer_conn_send (to, &m);
-}
-
 static int
 result_status (enum job_search_result result)
 {
@@ -85,7 +74,7 @@
                   "from=%s status=%d asked=%u answered=%u complete=%d",
                   w->from->vm, result_status (result), w->search.expected,
                   w->search.answered, w->search.complete);
-  reply (w->from, w->call_id, result_status (result));
+  peer_conn_reply (w->from, w->call_id, result_status (result), "");
   withdrawal_free (k, w);
 }
 
@@ -122,7 +111,7 @@
   if (k->stopping || k->withdrawal_count >= WITHDRAWAL_LIMIT
       || c->key.length >= sizeof w->key)
     {
-      reply (from, c->id, STATUS_UNAVAILABLE);
+      peer_conn_reply (from, c->id, STATUS_UNAVAILABLE, "");
       return;
     }
   w = calloc (1, sizeof *w);
--- a/src/controller/keeper.c
+++ b/src/controller/keeper.c
@@ -54,9 +54,7 @@
 view_text (const struct keeper *k)
 {
   json_t *o = control_view_to_json (&k->state.view);
-  char *text = json_encode (o);
-
-  json_decref (o);
+  char *text = json_encode_new (o);
   return text;
 }
 
@@ -78,17 +76,6 @@
   free (text);
 }
 
-static void
-reply_text (struct peer_conn *to, uint64_t id, int status, const char *text)
-{
-  struct peer_message m = { .type = PEER_REPLY };
-
-  m.u.reply.id = id;
-  m.u.reply.status = (uint64_t)status;
-  m.u.reply.body = slice_of (text);
-  peer_conn_send (to, &m);
-}
-
 static void
 answer_proposal (struct keeper *k, uint64_t index,
                  const struct control_result *r)
@@ -96,14 +83,10 @@
   for (uint32_t i = 0; i < PROPOSAL_LIMIT; i++)
     {
       struct keeper_proposal *p = &k->proposals[i];
-      struct peer_message m = { .type = PEER_REPLY };
 
       if (p->index != index)
         continue;
-      m.u.reply.id = p->call_id;
-      m.u.reply.status = (uint64_t)r->status;
-      m.u.reply.body = slice_of (r->answer);
-      peer_conn_send (p->from, &m);
+      peer_conn_reply (p->from, p->call_id, r->status, r->answer);
       peer_conn_release (p->from);
       p->index = 0;
     }
@@ -164,8 +147,8 @@
   for (uint32_t i = 0; i < PROPOSAL_LIMIT; i++)
     if (k->proposals[i].index != 0)
       {
-        reply_text (k->proposals[i].from, k->proposals[i].call_id,
-                    STATUS_MISDIRECTED, "{}");
+        peer_conn_reply (k->proposals[i].from, k->proposals[i].call_id,
+                         STATUS_MISDIRECTED, "{}");
         peer_conn_release (k->proposals[i].from);
         k->proposals[i].index = 0;
       }
@@ -293,7 +276,7 @@
 
   json_decref (rollout);
   json_decref (o);
-  reply_text (from, id, STATUS_OK, text);
+  peer_conn_reply (from, id, STATUS_OK, text);
   free (text);
 }
 
@@ -322,9 +305,9 @@
     }
   if (!json_is_object (o) || p == NULL)
     {
-      reply_text (from, call->id, o == NULL ? 400 : 503,
-                  "{\"error\":{\"code\":\"invalid_command\",\"message\":"
-                  "\"not a command, or too many are under way\"}}");
+      peer_conn_reply (from, call->id, o == NULL ? 400 : 503,
+                       "{\"error\":{\"code\":\"invalid_command\",\"message\":"
+                       "\"not a command, or too many are under way\"}}");
       json_decref (o);
       return;
     }
@@ -350,7 +333,7 @@
 
   if (!keeper_may_answer (k))
     {
-      reply_text (from, call->id, STATUS_MISDIRECTED, "{}");
+      peer_conn_reply (from, call->id, STATUS_MISDIRECTED, "{}");
       return;
     }
   if (call->method == METHOD_PROPOSE)
@@ -362,7 +345,7 @@
                   (json_int_t)k->state.view.config_number, "document",
                   k->state.config);
   text = json_encode (o);
-  reply_text (from, call->id, STATUS_OK, text);
+  peer_conn_reply (from, call->id, STATUS_OK, text);
   free (text);
   json_decref (o);
 }
@@ -416,8 +399,7 @@
                           g->domain, "incarnation", (json_int_t)g->incarnation,
                           "vm", h->vm, "boot_id", (json_int_t)h->boot_id);
 
-  propose_group_change (k, json_encode (o));
-  json_decref (o);
+  propose_group_change (k, json_encode_new (o));
 }
 
 /* Proposes the change of a replica group that is due.  One change is in
--- a/src/controller/keeper_state.c
+++ b/src/controller/keeper_state.c
@@ -128,8 +128,7 @@
 
   if (o == NULL)
     return NULL;
-  text = json_encode (o);
-  json_decref (o);
+  text = json_encode_new (o);
   *length = (uint32_t)strlen (text);
   return text;
 }
--- a/src/controller/lookup_controller.c
+++ b/src/controller/lookup_controller.c
@@ -175,7 +175,6 @@
 lookup_receive (struct entry *n, struct peer_conn *from,
                 const struct peer_call *call)
 {
-  struct peer_message m = { .type = PEER_REPLY };
   char team[NAME_BYTES];
   char key[KEY_BYTES];
   char *text;
@@ -184,9 +183,6 @@
   slice_copy (call->team, team, sizeof team);
   slice_copy (call->key, key, sizeof key);
   text = answer_here (n, team, key, call->method == METHOD_CANCEL, &status);
-  m.u.reply.id = call->id;
-  m.u.reply.status = (uint64_t)status;
-  m.u.reply.body = slice_of (text);
-  peer_conn_send (from, &m);
+  peer_conn_reply (from, call->id, status, text);
   free (text);
 }
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -446,8 +446,7 @@
                                                s->seeds[i].address, "disk",
                                                FOUNDER_DISK_ID));
   command = json_build ("{s:s s:o}", "type", "voters", "list", voters);
-  text = json_encode (command);
-  json_decref (command);
+  text = json_encode_new (command);
   replicated_log_restore_entry (&k->log, 1, FOUNDING_TERM, text,
                                 (uint32_t)strlen (text));
   free (text);
--- a/src/controller/quorum_members.c
+++ b/src/controller/quorum_members.c
@@ -200,7 +200,6 @@
 voters_text (const struct quorum_keeper *k)
 {
   json_t *array = json_array ();
-  char *text;
 
   if (is_voter (k))
     {
@@ -212,9 +211,7 @@
   else
     for (uint32_t i = 0; i < k->reported_voter_count; i++)
       json_array_append_new (array, json_from_text (k->reported_voters[i]));
-  text = json_encode (array);
-  json_decref (array);
-  return text;
+  return json_encode_new (array);
 }
 
 /* Sends a heartbeat to the COUNT addresses TO, or as a reply on CONN.  A
--- a/src/controller/target_relay.c
+++ b/src/controller/target_relay.c
@@ -314,8 +314,7 @@
                       o) if (json_is_string (o))
       quorum_keeper_remove_target (k, json_string_value (o));
   unknown = apply_heartbeats (k, now, json_object_get (body, "heard"));
-  text = json_encode (unknown);
-  json_decref (unknown);
+  text = json_encode_new (unknown);
   return text;
 }
 
@@ -323,15 +322,12 @@
 target_relay_handle_call (struct target_relay *r, int64_t now,
                           struct peer_conn *from, const struct peer_call *c)
 {
-  struct peer_message m = { .type = PEER_REPLY };
   bool leads = quorum_keeper_leads (r->keeper);
   json_t *body = json_loadb (c->body.data, c->body.length, 0, NULL);
   char *text = leads ? apply_reports (r->keeper, now, body) : NULL;
 
-  m.u.reply.id = c->id;
-  m.u.reply.status = leads ? STATUS_OK : STATUS_UNAVAILABLE;
-  m.u.reply.body = slice_of (text == NULL ? "" : text);
-  peer_conn_send (from, &m);
+  peer_conn_reply (from, c->id, leads ? STATUS_OK : STATUS_UNAVAILABLE,
+                   text == NULL ? "" : text);
   free (text);
   json_decref (body);
 }
--- a/src/coord/control_state.c
+++ b/src/coord/control_state.c
@@ -48,10 +48,7 @@
 static struct control_result
 result_json (int status, json_t *o)
 {
-  struct control_result r = { status, json_encode (o) };
-
-  json_decref (o);
-  return r;
+  return (struct control_result){ status, json_encode_new (o) };
 }
 
 static json_t *
@@ -297,8 +294,7 @@
 
   if (o == NULL)
     return NULL;
-  text = json_encode (o);
-  json_decref (o);
+  text = json_encode_new (o);
   *length = (uint32_t)strlen (text);
   return text;
 }
@@ -332,8 +328,7 @@
   o = json_build ("{s:s s:I s:O}", "type", "group", "wall_ms",
                   (json_int_t)wall_ms, "group",
                   json_array_get (json_object_get (view, "groups"), 0));
-  text = json_encode (o);
-  json_decref (o);
+  text = json_encode_new (o);
   json_decref (view);
   return text;
 }
--- a/src/filter/request.c
+++ b/src/filter/request.c
@@ -77,17 +77,10 @@
 void
 request_answer (struct request *r, int status, const char *json)
 {
-  struct peer_message m = { .type = PEER_REPLY };
-
   if (r->call != NULL)
-    {
-      answer_caller (r, status, json);
-      return;
-    }
-  m.u.reply.id = r->call_id;
-  m.u.reply.status = (uint64_t)status;
-  m.u.reply.body = slice_of (json);
-  peer_conn_send (r->from, &m);
+    answer_caller (r, status, json);
+  else
+    peer_conn_reply (r->from, r->call_id, status, json);
 }
 
 enum filter_result
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -491,8 +491,7 @@
                         "the answer could not be built");
       return;
     }
-  text = json_encode (value);
-  json_decref (value);
+  text = json_encode_new (value);
   http_call_answer (c, status, text);
   free (text);
 }
@@ -502,13 +501,10 @@
 {
   json_t *o = json_build ("{s:{s:s s:o}}", "error", "code", code, "message",
                           json_from_text (message));
-  char *text;
 
   if (outcome != NULL)
     json_object_set_new (o, "outcome", json_from_text (outcome));
-  text = json_encode (o);
-  json_decref (o);
-  return text;
+  return json_encode_new (o);
 }
 
 void
--- a/src/net/peer_conn.c
+++ b/src/net/peer_conn.c
@@ -114,6 +114,18 @@
   return send_frame (c, m);
 }
 
+void
+peer_conn_reply (struct peer_conn *to, uint64_t call_id, int status,
+                 const char *body)
+{
+  struct peer_message m = { .type = PEER_REPLY };
+
+  m.u.reply.id = call_id;
+  m.u.reply.status = (uint64_t)status;
+  m.u.reply.body = slice_of (body);
+  peer_conn_send (to, &m);
+}
+
 static void
 send_hello (struct peer_conn *c)
 {
--- a/src/net/peer_conn.h
+++ b/src/net/peer_conn.h
@@ -67,6 +67,11 @@
    or its send buffer is full.  */
 bool peer_conn_send (struct peer_conn *c, const struct peer_message *m);
 
+/* Replies to call CALL_ID of TO with STATUS, an HTTP status, and BODY.  The
+   caller's deadline covers a reply that is not sent.  */
+void peer_conn_reply (struct peer_conn *to, uint64_t call_id, int status,
+                      const char *body);
+
 /* Sends a PEER_PING if nothing has been received for PING_AFTER_MS, and closes
    the connection after DEAD_AFTER_MS, with the closed callback.  */
 void peer_conn_check (struct peer_conn *c, int64_t now, int64_t ping_after_ms,
