--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -12,6 +12,7 @@
 #include <event2/listener.h>
 #include <utlist.h>
 #include "base/counters.h"
+#include "base/event_ring.h"
 #include "base/json_text.h"
 #include "base/now.h"
 #include "base/utf8.h"
@@ -155,6 +156,9 @@
 
   if (c->body_length > maximum)
     {
+      event_ring_add (EVENT_CALLER_REFUSED, c->path,
+                      "status=413 why=body_too_large bytes=%zu maximum=%u",
+                      c->body_length, maximum);
       http_call_refuse (c, 413, "body_too_large", "not_run",
                         "the body has %zu bytes, of at most %u",
                         c->body_length, maximum);
@@ -162,6 +166,8 @@
     }
   if (invalid != NULL)
     {
+      event_ring_add (EVENT_CALLER_REFUSED, c->path,
+                      "status=400 why=not_text part=%s", invalid);
       http_call_refuse (c, 400, "not_text", "not_run", "%s: is not UTF-8",
                         invalid);
       return true;
--- a/tests/spoilt_bytes.py
+++ b/tests/spoilt_bytes.py
@@ -178,8 +178,9 @@
 
     def spoil_control(self):
         target = dict(heartbeat(self.sound, "sound"), seq=1, service="none")
-        # A later version that is sound would replace the desired state.
-        config = dict(CONFIG, version=6)
+        # One change must not make a sound document of a later version, which would
+        # replace the desired state: it is older, and its routes' services unknown.
+        config = dict(CONFIG, version=6, services=CONFIG["services"][:1])
         return self.spoil_requests(
             [(k, CONTROL) for k in self.deployment.keepers],
             [(b"PUT", b"/v1/instances/i-odd1", target), (b"DELETE", b"/v1/instances/i-odd1", None),
