--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Builds the stand-ins of review/6 to review/10.  They are Python programs, so
+# this only checks that Python is there and reads them.
+set -e
+cd "$(dirname "$0")"
+PYTHONDONTWRITEBYTECODE=1 python3 - standins-2/*.py [6-9]/*.py 10/*.py <<'END'
+import os, sys
+for name in sys.argv[1:]:
+    if os.path.exists(name):
+        compile (open (name).read (), name, "exec")
+END
