review: case 10, a zone that is cut off says that a running job does not exist

Claim: UNASKED is broken during and after a zone cut: a keeper that has not heard the entries of the other zones for 3 s answers "no such job" for them.

With it comes the proxy that cuts a zone off.

--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -17,6 +17,8 @@
 import tempfile
 import time
 
+import paths
+
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PEER, FRONT, READY, CONTROL, METRICS, WORKER = 7720, 8161, 8167, 8166, 9464, 8080
 ZONES = ["werkplaats", "oven", "winkel", "magazijn"]
@@ -115,6 +117,7 @@
         self.starts = []  # (time, task, run) of each task that began
         self.beat_url = None
         self.server = None
+        self.reaches = lambda node: True  # whether a path leads to the node
 
     def clock(self):
         return int((time.monotonic() - self.steady) * 1000)
@@ -243,6 +246,9 @@
             controls, len(controls))
         body = self.beat_body() if method == "PUT" else None
         for node in nodes:
+            if not self.reaches(node):
+                await asyncio.sleep(1.0)
+                continue
             status, value, _ = await call(node, method, "/v1/instances/" + self.id, body)
             if 200 <= status < 300:
                 if method == "PUT":
@@ -258,8 +264,9 @@
 
 
 class Deployment:
-    def __init__(self, record, workers=12):
+    def __init__(self, record, workers=12, with_paths=False):
         self.record = record
+        self.paths = paths.Paths(self.zone_of) if with_paths else None
         self.net = self.free_net()
         self.folder = tempfile.mkdtemp(prefix="ragwort-review-")
         self.cores = ["%s.%d" % (self.net, 10 + i) for i in range(4)]
@@ -268,9 +275,17 @@
         self.workers = [Worker(record, "%s.%d:%d" % (self.net, 100 + i, WORKER),
                                ZONES[i % 4], i) for i in range(workers)]
         self.controls = ["%s:%d" % (c, CONTROL) for c in self.cores]
+        if with_paths:
+            for w in self.workers:
+                w.reaches = lambda node, w=w: not self.paths.is_cut(
+                    w.zone, self.zone_of(node.split(":")[0]))
         self.log = open(os.path.join(self.folder, "log"), "wb")
         self.tasks = []
 
+    @staticmethod
+    def zone_of(address):
+        return ZONES[int(address.rsplit(".", 1)[1]) % 4]
+
     @staticmethod
     def free_net():
         for _ in range(50):
@@ -289,7 +304,8 @@
         number = int(address.rsplit(".", 1)[1])
         return {"vm": ("core-%d" if core else "front-%d") % number,
                 "role": "keeper" if core else "entry", "environment": "platform",
-                "address": address, "domain": ZONES[number % 4], "peer_port": PEER,
+                "address": address, "domain": self.zone_of(address), "peer_port": PEER,
+                "peer_listen_port": paths.PEER_BEHIND if self.paths else 0,
                 "peer_secret": "between-vms-of-one-deployment",
                 "callers": "" if core else "%s:%d" % (address, FRONT),
                 "readiness": "" if core else "%s:%d" % (address, READY),
@@ -352,6 +368,8 @@
     async def open(self):
         if not os.path.exists(os.path.join(ROOT, "target/ragwort-node")):
             raise CannotRun("target/ragwort-node is not built")
+        if self.paths:
+            await self.paths.open(self.cores + self.fronts)
         for address in self.cores + self.fronts:
             self.start(address, first=True)
         for w in self.workers:
@@ -373,6 +391,8 @@
     def close(self):
         for w in self.workers:
             w.close()
+        if self.paths:
+            self.paths.close()
         for p in self.processes.values():
             if p.poll() is None:
                 p.send_signal(signal.SIGCONT)
@@ -409,16 +429,16 @@
     return status, value
 
 
-def main(folder, play):
+def main(folder, play, with_paths=False):
     """Runs PLAY (deployment, record, trouble), which returns the list of breaks
-    of the rule.  Exits with 1 if there are any, 0 if none, 2 if it could not
+    of the rule; WITH_PATHS: with paths that can be cut.  Exits with 1 if there are any, 0 if none, 2 if it could not
     run."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("case", folder=os.path.basename(folder), trouble=trouble)
 
     async def run():
-        d = Deployment(record)
+        d = Deployment(record, with_paths=with_paths)
         try:
             await d.open()
             return await asyncio.wait_for(play(d, record, trouble), 90)
