--- a/src/controller/dispatch_coordinator.c
+++ b/src/controller/dispatch_coordinator.c
@@ -206,9 +206,9 @@
   msgpack_sbuffer packed;
 
   msgpack_sbuffer_init (&packed);
-  dispatch_capacity_pack (capacities,
-                          dispatcher_capacity (d, capacities, CAPACITY_LIMIT),
-                          &packed);
+  dispatch_capacity_pack (
+      capacities, dispatcher_capacity (d, now, capacities, CAPACITY_LIMIT),
+      &packed);
   m.u.capacity.sent_ms = now;
   m.u.capacity.packed = (struct slice){ packed.data == NULL ? "" : packed.data,
                                         (uint32_t)packed.size };
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -189,10 +189,28 @@
       i++;
 }
 
+/* Refuses the waiting jobs that have not started and that a shutdown leaves no
+   time or no target for, so that other dispatchers get them.  */
+static void
+refuse_unstarted (struct dispatcher *d, int64_t now)
+{
+  struct run_job *j;
+  struct run_job *next;
+
+  if (!d->stop.stopping)
+    return;
+  DL_FOREACH_SAFE (d->scheduler.waiting, j, next)
+  if (j->first_start_ms < 0
+      && !dispatch_stop_accepts (&d->stop, &d->scheduler,
+                                 job_spec_critical_path_ms (&j->spec), now))
+    run_scheduler_abort (&d->scheduler, now, j, JOB_REFUSED, REFUSAL_LEAVING);
+}
+
 /* Starts waiting tasks here, then delegates others.  */
 static void
 run_pass (struct dispatcher *d, int64_t now)
 {
+  refuse_unstarted (d, now);
   run_scheduler_pass (&d->scheduler, now);
   if (d->delegation.delegate != NULL)
     d->delegation.delegate (d->delegation.arg, now);
@@ -359,7 +377,8 @@
   struct dispatch_job *j = calloc (1, sizeof *j);
 
   j->dispatcher = d;
-  if (d->leaving)
+  if (!dispatch_stop_accepts (&d->stop, &d->scheduler,
+                              job_spec_critical_path_ms (spec), now))
     {
       *reason = REFUSAL_LEAVING;
       *retry_ms = 0;
@@ -425,15 +444,11 @@
 }
 
 void
-dispatcher_leave (struct dispatcher *d, int64_t now)
+dispatcher_leave (struct dispatcher *d, int64_t now, int64_t end_ms)
 {
-  struct run_job *j;
-  struct run_job *next;
-
-  d->leaving = true;
-  DL_FOREACH_SAFE (d->scheduler.waiting, j, next)
-  if (j->first_start_ms < 0)
-    run_scheduler_abort (&d->scheduler, now, j, JOB_REFUSED, REFUSAL_LEAVING);
+  dispatch_stop_begin (&d->stop, end_ms);
+  refuse_unstarted (d, now);
+  request_pass (d);
 }
 
 uint32_t
@@ -470,7 +485,7 @@
 }
 
 uint32_t
-dispatcher_capacity (const struct dispatcher *d,
+dispatcher_capacity (const struct dispatcher *d, int64_t now,
                      struct dispatch_capacity *capacities, uint32_t limit)
 {
   uint32_t count = 0;
@@ -495,5 +510,5 @@
         = run_scheduler_backlog (&d->scheduler, capacities[i].service,
                                  INT64_MAX)
               .work_ahead;
-  return d->leaving ? 0 : count;
+  return dispatch_stop_accepts (&d->stop, &d->scheduler, 0, now) ? count : 0;
 }
--- a/src/controller/dispatcher.h
+++ b/src/controller/dispatcher.h
@@ -16,6 +16,7 @@
 #include "controller/dispatch_capacity.h"
 #include "controller/target_port.h"
 #include "controller/target_runner.h"
+#include "coord/dispatch_stop.h"
 #include "coord/owner_plan.h"
 #include "coord/run_scheduler.h"
 #include "net/peer_conn.h"
@@ -62,7 +63,7 @@
   struct event *pass; /* coalesces a burst of changes into one pass */
   struct event *tick;
   bool pass_requested;
-  bool leaving;
+  struct dispatch_stop stop;
 };
 
 /* LEASE_LIMIT_MS is the longest lease to request from targets.  */
@@ -110,16 +111,18 @@
 void dispatcher_peer_disconnected (struct dispatcher *d, int64_t now_ms,
                                    const struct peer_conn *from);
 
-/* Starts a graceful stop: refuses new jobs and those of which no task has
-   started.  */
-void dispatcher_leave (struct dispatcher *d, int64_t now_ms);
+/* Starts a graceful stop, in which the results of jobs are known by END_MS:
+   jobs are accepted and started as coord/dispatch_stop allows, the others are
+   refused.  */
+void dispatcher_leave (struct dispatcher *d, int64_t now_ms, int64_t end_ms);
 
 /* The number of jobs without a result.  */
 uint32_t dispatcher_open_jobs (const struct dispatcher *d);
 
 /* Fills in CAPACITIES, one for each service with usable targets, at most
-   LIMIT.  Returns their number, 0 while this dispatcher stops.  */
-uint32_t dispatcher_capacity (const struct dispatcher *d,
+   LIMIT.  Returns their number, 0 once this dispatcher stops and accepts
+   nothing more.  */
+uint32_t dispatcher_capacity (const struct dispatcher *d, int64_t now_ms,
                               struct dispatch_capacity *capacities,
                               uint32_t limit);
 
--- a/src/controller/entry_dispatchers.c
+++ b/src/controller/entry_dispatchers.c
@@ -59,10 +59,10 @@
     return;
   d->reachable = true;
   d->echo = n->own_echo;
-  set_capacity (
-      d, capacities,
-      dispatcher_capacity (&n->dispatcher, capacities, ROUTE_SERVICE_LIMIT),
-      now);
+  set_capacity (d, capacities,
+                dispatcher_capacity (&n->dispatcher, now, capacities,
+                                     ROUTE_SERVICE_LIMIT),
+                now);
 }
 
 void
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -25,7 +25,11 @@
   STALL_MS = 250,
 
   /* Minimum duration of a graceful stop.  */
-  LEAVE_MIN_MS = 1200
+  LEAVE_MIN_MS = 1200,
+
+  /* Time left of the grace period when the last results are known; the
+     process answers its last callers 0.8 s before the end.  */
+  DISPATCH_MARGIN_MS = 1200
 };
 
 static void route (struct job_entry *n, int64_t now, struct routed_job *j);
@@ -572,7 +576,8 @@
   event_ring_add (EVENT_PROCESS_STOPPING, n->settings->name,
                   "callers=%u jobs=%u targets=%u", n->job_count,
                   dispatcher_open_jobs (&n->dispatcher), n->target_count);
-  dispatcher_leave (&n->dispatcher, now);
+  dispatcher_leave (&n->dispatcher, now,
+                    now + n->settings->stop_grace_ms - DISPATCH_MARGIN_MS);
   entry_assignment_send_heartbeat (n, now);
 }
 
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -14,6 +14,7 @@
   ANSWER_MS = 50, /* until a start is answered */
   JOB_LEASE_MS = 20000,
   WAIT_MS = 3000,
+  LEAVE_MS = 5000,
   TARGET_CPU = 4000,
   TASK_CPU = 1000
 };
@@ -307,6 +308,66 @@
   fixture_done (&f);
 }
 
+/* A dispatcher that shuts down while no keeper can assign its targets to
+   another one goes on with them: 80 of the 116 targets of a failure domain
+   that was cut off while its entries were restarted were left unused.  It
+   refuses what cannot end in time, and everything once its targets are
+   released.  */
+static void
+test_shutdown_without_leader (void)
+{
+  struct owned_target target = make_target ("t1", 1);
+  struct dispatch_capacity capacities[1];
+  struct fixture f;
+  struct job_report report;
+  struct job_report late;
+
+  fixture_init (&f);
+  dispatcher_set_targets (&f.dispatcher, now_ms (), &target, 1);
+  run_until_ready (&f, 1);
+  dispatcher_leave (&f.dispatcher, now_ms (), now_ms () + LEAVE_MS);
+  CU_ASSERT_EQUAL (
+      dispatcher_capacity (&f.dispatcher, now_ms (), capacities, 1), 1);
+  CU_ASSERT_PTR_NOT_NULL (submit (&f, "a", 1, &report));
+  run_until_started (&f, 1);
+  fake_port_end_run (fake_port_target ("t1"), "a.0.0.0", RUN_END_DONE);
+  run_until (&f, &report.count, 1);
+  CU_ASSERT_EQUAL (report.result, JOB_DONE);
+
+  target.release = true;
+  dispatcher_set_targets (&f.dispatcher, now_ms (), &target, 1);
+  CU_ASSERT_PTR_NULL (submit (&f, "b", 1, &late));
+  CU_ASSERT_EQUAL (
+      dispatcher_capacity (&f.dispatcher, now_ms (), capacities, 1), 0);
+  fixture_done (&f);
+}
+
+/* Near the end of the grace period a job that may not end in time is
+   refused, and one that waits is handed back to its entry.  */
+static void
+test_shutdown_near_its_end (void)
+{
+  struct owned_target target = make_target ("t1", 1);
+  struct fixture f;
+  struct job_report running;
+  struct job_report waiting;
+  struct job_report late;
+
+  fixture_init (&f);
+  dispatcher_set_targets (&f.dispatcher, now_ms (), &target, 1);
+  run_until_ready (&f, 1);
+  submit (&f, "a", TARGET_CPU / TASK_CPU, &running);
+  run_until_started (&f, TARGET_CPU / TASK_CPU);
+  submit (&f, "b", 1, &waiting);
+  dispatcher_leave (&f.dispatcher, now_ms (), now_ms () + 100);
+  CU_ASSERT_EQUAL (waiting.count, 1);
+  CU_ASSERT_EQUAL (waiting.result, JOB_REFUSED);
+  CU_ASSERT_EQUAL (waiting.reason, REFUSAL_LEAVING);
+  CU_ASSERT_EQUAL (running.count, 0);
+  CU_ASSERT_PTR_NULL (submit (&f, "c", 1, &late));
+  fixture_done (&f);
+}
+
 void
 suite_dispatch (void)
 {
@@ -319,4 +380,8 @@
                test_unresponsive_target);
   CU_add_test (s, "lost requests are sent again", test_lost_requests);
   CU_add_test (s, "a lost stop is not sent again", test_lost_stop);
+  CU_add_test (s, "a shutdown without a leader goes on with its targets",
+               test_shutdown_without_leader);
+  CU_add_test (s, "a shutdown refuses what cannot end in time",
+               test_shutdown_near_its_end);
 }
