--- a/bench/replay.c
+++ b/bench/replay.c
@@ -34,9 +34,25 @@
   { "lend", 'n', NULL, 0, "dispatchers delegate tasks to each other", 0 },
   { "room", 'r', "MS", 0,
     "interval between reports of free capacity (default 150)", 0 },
+  { "speeds", 'f', "X,X...", 0,
+    "lasting factors on the run times of the targets, in turn (default 1)",
+    0 },
   { 0 }
 };
 
+static void
+parse_speeds (struct replay_setup *s, const char *text)
+{
+  char *end;
+
+  s->speed_count = 0;
+  while (*text != '\0' && s->speed_count < REPLAY_SPEED_LIMIT)
+    {
+      s->speeds[s->speed_count++] = strtod (text, &end);
+      text = *end == ',' ? end + 1 : "";
+    }
+}
+
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
@@ -69,6 +85,9 @@
     case 'r':
       o->setup.capacity_report_ms = atoi (arg);
       break;
+    case 'f':
+      parse_speeds (&o->setup, arg);
+      break;
     default:
       return ARGP_ERR_UNKNOWN;
     }
--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -221,15 +221,24 @@
   return m->now >= m->setup->burst_from_ms && m->now < m->setup->burst_to_ms;
 }
 
+/* Returns the lasting factor on the run times of target NUMBER.  It must not
+   coincide with the size of the target, which has a period of 3.  */
+static double
+speed_of (const struct model *m, uint32_t number)
+{
+  uint32_t n = m->setup->speed_count;
+
+  return n == 0 ? 1 : m->setup->speeds[(number / 3 + number) % n];
+}
+
 /* Returns the factor on the run time of a run that starts on T now.  */
 static double
 slowdown_of (const struct model *m, const struct run_target *t)
 {
   uint32_t number = (uint32_t)strtoul (t->spec.id + 1, NULL, 10);
+  bool slow = in_burst (m) && number * 37 % 100 < m->setup->slow_percent;
 
-  return in_burst (m) && number * 37 % 100 < m->setup->slow_percent
-             ? m->setup->slowdown
-             : 1;
+  return speed_of (m, number) * (slow ? m->setup->slowdown : 1);
 }
 
 static void
--- a/bench/replay_model.h
+++ b/bench/replay_model.h
@@ -11,7 +11,8 @@
 
 enum
 {
-  REPLAY_CLASS_LIMIT = 4
+  REPLAY_CLASS_LIMIT = 4,
+  REPLAY_SPEED_LIMIT = 8
 };
 
 /* A class of jobs.  */
@@ -49,6 +50,11 @@
   uint32_t draining_percent; /* of the targets, from the burst on */
   uint32_t slow_percent;     /* of the targets, slow during the burst */
   double slowdown;           /* factor on their run times */
+
+  /* Lasting factors on the run times of the targets, which take them in turn;
+     none: all run alike.  Objectives do not depend on them.  */
+  double speeds[REPLAY_SPEED_LIMIT];
+  uint32_t speed_count;
 };
 
 struct replay_class_result
