--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -76,6 +76,8 @@
   uint32_t first;
   uint32_t count;
   enum job_result result;
+  bool returned; /* MODEL_RETURN was handled */
+  bool revoked;  /* MODEL_REVOKE was handled */
   struct model_delegation *next;
 };
 
@@ -222,13 +224,13 @@
 }
 
 /* Returns the lasting factor on the run times of target NUMBER.  It must not
-   coincide with the size of the target, which has a period of 3.  */
+   coincide with the target's size or dispatcher, which have a period of 3.  */
 static double
 speed_of (const struct model *m, uint32_t number)
 {
   uint32_t n = m->setup->speed_count;
 
-  return n == 0 ? 1 : m->setup->speeds[(number / 3 + number) % n];
+  return n == 0 ? 1 : m->setup->speeds[(number / 3 * 2 + number) % n];
 }
 
 /* Returns the factor on the run time of a run that starts on T now.  */
@@ -363,10 +365,21 @@
     delegation_ended (m, d, JOB_REFUSED);
 }
 
+/* Frees D, which FROM has revoked, unless its result is still on the way.  */
+static void
+free_revoked (struct model_delegation *d)
+{
+  if (d->revoked && (d->run != NULL || d->returned))
+    delegation_free (d);
+}
+
 static void
 handle_return (struct model *m, struct model_delegation *d)
 {
-  if (d->job != NULL)
+  d->returned = true;
+  if (d->job == NULL)
+    free_revoked (d);
+  else
     {
       LL_DELETE (m->delegations, d);
       m->result->delegations++;
@@ -384,9 +397,10 @@
 static void
 handle_revoke (struct model *m, struct model_delegation *d)
 {
+  d->revoked = true;
   if (d->run != NULL)
     run_scheduler_cancel (&m->schedulers[d->to], m->now, d->run);
-  delegation_free (d);
+  free_revoked (d);
 }
 
 static void
