--- a/src/coord/run_placement.c
+++ b/src/coord/run_placement.c
@@ -5,6 +5,14 @@
 /* Slowness below this is within the error of the estimates and is ignored.  */
 static const double slowness_threshold = 2;
 
+/* Cost of a target that takes twice as long as the mean, in the unit of
+   run_target_cost, for a task with ample slack and for one with none.  Slack
+   is ample from this many times the task's expected run time on; short tasks
+   have 1.6 times when they arrive, long ones 0.7.  */
+static const double speed_cost_ample = 0.6;
+static const double speed_cost_none = 1.2;
+static const double ample_slack = 2;
+
 static bool
 is_avoided (const struct run_task *task, const struct run_target *t)
 {
@@ -19,9 +27,11 @@
                            const struct run_target *t,
                            const struct job_step *step, int64_t local_ms)
 {
-  return run_target_has_data (t, step)
-             ? local_ms
-             : (int64_t)((double)local_ms * s->remote_factor);
+  double factor = t->speed_factor;
+
+  if (!run_target_has_data (t, step))
+    factor *= s->remote_factor;
+  return (int64_t)((double)local_ms * factor);
 }
 
 /* Whether to start TASK on T, which may be remote from its data or slow,
@@ -42,6 +52,27 @@
          || now + (int64_t)((double)expected * slowness) <= due;
 }
 
+/* The weight of a target's speed for TASK, which rises as its slack falls, so
+   that the tasks with the least slack get the fastest targets.  */
+static double
+speed_weight (const struct run_job *j, uint32_t task, int64_t now)
+{
+  double slack = (double)(j->times.start_by_ms - now);
+  double urgency = 1 - slack / (ample_slack * (double)j->tasks[task].local_ms);
+
+  if (urgency < 0)
+    urgency = 0;
+  if (urgency > 1)
+    urgency = 1;
+  return speed_cost_ample + (speed_cost_none - speed_cost_ample) * urgency;
+}
+
+static double
+speed_cost (const struct run_target *t, double weight)
+{
+  return weight * (t->speed_factor - 1);
+}
+
 struct run_target *
 run_placement_choose (const struct run_scheduler *s, const struct run_job *j,
                       uint32_t task, int64_t now)
@@ -50,6 +81,7 @@
   struct run_target *best = NULL;
   bool best_local = false;
   double best_cost = 0;
+  double weight = speed_weight (j, task, now);
 
   for (uint32_t i = 0; i < s->target_count; i++)
     {
@@ -64,7 +96,7 @@
           || run_target_step_room (t, &j->spec, j->tasks[task].step) == 0
           || !is_acceptable (s, j, task, t, now))
         continue;
-      cost = run_target_cost (t, step, now);
+      cost = run_target_cost (t, step, now) + speed_cost (t, weight);
       if (best == NULL || local != best_local || cost < best_cost)
         {
           best = t;
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -7,6 +7,7 @@
 #include "coord/run_admission.h"
 #include "coord/run_placement.h"
 #include "coord/run_progress.h"
+#include "coord/run_speeds.h"
 #include "coord/wait_order.h"
 
 enum
@@ -69,6 +70,7 @@
   t->spec = *spec;
   t->phase = TARGET_SYNCING;
   target_health_init (&t->health);
+  t->speed_factor = 1;
   s->targets = realloc (s->targets,
                         (s->target_count + 1) * sizeof (struct run_target *));
   s->targets[s->target_count++] = t;
@@ -175,7 +177,7 @@
   for (uint32_t i = 0; i < s->target_count; i++)
     if (is_usable (s->targets[i])
         && strcmp (s->targets[i]->spec.service, service) == 0)
-      b.cpu_milli += s->targets[i]->spec.cpu_milli;
+      b.cpu_milli += run_speeds_cpu (s->targets[i]);
   DL_FOREACH (s->waiting, j)
   if (strcmp (j->spec.service, service) == 0
       && (j->first_start_ms >= 0 || j->times.start_by_ms <= start_by))
@@ -394,6 +396,7 @@
   struct wait_rank *ranks;
   uint32_t n;
 
+  run_speeds_update (s, now);
   stop_stalled (s, now);
   refuse_expired (s, now);
   n = run_scheduler_rank (s, now, &ranks);
@@ -515,9 +518,7 @@
     {
       double expected = (double)(k->expected_ms < 1 ? 1 : k->expected_ms);
 
-      if (k->expected_ms == k->local_ms)
-        work_estimate_add (&s->estimate, j->spec.queue,
-                           j->spec.steps[k->step].estimate_ms, elapsed);
+      run_speeds_note (s, t, now, j, k, elapsed);
       note_success (s, t, now, (double)elapsed / expected);
       task_done (s, j, task);
     }
--- a/src/coord/run_scheduler.h
+++ b/src/coord/run_scheduler.h
@@ -70,6 +70,7 @@
   struct run_job *jobs;    /* by id */
   struct run_job *waiting; /* list of open jobs, in order of arrival */
   uint64_t next_number;
+  int64_t speeds_updated_ms; /* last update of the targets' speed factors */
 };
 
 void run_scheduler_init (struct run_scheduler *s,
--- a/src/coord/run_target.h
+++ b/src/coord/run_target.h
@@ -8,6 +8,7 @@
 #include "base/settings.h"
 #include "coord/job_spec.h"
 #include "coord/target_health.h"
+#include "coord/target_speed.h"
 
 enum
 {
@@ -56,6 +57,8 @@
   enum target_phase phase;
   bool releasing; /* to be handed to another owner: no new starts */
   struct target_health health;
+  struct target_speed speed;
+  double speed_factor;   /* on run times, by run_speeds; 1 if not in effect */
   int64_t full_until_ms; /* no starts before; it refused one as full */
   int64_t lease_end_ms;  /* all leases requested so far are over by then */
 
--- a/src/coord/work_estimate.c
+++ b/src/coord/work_estimate.c
@@ -70,6 +70,14 @@
   q->mean_log_ratio += weight * (ratio - q->mean_log_ratio);
 }
 
+bool
+work_estimate_is_learnt (const struct work_estimate *e, const char *queue)
+{
+  const struct estimate_queue *q = find (e, queue);
+
+  return q != NULL && q->runs >= MIN_RUNS;
+}
+
 int64_t
 work_estimate_ms (const struct work_estimate *e, const char *queue,
                   int64_t declared_ms)
--- a/src/coord/work_estimate.h
+++ b/src/coord/work_estimate.h
@@ -8,6 +8,7 @@
 #ifndef COORD_WORK_ESTIMATE_H
 #define COORD_WORK_ESTIMATE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include "coord/service_config.h"
 
@@ -39,6 +40,11 @@
 void work_estimate_add (struct work_estimate *e, const char *queue,
                         int64_t declared_ms, int64_t elapsed_ms);
 
+/* Whether enough runs of QUEUE are known for the estimate to depend on
+   them.  */
+bool work_estimate_is_learnt (const struct work_estimate *e,
+                              const char *queue);
+
 /* The expected run time in ms, at least 1, of a task of QUEUE that was
    declared with DECLARED_MS.  */
 int64_t work_estimate_ms (const struct work_estimate *e, const char *queue,
