--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -1,5 +1,6 @@
-/* Runs all unit tests.  */
+/* Runs all unit tests, or those of the suites named as arguments.  */
 #include <CUnit/Basic.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -55,8 +56,23 @@
     abort ();
 }
 
+/* Leaves out the suites that are not among the COUNT NAMES.  */
+static void
+select_suites (char **names, int count)
+{
+  CU_set_fail_on_inactive (CU_FALSE);
+  for (CU_pSuite s = CU_get_registry ()->pSuite; s != NULL; s = s->pNext)
+    {
+      bool named = false;
+
+      for (int i = 0; i < count; i++)
+        named |= strcmp (s->pName, names[i]) == 0;
+      CU_set_suite_active (s, named ? CU_TRUE : CU_FALSE);
+    }
+}
+
 int
-main (void)
+main (int argc, char **argv)
 {
   unsigned int failed;
   unsigned int known;
@@ -90,6 +106,8 @@
   suite_placement ();
   suite_scheduler ();
   suite_platform ();
+  if (argc > 1)
+    select_suites (argv + 1, argc - 1);
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   failed = CU_get_number_of_tests_failed ();
