--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -97,6 +97,7 @@
   suite_http ();
   suite_callers ();
   suite_withdrawal ();
+  suite_absence ();
   suite_deployment ();
   suite_keepers ();
   suite_disks ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -32,6 +32,7 @@
 void suite_http (void);
 void suite_callers (void);
 void suite_withdrawal (void);
+void suite_absence (void);
 void suite_deployment (void);
 void suite_keepers (void);
 void suite_delegation (void);
