--- a/src/controller/entry_assignment.c
+++ b/src/controller/entry_assignment.c
@@ -211,7 +211,10 @@
   json_t *assignment;
 
   if (a->term >= n->assignment_term)
-    n->assignment_received_ms = now;
+    {
+      n->assignment_received_ms = now;
+      snprintf (n->leader, sizeof n->leader, "%s", from);
+    }
   if (a->text.length == 0 && a->term >= n->assignment_term)
     {
       /* A new leader requests the owned targets before it assigns any.  */
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -30,7 +30,10 @@
   LOG_TARGETS_MAX = 200,
 
   /* Minimum interval between updates of the set of dispatchers.  */
-  DISPATCHERS_RESEND_MS = 100
+  DISPATCHERS_RESEND_MS = 100,
+
+  /* An entry that was heard longer ago is not reported to the leader.  */
+  HEARD_REPORT_MS = 3000
 };
 
 void
@@ -44,17 +47,30 @@
   peer_conn_send (l->conn, &m);
 }
 
-/* A free slot for a link, or that of an entry without a connection if there is
-   none.  Returns NULL if all are connected.  */
+static int64_t
+latest_heard_ms (const struct keeper_entry_link *l)
+{
+  return l->heard_ms > l->reported_ms ? l->heard_ms : l->reported_ms;
+}
+
+/* A free slot for a link, or if there is none that of the entry that was heard
+   least recently of those without a connection.  Returns NULL if all are
+   connected.  */
 static struct keeper_entry_link *
 free_link (struct quorum_keeper *k)
 {
+  struct keeper_entry_link *oldest = NULL;
+
   if (k->link_count < PLAN_ENTRY_LIMIT)
     return &k->links[k->link_count++];
   for (uint32_t i = 0; i < k->link_count; i++)
-    if (k->links[i].conn == NULL)
-      return &k->links[i];
-  return NULL;
+    if (k->links[i].conn == NULL
+        && (oldest == NULL
+            || latest_heard_ms (&k->links[i]) < latest_heard_ms (oldest)))
+      oldest = &k->links[i];
+  if (oldest != NULL && latest_heard_ms (oldest) > k->unlisted_ms)
+    k->unlisted_ms = latest_heard_ms (oldest);
+  return oldest;
 }
 
 struct keeper_entry_link *
@@ -137,6 +153,44 @@
   e->reported = true;
 }
 
+json_t *
+entry_links_heard (const struct quorum_keeper *k, int64_t now)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < k->link_count; i++)
+    {
+      const struct keeper_entry_link *l = &k->links[i];
+
+      if (now - l->heard_ms >= HEARD_REPORT_MS)
+        continue;
+      json_array_append_new (list, json_from_text (l->vm));
+      json_array_append_new (list, json_integer (now - l->heard_ms));
+    }
+  return list;
+}
+
+void
+entry_links_receive_heard (struct quorum_keeper *k, int64_t now,
+                           const json_t *list)
+{
+  for (size_t i = 0; i + 1 < json_array_size (list); i += 2)
+    {
+      const char *vm = json_string_value (json_array_get (list, i));
+      int64_t age = json_integer_value (json_array_get (list, i + 1));
+      struct keeper_entry_link *l;
+
+      if (vm == NULL || vm[0] == '\0' || strlen (vm) >= sizeof l->vm || age < 0
+          || age >= HEARD_REPORT_MS)
+        continue;
+      l = entry_links_find_or_add (k, vm);
+      if (l == NULL)
+        k->unlisted_ms = now - age;
+      else if (now - age > l->reported_ms)
+        l->reported_ms = now - age;
+    }
+}
+
 void
 entry_links_receive_heartbeat (struct quorum_keeper *k, struct peer_conn *from,
                                const struct peer_entry_heartbeat *h)
@@ -146,6 +200,8 @@
   char domain[NAME_BYTES];
   struct plan_entry *e;
 
+  if (l == NULL)
+    k->unlisted_ms = now;
   if (l == NULL || !slice_copy (h->domain, domain, sizeof domain))
     return;
   l->heard_ms = now;
--- a/src/controller/entry_withdrawal.c
+++ b/src/controller/entry_withdrawal.c
@@ -3,17 +3,22 @@
 #include <stdlib.h>
 #include <string.h>
 #include "base/event_ring.h"
+#include "base/now.h"
 
 enum
 {
   /* Longer than the keeper's search.  */
   CALL_TIMEOUT_MS = 700,
 
-  /* The most keepers that are asked in turn, as long as none is certain.  */
-  KEEPER_TRIES = 3,
+  /* The most calls to keepers, and the time after which no further one is
+     asked, as long as none is certain.  */
+  KEEPER_TRIES = 8,
+  TOTAL_MS = 1500,
 
   STATUS_OK = 200,
-  STATUS_GONE = 410
+  STATUS_REDIRECT = 307,
+  STATUS_GONE = 410,
+  STATUS_UNAVAILABLE = 503
 };
 
 struct entry_withdrawal
@@ -21,6 +26,9 @@
   struct job_entry *entry;
   char key[JOB_KEY_BYTES];
   uint32_t tries;
+  uint32_t next;           /* index of the keeper to be asked next */
+  char leader[NAME_BYTES]; /* to be asked before it; "": none is known */
+  int64_t started_ms;
   withdrawal_done done;
   void *arg;
 };
@@ -41,12 +49,43 @@
 {
   struct entry_withdrawal *w = arg;
 
-  if (outcome == CALL_REPLIED && reply->status == STATUS_OK)
+  if (outcome != CALL_REPLIED)
+    ask_keeper (w);
+  else if (reply->status == STATUS_OK)
     finish (w, WITHDRAWAL_DONE);
-  else if (outcome == CALL_REPLIED && reply->status == STATUS_GONE)
+  /* A keeper of an earlier program says this without a proof, and without a
+     body.  */
+  else if (reply->status == STATUS_GONE && reply->body.length != 0)
     finish (w, WITHDRAWAL_NO_JOB);
+  else if (reply->status == STATUS_UNAVAILABLE && reply->body.length != 0)
+    finish (w, WITHDRAWAL_UNSURE);
   else
-    ask_keeper (w);
+    {
+      if (reply->status != STATUS_REDIRECT
+          || !slice_copy (reply->body, w->leader, sizeof w->leader))
+        w->leader[0] = '\0';
+      ask_keeper (w);
+    }
+}
+
+/* Stores the keeper to be asked next in VM, of NAME_BYTES bytes: the leader if
+   one is known, otherwise the keepers in turn.  Returns false if there is
+   none.  */
+static bool
+choose_keeper (struct entry_withdrawal *w, char *vm)
+{
+  const struct job_entry *n = w->entry;
+
+  if (w->leader[0] != '\0')
+    {
+      memcpy (vm, w->leader, NAME_BYTES);
+      w->leader[0] = '\0';
+      return true;
+    }
+  if (w->next >= n->keeper_count)
+    return false;
+  memcpy (vm, n->keepers[w->next++], NAME_BYTES);
+  return true;
 }
 
 static void
@@ -54,15 +93,15 @@
 {
   struct job_entry *n = w->entry;
   struct peer_message m = { .type = PEER_CALL };
-  const char *keeper;
+  char keeper[NAME_BYTES];
 
-  if (n->keeper_count == 0 || w->tries == KEEPER_TRIES
-      || w->tries == n->keeper_count || n->stopped)
+  if (w->tries == KEEPER_TRIES || n->stopped
+      || now_ms () - w->started_ms >= TOTAL_MS || !choose_keeper (w, keeper))
     {
       finish (w, WITHDRAWAL_UNSURE);
       return;
     }
-  keeper = n->keepers[w->tries++];
+  w->tries++;
   m.u.call = (struct peer_call){ .method = METHOD_WITHDRAW,
                                  .team = slice_of (""),
                                  .key = slice_of (w->key),
@@ -79,6 +118,8 @@
 
   w->entry = n;
   memcpy (w->key, key, strnlen (key, sizeof w->key - 1));
+  memcpy (w->leader, n->leader, sizeof w->leader);
+  w->started_ms = now_ms ();
   w->done = done;
   w->arg = arg;
   ask_keeper (w);
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -65,7 +65,8 @@
   int64_t assignment_received_ms; /* when the keepers' leader last sent one */
   struct owned_target *targets;
   uint32_t target_count;
-  bool had_assignment; /* received one since the process started */
+  bool had_assignment;     /* received one since the process started */
+  char leader[NAME_BYTES]; /* the keeper that sent it; "" before the first */
   struct route_dispatcher dispatchers[ENTRY_DISPATCHER_LIMIT];
   uint32_t dispatcher_count;
   char keepers[ENTRY_KEEPER_LIMIT][NAME_BYTES];
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -43,7 +43,10 @@
   /* The disk ID of the keepers that bootstrap the quorum.  Other disks get a
      random one.  */
   FOUNDER_DISK_ID = 1,
-  FOUNDING_TERM = 1
+  FOUNDING_TERM = 1,
+
+  /* Longer ago than any entry is waited for.  */
+  UNLISTED_NEVER_MS = 3600000
 };
 
 /* An operator's call that waits for the log.  */
@@ -189,7 +192,7 @@
         job_withdrawal_handle_call (k, now_ms (), from, &m->u.call);
       return;
     case PEER_REPLY:
-      job_withdrawal_handle_reply (k, now_ms (), &m->u.reply);
+      job_withdrawal_handle_reply (k, now_ms (), from, &m->u.reply);
       return;
     case PEER_KEEPER_HEARTBEAT:
       quorum_members_receive_heartbeat (k, from, &m->u.keeper_heartbeat);
@@ -198,8 +201,11 @@
       break;
     }
   member = quorum_members_by_address (k, from->vm);
-  if (member != LOG_NO_MEMBER && !k->failed)
-    replicated_log_receive (&k->log, now_ms (), member, m);
+  if (member == LOG_NO_MEMBER || k->failed)
+    return;
+  replicated_log_receive (&k->log, now_ms (), member, m);
+  if (m->type == PEER_APPEND_REPLY)
+    job_withdrawal_tick (k, now_ms ());
 }
 
 /* The heartbeat is the first message on a new link: it carries the disk ID,
@@ -556,6 +562,7 @@
   k->boot_id = boot_id;
   k->last_tick_ms = now_ms ();
   k->receiving_since_ms = k->last_tick_ms;
+  k->unlisted_ms = k->last_tick_ms - UNLISTED_NEVER_MS;
   log_journal_init (&k->journal);
   owner_plan_init (&k->plan);
   target_relay_init (&k->relay, k);
--- a/src/controller/quorum_keeper.h
+++ b/src/controller/quorum_keeper.h
@@ -64,6 +64,7 @@
   uint64_t dispatchers_digest; /* of the dispatchers sent; 0: none */
   uint64_t voters_digest;      /* of the voters sent; 0: none */
   int64_t heard_ms;            /* when its last heartbeat was received */
+  int64_t reported_ms; /* when another keeper last received one, as reported */
 };
 
 struct quorum_keeper
@@ -109,6 +110,8 @@
 
   struct target_relay relay;
 
+  int64_t unlisted_ms; /* when an entry was last heard that is not in LINKS */
+
   /* searches for the entries of jobs to be withdrawn */
   struct withdrawal *withdrawals;
   uint32_t withdrawal_count;
--- a/src/controller/target_relay.c
+++ b/src/controller/target_relay.c
@@ -9,6 +9,7 @@
 #include "base/json_check.h"
 #include "base/json_text.h"
 #include "base/now.h"
+#include "controller/entry_links.h"
 #include "controller/quorum_keeper.h"
 #include "coord/run_target_json.h"
 
@@ -20,6 +21,9 @@
      them over several batches.  */
   BATCH_MAX_SPECS = 128,
 
+  /* How often the leader is told which entries this keeper hears.  */
+  ENTRIES_MS = 500,
+
   /* Below the 1 s after which a target considers its heartbeat lost.  */
   CALL_TIMEOUT_MS = 700,
 
@@ -235,6 +239,21 @@
   t->seen_since_batch = false;
 }
 
+/* Adds to BODY the entries that this keeper hears, if that is due.  Returns
+   whether there are any.  */
+static bool
+add_entries (struct target_relay *r, json_t *body, int64_t now)
+{
+  json_t *list;
+
+  if (now - r->entries_sent_ms < ENTRIES_MS)
+    return false;
+  r->entries_sent_ms = now;
+  list = entry_links_heard (r->keeper, now);
+  json_object_set_new (body, "entries", list);
+  return json_array_size (list) != 0;
+}
+
 static void
 send_batch (struct target_relay *r, const struct keeper_peer *leader,
             int64_t now)
@@ -246,13 +265,14 @@
       = json_build ("{s:o s:o}", "whole", full_specs, "heard", heartbeats);
   struct target_report *t;
   struct target_report *next;
+  bool has_entries = add_entries (r, body, now);
 
   b->relay = r;
   b->term = leader->term;
   b->count = 0;
   HASH_ITER (hh, r->reports.by_id, t, next)
   add_to_batch (b, t, full_specs, heartbeats, now);
-  if (b->count != 0 || json_array_size (heartbeats) != 0)
+  if (b->count != 0 || json_array_size (heartbeats) != 0 || has_entries)
     {
       r->batch_pending = true;
       call_leader (r, leader->member.address, body, on_batch_done, b);
@@ -313,6 +333,7 @@
   json_array_foreach (json_object_get (body, "left"), i,
                       o) if (json_is_string (o))
       quorum_keeper_remove_target (k, json_string_value (o));
+  entry_links_receive_heard (k, now, json_object_get (body, "entries"));
   unknown = apply_heartbeats (k, now, json_object_get (body, "heard"));
   text = json_encode_new (unknown);
   return text;
--- a/src/controller/target_relay.h
+++ b/src/controller/target_relay.h
@@ -22,8 +22,9 @@
 {
   struct quorum_keeper *keeper;
   struct target_reports reports;
-  int64_t last_batch_ms; /* when one was last due */
-  bool batch_pending;    /* sent and not answered yet */
+  int64_t last_batch_ms;   /* when one was last due */
+  bool batch_pending;      /* sent and not answered yet */
+  int64_t entries_sent_ms; /* when the entries heard were last in a batch */
 };
 
 void target_relay_init (struct target_relay *r, struct quorum_keeper *k);
--- a/src/coord/job_search.c
+++ b/src/coord/job_search.c
@@ -12,7 +12,9 @@
 {
   if (s->found)
     return JOB_SEARCH_FOUND;
-  if (s->answered >= s->expected)
-    return s->complete ? JOB_SEARCH_NONE : JOB_SEARCH_UNSURE;
+  if (s->answered >= s->expected && !s->complete)
+    return JOB_SEARCH_UNSURE;
+  if (s->answered >= s->expected && s->confirmed)
+    return JOB_SEARCH_NONE;
   return now < s->deadline_ms ? JOB_SEARCH_PENDING : JOB_SEARCH_UNSURE;
 }
--- a/src/coord/job_search.h
+++ b/src/coord/job_search.h
@@ -10,7 +10,8 @@
 {
   JOB_SEARCH_PENDING,
   JOB_SEARCH_FOUND,
-  JOB_SEARCH_NONE,  /* every entry has answered that it does not hold it */
+  JOB_SEARCH_NONE,  /* every entry has answered that it does not hold it, and
+                       the one who asked them still leads */
   JOB_SEARCH_UNSURE /* an entry that may hold it has not answered in time */
 };
 
@@ -19,7 +20,9 @@
   uint32_t expected; /* entries that may hold the job */
   uint32_t answered; /* of these */
   bool found;
-  bool complete; /* EXPECTED counts all entries that may hold the job */
+  bool complete;  /* EXPECTED counts all entries that may hold the job */
+  bool confirmed; /* a majority has confirmed since the start of the search
+                     that the keeper that searches leads */
   int64_t deadline_ms;
 };
 
