--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -19,7 +19,12 @@
    TASKS_SENT_BACK    of these, those that it refused
    TASKS_RETURNED     of these, those that ended with any other result
    VIEWS_TAKEN        assignments of targets and dispatchers applied
-   HEARTBEATS         heartbeats of targets received by this keeper  */
+   HEARTBEATS         heartbeats of targets received by this keeper
+   WITHDRAWN_ADDED    cancellations of jobs remembered; less the expired and
+                      the evicted ones, those that are remembered now
+   WITHDRAWN_EVICTED  of these, forgotten before their time for lack of space
+   WITHDRAWN_STOPPED  jobs withdrawn that were cancelled elsewhere
+   WITHDRAWN_REPEATED requests of cancelled jobs answered without a run  */
 #define COUNTER_TABLE(ROW)                                                    \
   ROW (JOBS_ACCEPTED, "jobs_accepted")                                        \
   ROW (JOBS_COMPLETE, "jobs_complete")                                        \
@@ -70,7 +75,12 @@
   ROW (CALLERS_REFUSED, "callers_refused")                                    \
   ROW (CALLERS_GONE, "callers_gone")                                          \
   ROW (VIEWS_TAKEN, "views_taken")                                            \
-  ROW (HEARTBEATS, "heartbeats")
+  ROW (HEARTBEATS, "heartbeats")                                              \
+  ROW (WITHDRAWN_ADDED, "withdrawn_added")                                    \
+  ROW (WITHDRAWN_EXPIRED, "withdrawn_expired")                                \
+  ROW (WITHDRAWN_EVICTED, "withdrawn_evicted")                                \
+  ROW (WITHDRAWN_STOPPED, "withdrawn_stopped")                                \
+  ROW (WITHDRAWN_REPEATED, "withdrawn_repeated")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -97,6 +97,17 @@
   ROW (346, JOB_SOUGHT, INFO,                                                 \
        "a job to be withdrawn was sought at all entries",                     \
        "if its result is uncertain, check the entries and their links")       \
+  ROW (420, WITHDRAWN_LEARNT, DEBUG, "cancellation of a job is remembered",   \
+       "nothing")                                                             \
+  ROW (421, WITHDRAWN_STOPPED, INFO,                                          \
+       "job withdrawn whose cancellation was acknowledged elsewhere",         \
+       "nothing")                                                             \
+  ROW (422, WITHDRAWN_REPEATED, INFO,                                         \
+       "request of a cancelled job answered as cancelled; it is not run",     \
+       "nothing")                                                             \
+  ROW (423, WITHDRAWN_EVICTED, WARN,                                          \
+       "cancellation forgotten before its time: too many are remembered",     \
+       "find out who cancels so many jobs; copies of their requests may run") \
   ROW (336, COORDINATOR_LOST, WARN,                                           \
        "entry that served callers is lost; its jobs are stopped", "nothing")  \
   ROW (340, DISPATCH_STOPPED, INFO,                                           \
--- a/src/controller/entry_assignment.c
+++ b/src/controller/entry_assignment.c
@@ -213,6 +213,12 @@
   if (a->term >= n->assignment_term)
     {
       n->assignment_received_ms = now;
+      if (strcmp (n->leader, from) != 0)
+        {
+          /* What the earlier leader had not passed on may be lost with it. */
+          withdrawn_feed_reset (&n->withdrawn_feed);
+          n->withdrawn_tries = 0;
+        }
       snprintf (n->leader, sizeof n->leader, "%s", from);
     }
   if (a->text.length == 0 && a->term >= n->assignment_term)
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -213,6 +213,7 @@
       l->config_version = h->config_version;
       l->voters_digest = 0;
       l->dispatchers_digest = 0;
+      withdrawn_feed_reset (&l->withdrawn);
     }
   send_voters (k, l);
   if (now - l->config_sent_ms > CONFIG_RESEND_MS)
--- a/src/controller/entry_withdrawal.c
+++ b/src/controller/entry_withdrawal.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include "base/event_ring.h"
 #include "base/now.h"
+#include "controller/entry_withdrawn.h"
 
 enum
 {
@@ -38,6 +39,8 @@
 {
   event_ring_add (EVENT_JOB_SOUGHT, w->key, "result=%d keepers_asked=%u",
                   (int)result, w->tries);
+  if (result != WITHDRAWAL_UNSURE)
+    entry_withdrawn_add (w->entry, now_ms (), w->key);
   w->done (w->arg, result);
   free (w);
 }
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -14,6 +14,7 @@
 #include "controller/job_events.h"
 #include "controller/entry_leases.h"
 #include "controller/entry_withdrawal.h"
+#include "controller/entry_withdrawn.h"
 #include "controller/routed_job.h"
 
 enum
@@ -307,8 +308,9 @@
 void
 job_entry_withdraw (struct job_entry *n, int64_t now, struct routed_job *j)
 {
+  entry_withdrawn_add (n, now, j->spec.key);
   give_up (n, now, j, "withdrawn");
-  answer (j, JOB_UNKNOWN, REFUSAL_NONE, 0);
+  answer (j, JOB_UNKNOWN, REFUSAL_WITHDRAWN, 0);
 }
 
 uint64_t
@@ -335,7 +337,8 @@
 
   if (j == NULL)
     return false;
-  job_entry_withdraw (n, now, j);
+  give_up (n, now, j, "repeated");
+  answer (j, JOB_UNKNOWN, REFUSAL_NONE, 0);
   return true;
 }
 
@@ -402,6 +405,8 @@
     case PEER_CALL:
       if (m->u.call.method == METHOD_WITHDRAW)
         entry_withdrawal_handle_call (n, now, from, &m->u.call);
+      else if (m->u.call.method == METHOD_WITHDRAWN)
+        entry_withdrawn_handle_call (n, now, from, &m->u.call);
       break;
     case PEER_JOB_END:
       receive_end (n, now, from->vm, &m->u.job_end);
@@ -448,6 +453,8 @@
     {
       n->targets_changed = true;
       n->last_heartbeat_ms = 0;
+      withdrawn_feed_reset (&n->withdrawn_feed);
+      n->withdrawn_tries = 0;
     }
 }
 
@@ -503,6 +510,7 @@
   expire_jobs (n, now);
   entry_leases_tick (n, now);
   entry_dispatchers_poll (n, now);
+  entry_withdrawn_tick (n, now);
   if (released != n->released_reported)
     {
       n->released_reported = released;
@@ -530,6 +538,7 @@
   n->lease_limit_ms = job_lease_limit_ms (s->caller_retry_ms);
   entry_leases_init (n, n->last_tick_ms);
   service_config_init (&n->config);
+  withdrawn_jobs_init (&n->withdrawn, WITHDRAWN_LIMIT);
   n->network
       = peer_network_new (base, &s->peer, boot_id, &network_events, n, e);
   if (n->network == NULL)
@@ -559,6 +568,7 @@
   dispatcher_done (&n->dispatcher);
   peer_network_free (n->network);
   service_config_done (&n->config);
+  withdrawn_jobs_done (&n->withdrawn);
   free (n->targets);
 }
 
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -12,6 +12,7 @@
 #include "base/node_settings.h"
 #include "controller/dispatcher.h"
 #include "controller/delegation_controller.h"
+#include "controller/withdrawn_record.h"
 #include "coord/job_lease.h"
 #include "coord/job_router.h"
 #include "coord/service_config.h"
@@ -79,6 +80,11 @@
   int64_t lease_limit_ms;     /* of a job's lease */
   struct lease_echo own_echo; /* the times of the ticks of this entry */
 
+  /* ids of withdrawn jobs */
+  struct withdrawn_jobs withdrawn;
+  struct withdrawn_feed withdrawn_feed; /* to the keepers */
+  uint32_t withdrawn_tries;             /* calls that were not answered */
+
   /* periodic work and what was last sent */
   int64_t last_tick_ms;
   int64_t last_heartbeat_ms;  /* 0: send one at the next tick */
@@ -137,8 +143,8 @@
 bool job_entry_cancel (struct job_entry *n, int64_t now_ms,
                        struct routed_job *j);
 
-/* Cancels J at its caller's request.  The answer is JOB_UNKNOWN, since it may
-   have run.  */
+/* Cancels J at its caller's request, and remembers that.  The answer is
+   JOB_UNKNOWN, since it may have run, with REFUSAL_WITHDRAWN.  */
 void job_entry_withdraw (struct job_entry *n, int64_t now_ms,
                          struct routed_job *j);
 
--- a/src/controller/job_withdrawal.c
+++ b/src/controller/job_withdrawal.c
@@ -7,6 +7,7 @@
 #include <utlist.h>
 #include "base/event_ring.h"
 #include "base/now.h"
+#include "controller/keeper_withdrawn.h"
 #include "coord/job_search.h"
 
 enum
@@ -98,6 +99,8 @@
 
   if (result == JOB_SEARCH_PENDING)
     return;
+  if (result != JOB_SEARCH_UNSURE)
+    keeper_withdrawn_add (k, now, w->key);
   if (still_leads (k, w))
     snprintf (term, sizeof term, "%" PRIu64, w->term);
   event_ring_add (EVENT_JOB_SOUGHT, w->key,
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -15,6 +15,7 @@
 #include "controller/entry_links.h"
 #include "controller/job_withdrawal.h"
 #include "controller/keeper_state.h"
+#include "controller/keeper_withdrawn.h"
 #include "controller/quorum_members.h"
 
 enum
@@ -142,6 +143,7 @@
   event_ring_add (EVENT_LEADER_ELECTED, k->settings->name, "term=%" PRIu64,
                   k->log.term);
   owner_plan_start_term (&k->plan, k->log.term, now_ms ());
+  keeper_withdrawn_lead (k);
   k->targets_restored = false;
   k->targets_logged_digest = 0;
   k->targets_index = 0;
@@ -190,8 +192,12 @@
         target_relay_handle_call (&k->relay, now_ms (), from, &m->u.call);
       else if (m->u.call.method == METHOD_WITHDRAW)
         job_withdrawal_handle_call (k, now_ms (), from, &m->u.call);
+      else if (m->u.call.method == METHOD_WITHDRAWN)
+        keeper_withdrawn_handle_call (k, now_ms (), from, &m->u.call);
       return;
     case PEER_REPLY:
+      if (keeper_withdrawn_handle_reply (k, now_ms (), from, &m->u.reply))
+        return;
       job_withdrawal_handle_reply (k, now_ms (), from, &m->u.reply);
       return;
     case PEER_KEEPER_HEARTBEAT:
@@ -215,9 +221,9 @@
 {
   struct quorum_keeper *k = arg;
 
-  (void)vm;
   if (!up)
     return;
+  keeper_withdrawn_link_up (k, vm);
   quorum_members_send_heartbeats (k, now_ms ());
   replicated_log_member_reachable (&k->log, now_ms ());
 }
@@ -407,6 +413,7 @@
     k->receiving_since_ms = now;
   k->last_tick_ms = now;
   job_withdrawal_tick (k, now);
+  keeper_withdrawn_tick (k, now);
   if (k->failed)
     {
       if (now - k->failed_ms >= REOPEN_MS)
@@ -565,6 +572,7 @@
   k->unlisted_ms = k->last_tick_ms - UNLISTED_NEVER_MS;
   log_journal_init (&k->journal);
   owner_plan_init (&k->plan);
+  withdrawn_jobs_init (&k->withdrawn, WITHDRAWN_LIMIT);
   target_relay_init (&k->relay, k);
   k->network
       = peer_network_new (base, &s->peer, boot_id, &network_events, k, e);
@@ -613,6 +621,7 @@
   replicated_log_done (&k->log);
   owner_plan_done (&k->plan);
   target_relay_done (&k->relay);
+  withdrawn_jobs_done (&k->withdrawn);
   json_decref (k->applied_voters);
   json_decref (k->applied_targets);
   free (k->config_text);
--- a/src/controller/quorum_keeper.h
+++ b/src/controller/quorum_keeper.h
@@ -17,6 +17,7 @@
 #include "base/node_settings.h"
 #include "controller/log_journal.h"
 #include "controller/target_relay.h"
+#include "controller/withdrawn_record.h"
 #include "coord/owner_plan.h"
 #include "coord/quorum_plan.h"
 #include "coord/replicated_log.h"
@@ -51,6 +52,7 @@
   char control_address[ADDRESS_BYTES + 8]; /* host and port */
   bool is_leader; /* this and the term as last reported by the peer */
   uint64_t term;
+  struct withdrawn_feed withdrawn;
 };
 
 /* The connection to an entry, and what was last sent on it.  */
@@ -65,6 +67,9 @@
   uint64_t voters_digest;      /* of the voters sent; 0: none */
   int64_t heard_ms;            /* when its last heartbeat was received */
   int64_t reported_ms; /* when another keeper last received one, as reported */
+  struct withdrawn_feed withdrawn;
+  uint64_t withdrawn_call; /* the id of its latest call */
+  int64_t withdrawn_sent_ms;
 };
 
 struct quorum_keeper
@@ -117,6 +122,8 @@
   uint32_t withdrawal_count;
   uint64_t withdrawal_number; /* of the latest one */
 
+  struct withdrawn_jobs withdrawn;
+
   int64_t last_tick_ms;
   int64_t last_heartbeat_ms;  /* 0: send one at the next tick */
   int64_t receiving_since_ms; /* start, or end of the last long stall */
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -61,8 +61,10 @@
   METHOD_PROPOSE,        /* body: a control command for the keepers' leader */
   METHOD_CONFIG_FETCH,   /* returns the configuration in force */
   METHOD_TARGET_REPORTS, /* body: target reports received by another keeper */
-  METHOD_WITHDRAW /* key: a job to be withdrawn; from an entry to a keeper, and
-                     from that keeper to all entries */
+  METHOD_WITHDRAW, /* key: a job to be withdrawn; from an entry to a keeper,
+                      and from that keeper to all entries */
+  METHOD_WITHDRAWN /* body: ids of withdrawn jobs; team: whether the sender is
+                      a keeper or an entry */
 };
 
 struct peer_hello
--- a/tests/unit/test_absence.c
+++ b/tests/unit/test_absence.c
@@ -21,6 +21,9 @@
   TEXT_BYTES = 1024,
   ANSWER_MS = 2500,
 
+  /* Within this time all entries have a cancellation.  */
+  SPREAD_MS = 400,
+
   /* Keepers are certain of the entries from 3 s after their start.  */
   KEEPERS_SETTLE_MS = 3400
 };
@@ -234,6 +237,56 @@
   fixture_done (&f);
 }
 
+/* A job that was cancelled is not run when a copy of its request arrives, at
+   any entry, and its own request is answered as cancelled.  Guards against a
+   run after the cancellation was acknowledged, and against 502, which callers
+   repeat (review case 7).  */
+static void
+test_copy_of_cancelled (void)
+{
+  struct fixture f;
+  struct exchange x;
+  uint32_t starts;
+
+  fixture_init (&f);
+  post_job (&f, &x, 0);
+  CU_ASSERT_EQUAL (call (&f, 0, "DELETE", job_path, ""), 200);
+  CU_ASSERT_EQUAL (receive_status (&f, &x), 200);
+  CU_ASSERT_PTR_NOT_NULL (strstr (x.text, "{\"state\":\"cancelled\"}"));
+  run_for (&f, SPREAD_MS);
+  CU_ASSERT_EQUAL (count_running (), 0);
+  starts = fake_port_starts ();
+  for (int i = 0; i < ENTRIES; i++)
+    {
+      send_call (&f, &x, i, "POST", job_path, body_text);
+      CU_ASSERT_EQUAL (receive_status (&f, &x), 200);
+      CU_ASSERT_PTR_NOT_NULL (strstr (x.text, "{\"state\":\"cancelled\"}"));
+    }
+  CU_ASSERT_EQUAL (fake_port_starts (), starts);
+  fixture_done (&f);
+}
+
+/* The same for a job that no entry held when its DELETE was answered 410: its
+   request may have been on its way.  */
+static void
+test_copy_of_absent (void)
+{
+  struct fixture f;
+  struct exchange x;
+
+  fixture_init (&f);
+  CU_ASSERT_EQUAL (call (&f, 1, "DELETE", job_path, ""), 410);
+  run_for (&f, SPREAD_MS);
+  for (int i = 0; i < ENTRIES; i++)
+    {
+      send_call (&f, &x, i, "POST", job_path, body_text);
+      CU_ASSERT_EQUAL (receive_status (&f, &x), 200);
+      CU_ASSERT_PTR_NOT_NULL (strstr (x.text, "{\"state\":\"cancelled\"}"));
+    }
+  CU_ASSERT_EQUAL (fake_port_starts (), 0);
+  fixture_done (&f);
+}
+
 void
 suite_absence (void)
 {
@@ -243,4 +296,8 @@
                test_dropped_queue);
   CU_add_test (s, "a job whose path belongs to another queue now",
                test_replaced_queue);
+  CU_add_test (s, "a copy of the request of a cancelled job",
+               test_copy_of_cancelled);
+  CU_add_test (s, "a copy of the request of a job said to be absent",
+               test_copy_of_absent);
 }
--- a/tests/unit/test_withdrawal.c
+++ b/tests/unit/test_withdrawal.c
@@ -1,9 +1,12 @@
 /* Withdrawal of a job by an entry that does not hold it.  */
 #include <stdio.h>
 #include <string.h>
+#include "base/json_text.h"
 #include "base/now.h"
 #include "controller/entry_links.h"
 #include "controller/entry_withdrawal.h"
+#include "controller/entry_withdrawn.h"
+#include "controller/keeper_withdrawn.h"
 #include "coord/job_search.h"
 #include "tests/unit/deployment.h"
 #include "tests/unit/fake_port.h"
@@ -14,7 +17,10 @@
   NO_RESULT = -1,
 
   /* A leader is certain of the entries after 3 s.  */
-  KEEPERS_SETTLE_MS = 3400
+  KEEPERS_SETTLE_MS = 3400,
+
+  /* Within this time a cancellation must be in force everywhere.  */
+  SPREAD_MS = 3000
 };
 
 static const char key[] = "0123456789abcdef";
@@ -24,6 +30,7 @@
 {
   uint32_t answers;
   enum job_result job_result;
+  enum refusal_reason reason;
   int withdrawal;
 };
 
@@ -34,6 +41,7 @@
 
   c->answers++;
   c->job_result = a->result;
+  c->reason = a->reason;
 }
 
 static void
@@ -270,7 +278,7 @@
   list = entry_links_heard (deployment_follower (&d), now_ms ());
   CU_ASSERT_EQUAL (json_array_size (list), 2 * (size_t)ENTRIES);
   json_decref (list);
-  list = json_pack ("[s, i]", "elsewhere", 100);
+  list = json_build ("[s, i]", "elsewhere", 100);
   entry_links_receive_heard (deployment_leader (&d), now_ms (), list);
   json_decref (list);
   CU_ASSERT_EQUAL (withdraw_at_other (&d, &c), WITHDRAWAL_UNSURE);
@@ -302,6 +310,168 @@
   deployment_done (&d);
 }
 
+/* Entry 0 withdraws the job KEY, which it holds.  */
+static void
+withdraw_own (struct deployment *d)
+{
+  struct routed_job *j = job_entry_find (d->entries[0], key);
+
+  CU_ASSERT_PTR_NOT_NULL (j);
+  if (j != NULL)
+    job_entry_withdraw (d->entries[0], now_ms (), j);
+}
+
+/* Waits until all processes that run remember that the job KEY was
+   withdrawn.  */
+static bool
+all_remember (struct deployment *d)
+{
+  int64_t end = now_ms () + SPREAD_MS;
+  bool all = false;
+
+  while (!all && now_ms () < end)
+    {
+      deployment_run_step (d);
+      all = true;
+      for (int i = 0; i < KEEPERS; i++)
+        all &= d->keepers[i] == NULL
+               || withdrawn_jobs_has (&d->keepers[i]->withdrawn, now_ms (),
+                                      key);
+      for (int i = 0; i < ENTRIES; i++)
+        all &= d->entries[i] == NULL
+               || entry_withdrawn_has (d->entries[i], now_ms (), key);
+    }
+  return all;
+}
+
+/* An acknowledged cancellation reaches all entries and keepers, also one that
+   does not vote, and is remembered by those that start again later, also
+   after a change of the leader.  */
+static void
+test_spread (void)
+{
+  struct deployment d;
+  struct callers c = { 0 };
+  struct quorum_keeper *leader;
+
+  deployment_init (&d);
+  for (int i = 0; i < KEEPERS; i++)
+    deployment_start_keeper (&d, i);
+  for (int i = 0; i < ENTRIES; i++)
+    deployment_start_entry (&d, i);
+  deployment_run_until_owned (&d);
+  run_for (&d, KEEPERS_SETTLE_MS);
+  submit_job (&d, &c);
+  withdraw_own (&d);
+  CU_ASSERT (all_remember (&d));
+  deployment_stop_entry (&d, 0);
+  deployment_start_entry (&d, 0);
+  CU_ASSERT (all_remember (&d));
+  leader = deployment_leader (&d);
+  for (int i = 0; i < SEEDS; i++)
+    if (d.keepers[i] != NULL && d.keepers[i] != leader)
+      {
+        deployment_stop_keeper (&d, i);
+        deployment_start_keeper (&d, i);
+        break;
+      }
+  CU_ASSERT (all_remember (&d));
+  for (int i = 0; i < SEEDS; i++)
+    if (d.keepers[i] == leader)
+      {
+        deployment_stop_keeper (&d, i);
+        deployment_run_until_leader (&d);
+        deployment_start_keeper (&d, i);
+      }
+  deployment_stop_entry (&d, 1);
+  deployment_start_entry (&d, 1);
+  CU_ASSERT (all_remember (&d));
+  deployment_done (&d);
+}
+
+/* A job that was cancelled elsewhere while its entry was cut off is withdrawn
+   when the entry learns of it, and its caller is told that it was.  */
+static void
+test_learnt_while_open (void)
+{
+  struct deployment d;
+  struct callers c = { 0 };
+
+  start_all (&d);
+  run_for (&d, KEEPERS_SETTLE_MS);
+  submit_job (&d, &c);
+  keeper_withdrawn_add (deployment_leader (&d), now_ms (), key);
+  CU_ASSERT (all_remember (&d));
+  run_for (&d, 300);
+  CU_ASSERT_EQUAL (count_running (), 0);
+  CU_ASSERT_EQUAL (c.answers, 1);
+  CU_ASSERT_EQUAL (c.reason, REFUSAL_WITHDRAWN);
+  deployment_done (&d);
+}
+
+/* A cancellation that an entry acknowledged while no keeper ran is sent until
+   one has it.  */
+static void
+test_sent_until_received (void)
+{
+  struct deployment d;
+  struct callers c = { 0 };
+
+  start_all (&d);
+  run_for (&d, KEEPERS_SETTLE_MS);
+  submit_job (&d, &c);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_stop_keeper (&d, i);
+  withdraw_own (&d);
+  run_for (&d, 1500);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&d, i);
+  CU_ASSERT (all_remember (&d));
+  deployment_done (&d);
+}
+
+/* What is remembered is bounded in number, the oldest evicted first, and in
+   time; what one process does not have of another is found by number.  */
+static void
+test_withdrawn_table (void)
+{
+  struct withdrawn_jobs w;
+  char name[JOB_KEY_BYTES];
+
+  withdrawn_jobs_init (&w, 3);
+  CU_ASSERT_PTR_NULL (withdrawn_jobs_after (&w, 0));
+  CU_ASSERT (withdrawn_jobs_add (&w, 100, "b", 20, WITHDRAWN_HERE));
+  CU_ASSERT (withdrawn_jobs_add (&w, 100, "a", 10, WITHDRAWN_KEEPER));
+  CU_ASSERT (withdrawn_jobs_add (&w, 100, "c", 30, WITHDRAWN_ENTRY));
+  CU_ASSERT_FALSE (withdrawn_jobs_add (&w, 100, "a", 60, WITHDRAWN_HERE));
+  CU_ASSERT_STRING_EQUAL (withdrawn_jobs_after (&w, 0)->key, "b");
+  CU_ASSERT_STRING_EQUAL (withdrawn_jobs_after (&w, 1)->key, "a");
+  CU_ASSERT (withdrawn_jobs_add (&w, 100, "d", 40, WITHDRAWN_HERE));
+  CU_ASSERT_EQUAL (w.evicted, 1);
+  CU_ASSERT_FALSE (withdrawn_jobs_has (&w, 100, "a"));
+  CU_ASSERT_STRING_EQUAL (withdrawn_jobs_after (&w, 1)->key, "c");
+  CU_ASSERT (withdrawn_jobs_has (&w, WITHDRAWN_MS + 19, "b"));
+  CU_ASSERT_FALSE (withdrawn_jobs_has (&w, WITHDRAWN_MS + 20, "b"));
+  CU_ASSERT_EQUAL (withdrawn_jobs_expire (&w, WITHDRAWN_MS + 30), 2);
+  CU_ASSERT_EQUAL (withdrawn_jobs_count (&w), 1);
+  CU_ASSERT_FALSE (
+      withdrawn_jobs_add (&w, WITHDRAWN_MS + 30, "c", 30, WITHDRAWN_KEEPER));
+  CU_ASSERT (withdrawn_jobs_add (&w, 2000, "d", 2000, WITHDRAWN_KEEPER));
+  CU_ASSERT (withdrawn_jobs_has (&w, WITHDRAWN_MS + 1999, "d"));
+  withdrawn_jobs_done (&w);
+  withdrawn_jobs_init (&w, WITHDRAWN_LIMIT);
+  for (int i = 0; i < WITHDRAWN_LIMIT + 10; i++)
+    {
+      snprintf (name, sizeof name, "%016x", (unsigned)i);
+      withdrawn_jobs_add (&w, i, name, i, WITHDRAWN_HERE);
+    }
+  CU_ASSERT_EQUAL (withdrawn_jobs_count (&w), WITHDRAWN_LIMIT);
+  CU_ASSERT_EQUAL (w.evicted, 10);
+  CU_ASSERT_FALSE (withdrawn_jobs_has (&w, 20, "0000000000000009"));
+  CU_ASSERT (withdrawn_jobs_has (&w, 20, "000000000000000a"));
+  withdrawn_jobs_done (&w);
+}
+
 static void
 test_search_result (void)
 {
@@ -341,6 +511,12 @@
                test_lone_leader_not_certain);
   CU_add_test (s, "a keeper that does not vote is asked",
                test_asked_non_voter);
+  CU_add_test (s, "ids of withdrawn jobs are bounded", test_withdrawn_table);
+  CU_add_test (s, "a cancellation reaches all processes", test_spread);
+  CU_add_test (s, "an entry learns that its job was cancelled",
+               test_learnt_while_open);
+  CU_add_test (s, "a cancellation while no keeper runs",
+               test_sent_until_received);
   CU_add_test (s, "a new leader is not certain", test_new_leader_not_certain);
   CU_add_test (s, "an entry that another keeper hears",
                test_entry_of_other_keeper);
