--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -24,7 +24,9 @@
                       the evicted ones, those that are remembered now
    WITHDRAWN_EVICTED  of these, forgotten before their time for lack of space
    WITHDRAWN_STOPPED  jobs withdrawn that were cancelled elsewhere
-   WITHDRAWN_REPEATED requests of cancelled jobs answered without a run  */
+   WITHDRAWN_REPEATED requests of cancelled jobs answered without a run
+   HEARTBEATS_STALE   heartbeats ignored: older than their target's departure
+   TARGETS_DEPARTED   departed targets remembered now by this keeper  */
 #define COUNTER_TABLE(ROW)                                                    \
   ROW (JOBS_ACCEPTED, "jobs_accepted")                                        \
   ROW (JOBS_COMPLETE, "jobs_complete")                                        \
@@ -80,7 +82,9 @@
   ROW (WITHDRAWN_EXPIRED, "withdrawn_expired")                                \
   ROW (WITHDRAWN_EVICTED, "withdrawn_evicted")                                \
   ROW (WITHDRAWN_STOPPED, "withdrawn_stopped")                                \
-  ROW (WITHDRAWN_REPEATED, "withdrawn_repeated")
+  ROW (WITHDRAWN_REPEATED, "withdrawn_repeated")                              \
+  ROW (HEARTBEATS_STALE, "heartbeats_stale")                                  \
+  ROW (TARGETS_DEPARTED, "targets_departed")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -108,6 +108,10 @@
   ROW (423, WITHDRAWN_EVICTED, WARN,                                          \
        "cancellation forgotten before its time: too many are remembered",     \
        "find out who cancels so many jobs; copies of their requests may run") \
+  ROW (                                                                       \
+      424, HEARTBEAT_STALE, INFO,                                             \
+      "heartbeat from before its target departed; acknowledged, not used",    \
+      "nothing; if it recurs for 60 s, the target must use a new start time") \
   ROW (336, COORDINATOR_LOST, WARN,                                           \
        "entry that served callers is lost; its jobs are stopped", "nothing")  \
   ROW (340, DISPATCH_STOPPED, INFO,                                           \
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -315,6 +315,39 @@
   e->dirty = false;
 }
 
+/* Tells the plan which targets have departed: by the log, and by the
+   heartbeats that this keeper received before it led.  */
+static void
+restore_departed (struct quorum_keeper *k, int64_t now)
+{
+  struct run_target_spec spec = { .id = "" };
+  struct departed_target *d;
+  struct departed_target *next;
+  const char *id;
+  json_t *o;
+
+  json_object_foreach (k->applied_departed, id, o)
+  {
+    int64_t age = now_wall_ms () - json_get_integer (o, "at", 0);
+
+    if (strlen (id) >= sizeof spec.id || age >= DEPARTED_MS)
+      continue;
+    snprintf (spec.id, sizeof spec.id, "%s", id);
+    spec.started_ms = json_get_integer (o, "born", 0);
+    spec.sequence = (uint64_t)json_get_integer (o, "sequence", 0);
+    owner_plan_restore_departed (&k->plan, now - (age < 0 ? 0 : age), &spec,
+                                 json_get_boolean (o, "left", false));
+  }
+  HASH_ITER (hh, k->relay.reports.departed.by_id, d, next)
+  if (d->left)
+    {
+      memcpy (spec.id, d->id, sizeof spec.id);
+      spec.started_ms = d->started_ms;
+      spec.sequence = d->sequence;
+      owner_plan_restore_departed (&k->plan, d->departed_ms, &spec, true);
+    }
+}
+
 /* Adds the targets in the log to the plan once after an election.  They stay
    in it, even without a heartbeat, until the plan expires them.  */
 static void
@@ -330,6 +363,7 @@
   json_object_foreach (k->applied_targets, id,
                        o) if (run_target_spec_from_json (&spec, o))
       owner_plan_restore_target (&k->plan, now, &spec);
+  restore_departed (k, now);
 }
 
 /* Whether the log has this incarnation of target T, with its address and
@@ -373,12 +407,37 @@
   return list;
 }
 
+/* What is remembered of the targets of DROP.  */
+static json_t *
+departed_of (const struct quorum_keeper *k, int64_t now, const json_t *drop)
+{
+  json_t *list = json_array ();
+  json_int_t wall = now_wall_ms ();
+  size_t i;
+  json_t *id;
+
+  json_array_foreach (drop, i, id)
+  {
+    const struct departed_target *d
+        = departed_targets_find (&k->plan.departed, json_string_value (id));
+
+    if (d != NULL)
+      json_array_append_new (
+          list, json_build ("{s:s s:I s:I s:b s:I}", "id", d->id, "born",
+                            (json_int_t)d->started_ms, "sequence",
+                            (json_int_t)d->sequence, "left", (int)d->left,
+                            "at", wall - now + d->departed_ms));
+  }
+  return list;
+}
+
 void
 entry_links_log_targets (struct quorum_keeper *k, int64_t now)
 {
   uint64_t digest;
   json_t *put;
   json_t *drop;
+  json_t *departed;
 
   if (!k->targets_restored || now - k->targets_checked_ms < CHECK_TARGETS_MS
       || k->log.applied_index < k->targets_index)
@@ -390,14 +449,16 @@
     return;
   put = targets_to_put (k);
   drop = targets_to_drop (k);
+  departed = departed_of (k, now, drop);
   if (json_array_size (put) < LOG_TARGETS_MAX)
     {
       k->targets_logged_digest = digest;
       k->targets_logged_ms = now;
     }
   quorum_keeper_propose (k,
-                         json_build ("{s:s s:o s:o}", "type", "targets", "put",
-                                     put, "drop", drop),
+                         json_build ("{s:s s:o s:o s:o}", "type", "targets",
+                                     "put", put, "drop", drop, "departed",
+                                     departed),
                          now, &k->targets_index);
 }
 
--- a/src/controller/keeper_state.c
+++ b/src/controller/keeper_state.c
@@ -7,6 +7,7 @@
 #include "base/event_ring.h"
 #include "base/json_check.h"
 #include "base/json_text.h"
+#include "coord/departed_targets.h"
 
 static void
 set_config (struct quorum_keeper *k, uint64_t version, const char *text)
@@ -62,7 +63,56 @@
       json_object_set (k->applied_targets, json_get_text (o, "id", ""), o);
 }
 
-/* Changes the known targets: "put" adds or replaces, "drop" removes.  A
+/* Forgets the departed targets that are too old, and the oldest beyond the
+   limit.  LATEST is the wall-clock time of the latest departure, so that all
+   keepers forget the same ones.  */
+static void
+limit_departed (struct quorum_keeper *k, json_int_t latest)
+{
+  const char *id;
+  void *next;
+  json_t *o;
+
+  json_object_foreach_safe (
+      k->applied_departed, next, id,
+      o) if (latest - json_get_integer (o, "at", 0) >= DEPARTED_MS
+             || json_object_size (k->applied_departed) > DEPARTED_LIMIT)
+      json_object_del (k->applied_departed, id);
+}
+
+/* Adds the departed targets of LIST, which replace older records.  */
+static void
+put_departed (struct quorum_keeper *k, const json_t *list)
+{
+  json_int_t latest = 0;
+  size_t i;
+  json_t *o;
+
+  json_array_foreach (list, i, o)
+  {
+    const char *id = json_get_text (o, "id", "");
+
+    json_object_del (k->applied_departed, id);
+    json_object_set (k->applied_departed, id, o);
+    if (json_get_integer (o, "at", 0) > latest)
+      latest = json_get_integer (o, "at", 0);
+  }
+  limit_departed (k, latest);
+}
+
+static json_t *
+departed_list (const struct quorum_keeper *k)
+{
+  json_t *list = json_array ();
+  const char *id;
+  json_t *o;
+
+  json_object_foreach (k->applied_departed, id, o) json_array_append (list, o);
+  return list;
+}
+
+/* Changes the known targets: "put" adds or replaces, "drop" removes, and
+   "departed" tells what is remembered of those removed.  A
    "list", as earlier versions of this program wrote it, replaces all of them.
  */
 static void
@@ -78,6 +128,9 @@
   put_targets (k, json_object_get (o, "put"));
   json_array_foreach (json_object_get (o, "drop"), i, id)
       json_object_del (k->applied_targets, json_string_value (id));
+  json_array_foreach (json_object_get (o, "put"), i, id)
+      json_object_del (k->applied_departed, json_get_text (id, "id", ""));
+  put_departed (k, json_object_get (o, "departed"));
 }
 
 static json_t *
@@ -114,16 +167,19 @@
   k->applied_voters = json_array ();
   json_decref (k->applied_targets);
   k->applied_targets = json_object ();
+  json_decref (k->applied_departed);
+  k->applied_departed = json_object ();
 }
 
 char *
 keeper_state_snapshot (void *arg, uint32_t *length)
 {
   struct quorum_keeper *k = arg;
-  json_t *o = json_build (
-      "{s:I s:s s:O s:o}", "version", (json_int_t)k->config_version, "text",
-      k->config_text == NULL ? "" : k->config_text, "voters",
-      k->applied_voters, "targets", targets_list (k));
+  json_t *o = json_build ("{s:I s:s s:O s:o s:o}", "version",
+                          (json_int_t)k->config_version, "text",
+                          k->config_text == NULL ? "" : k->config_text,
+                          "voters", k->applied_voters, "targets",
+                          targets_list (k), "departed", departed_list (k));
   char *text;
 
   if (o == NULL)
@@ -147,5 +203,7 @@
   set_voters (k, json_object_get (o, "voters"));
   json_object_clear (k->applied_targets);
   put_targets (k, json_object_get (o, "targets"));
+  json_object_clear (k->applied_departed);
+  put_departed (k, json_object_get (o, "departed"));
   json_decref (o);
 }
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -367,7 +367,9 @@
 quorum_keeper_remove_target (struct quorum_keeper *k, const char *id)
 {
   event_ring_add (EVENT_TARGET_LEAVING, id, "why=deregistered");
-  owner_plan_remove_target (&k->plan, id);
+  owner_plan_remove_target (&k->plan, now_ms (), id);
+  /* Logged with the next check: a new leader must know it too.  */
+  k->targets_logged_ms = 0;
   schedule_pass (k);
 }
 
@@ -431,6 +433,9 @@
   else
     target_relay_tick (&k->relay, now);
   finish_calls (k, now);
+  counters.value[COUNTER_TARGETS_DEPARTED]
+      = HASH_COUNT (k->plan.departed.by_id)
+        + HASH_COUNT (k->relay.reports.departed.by_id);
   if (now - k->last_heartbeat_ms >= quorum_members_heartbeat_ms (k))
     quorum_members_send_heartbeats (k, now);
 }
@@ -624,5 +629,6 @@
   withdrawn_jobs_done (&k->withdrawn);
   json_decref (k->applied_voters);
   json_decref (k->applied_targets);
+  json_decref (k->applied_departed);
   free (k->config_text);
 }
--- a/src/controller/quorum_keeper.h
+++ b/src/controller/quorum_keeper.h
@@ -98,7 +98,8 @@
   uint64_t config_version;
   char *config_text;
   json_t *applied_voters;
-  json_t *applied_targets; /* the targets in the log, by id */
+  json_t *applied_targets;  /* the targets in the log, by id */
+  json_t *applied_departed; /* those that have departed, by id */
 
   /* only while leader */
   struct owner_plan plan;
--- a/src/controller/target_relay.c
+++ b/src/controller/target_relay.c
@@ -96,7 +96,7 @@
   bool delivered = is_accepted (outcome, reply);
 
   if (delivered && c->leaves)
-    target_reports_remove (&c->relay->reports, c->spec.id);
+    target_reports_remove (&c->relay->reports, now_ms (), c->spec.id);
   else if (delivered)
     target_reports_acknowledge (&c->relay->reports, &c->spec, c->term);
   else
@@ -129,6 +129,24 @@
   json_decref (body);
 }
 
+/* Records whether the heartbeat SPEC is older than its target's departure; it
+   is acknowledged and changes nothing.  */
+static void
+note_stale (const struct target_relay *r, int64_t now,
+            const struct run_target_spec *spec)
+{
+  const struct departed_targets *d = quorum_keeper_leads (r->keeper)
+                                         ? &r->keeper->plan.departed
+                                         : &r->reports.departed;
+
+  if (!departed_targets_is_stale (d, now, spec))
+    return;
+  counters_add (COUNTER_HEARTBEATS_STALE, 1);
+  event_ring_add (EVENT_HEARTBEAT_STALE, spec->id,
+                  "born=%" PRId64 " seq=%" PRIu64 " draining=%d",
+                  spec->started_ms, spec->sequence, spec->draining);
+}
+
 void
 target_relay_handle_heartbeat (struct target_relay *r, int64_t now,
                                const struct run_target_spec *spec,
@@ -137,6 +155,7 @@
   const struct keeper_peer *leader;
 
   counters_add (COUNTER_HEARTBEATS, 1);
+  note_stale (r, now, spec);
   if (quorum_keeper_leads (r->keeper))
     {
       quorum_keeper_update_target (r->keeper, now, spec);
--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -71,6 +71,7 @@
     free (p->targets[i]);
   free (p->entries);
   free (p->targets);
+  departed_targets_done (&p->departed);
   owner_plan_init (p);
 }
 
@@ -239,7 +240,14 @@
                          uint64_t fencing_token, enum owned_state state)
 {
   struct plan_target *t = owner_plan_target (p, spec->id);
+  const struct departed_target *d
+      = departed_targets_find (&p->departed, spec->id);
 
+  /* Its owner may not know yet that it has left.  One that was only silent
+     stays with the owner that reports it.  */
+  if (t == NULL && d != NULL && d->left
+      && departed_targets_is_stale (&p->departed, now, spec))
+    return;
   if (t == NULL)
     {
       t = add_target (p, spec);
@@ -296,6 +304,9 @@
 {
   struct plan_target *t = owner_plan_target (p, spec->id);
 
+  if (departed_targets_is_stale (&p->departed, now, spec))
+    return false;
+  departed_targets_remove (&p->departed, spec->id);
   if (t == NULL)
     {
       t = add_target (p, spec);
@@ -341,11 +352,26 @@
 }
 
 void
-owner_plan_remove_target (struct owner_plan *p, const char *id)
+owner_plan_remove_target (struct owner_plan *p, int64_t now, const char *id)
 {
   struct plan_target *t = owner_plan_target (p, id);
 
-  if (t != NULL)
+  departed_targets_leave (&p->departed, id);
+  if (t == NULL)
+    return;
+  departed_targets_add (&p->departed, now, &t->spec, true);
+  remove_target (p, t);
+}
+
+void
+owner_plan_restore_departed (struct owner_plan *p, int64_t departed_ms,
+                             const struct run_target_spec *spec, bool left)
+{
+  struct plan_target *t = owner_plan_target (p, spec->id);
+
+  departed_targets_add (&p->departed, departed_ms, spec, left);
+  if (t != NULL
+      && departed_targets_is_stale (&p->departed, departed_ms, &t->spec))
     remove_target (p, t);
 }
 
@@ -512,9 +538,13 @@
 {
   uint32_t i = 0;
 
+  departed_targets_expire (&p->departed, now);
   while (i < p->target_count)
     if (now - p->targets[i]->last_seen_ms > TARGET_EXPIRY_MS)
-      remove_target (p, p->targets[i]);
+      {
+        departed_targets_add (&p->departed, now, &p->targets[i]->spec, false);
+        remove_target (p, p->targets[i]);
+      }
     else
       i++;
 }
--- a/src/coord/owner_plan.h
+++ b/src/coord/owner_plan.h
@@ -18,6 +18,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <uthash.h>
+#include "coord/departed_targets.h"
 #include "coord/run_target.h"
 
 enum
@@ -79,6 +80,7 @@
   struct plan_target **targets;
   uint32_t target_count;
   struct plan_target *targets_by_id;
+  struct departed_targets departed;
   bool owners_changed; /* the set of entries that own targets has changed; the
                           caller resets it when it notifies the entries */
 };
@@ -117,7 +119,8 @@
                               uint64_t fencing_token, enum owned_state state);
 
 /* Applies a heartbeat of the target SPEC.  Returns true if the target is new,
-   has restarted or has changed its draining state.  */
+   has restarted or has changed its draining state.  One that was sent before
+   its target departed (coord/departed_targets) is ignored.  */
 bool owner_plan_update_target (struct owner_plan *p, int64_t now_ms,
                                const struct run_target_spec *spec);
 
@@ -136,7 +139,15 @@
 uint64_t owner_plan_digest (const struct owner_plan *p);
 
 /* Removes the target ID, which has deregistered.  */
-void owner_plan_remove_target (struct owner_plan *p, const char *id);
+void owner_plan_remove_target (struct owner_plan *p, int64_t now_ms,
+                               const char *id);
+
+/* Records that the target SPEC has departed, as known from the log entries of
+   an earlier leader or from heartbeats received before this term, and removes
+   it if it was added since by a heartbeat from before its departure.  */
+void owner_plan_restore_departed (struct owner_plan *p, int64_t departed_ms,
+                                  const struct run_target_spec *spec,
+                                  bool left);
 
 /* Expires entries and targets, assigns targets without an owner and requests
    releases.  */
--- a/src/coord/target_reports.c
+++ b/src/coord/target_reports.c
@@ -14,6 +14,7 @@
 target_reports_init (struct target_reports *r)
 {
   r->by_id = NULL;
+  departed_targets_init (&r->departed);
 }
 
 static void
@@ -28,6 +29,7 @@
 {
   while (r->by_id != NULL)
     remove_report (r, r->by_id);
+  departed_targets_done (&r->departed);
 }
 
 static struct target_report *
@@ -74,8 +76,13 @@
 {
   struct target_report *t = find (r, spec->id);
 
+  if (departed_targets_is_stale (&r->departed, now, spec))
+    return true;
   if (t == NULL)
-    t = add (r, spec);
+    {
+      departed_targets_remove (&r->departed, spec->id);
+      t = add (r, spec);
+    }
   else if (is_older (spec, &t->spec))
     return true;
   if (!is_unchanged (spec, &t->spec))
@@ -106,12 +113,15 @@
 }
 
 void
-target_reports_remove (struct target_reports *r, const char *id)
+target_reports_remove (struct target_reports *r, int64_t now, const char *id)
 {
   struct target_report *t = find (r, id);
 
-  if (t != NULL)
-    remove_report (r, t);
+  departed_targets_leave (&r->departed, id);
+  if (t == NULL)
+    return;
+  departed_targets_add (&r->departed, now, &t->spec, true);
+  remove_report (r, t);
 }
 
 void
@@ -120,9 +130,13 @@
   struct target_report *t;
   struct target_report *next;
 
+  departed_targets_expire (&r->departed, now);
   HASH_ITER (hh, r->by_id, t, next)
   if (now - t->last_seen_ms > REPORT_EXPIRY_MS)
-    remove_report (r, t);
+    {
+      departed_targets_add (&r->departed, now, &t->spec, false);
+      remove_report (r, t);
+    }
 }
 
 enum report_content
--- a/src/coord/target_reports.h
+++ b/src/coord/target_reports.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <uthash.h>
+#include "coord/departed_targets.h"
 #include "coord/run_target.h"
 
 /* What the next batch to the leader contains about a target.  */
@@ -34,6 +35,7 @@
 struct target_reports
 {
   struct target_report *by_id;
+  struct departed_targets departed;
 };
 
 void target_reports_init (struct target_reports *r);
@@ -41,7 +43,8 @@
 
 /* Records a heartbeat of the target SPEC.  Returns true if it need not be
    relayed at once: the leader of TERM has acknowledged the same description,
-   or the heartbeat is older than the recorded one.  */
+   or the heartbeat is older than the recorded one, or than the departure of
+   its target.  */
 bool target_reports_receive (struct target_reports *r, int64_t now_ms,
                              const struct run_target_spec *spec,
                              uint64_t term);
@@ -56,7 +59,8 @@
 void target_reports_mark_unknown (struct target_reports *r, const char *id);
 
 /* Removes the target ID, which has deregistered.  */
-void target_reports_remove (struct target_reports *r, const char *id);
+void target_reports_remove (struct target_reports *r, int64_t now_ms,
+                            const char *id);
 
 /* Removes the targets that have sent no heartbeat here for some time, for
    example because they now send them to another keeper.  */
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -256,6 +256,112 @@
   owner_plan_done (&p);
 }
 
+/* A heartbeat that was sent before its target deregistered arrives late: the
+   target does not become known again, also not if its owner still reports it.
+   A new incarnation is accepted at once.  Guards against starts on a target
+   that has drained and left (review case 8).  */
+static void
+test_heartbeat_after_leave (void)
+{
+  struct run_target_spec s1 = make_target ("s1", "shop");
+  struct owner_plan p;
+  struct plan_entry *e;
+  int64_t now = 1000 + SETTLED_MS;
+
+  start_plan (&p);
+  e = report_entry (&p, now, "shop-1", "shop");
+  s1.sequence = 9;
+  s1.draining = true;
+  CU_ASSERT (owner_plan_update_target (&p, now, &s1));
+  owner_plan_remove_target (&p, now, "s1");
+  s1.sequence = 8;
+  s1.draining = false;
+  CU_ASSERT_FALSE (owner_plan_update_target (&p, now + 10, &s1));
+  s1.sequence = 10;
+  CU_ASSERT_FALSE (owner_plan_update_target (&p, now + 20, &s1));
+  CU_ASSERT_FALSE (owner_plan_refresh_target (&p, now + 30, "s1"));
+  owner_plan_update_owned (&p, now + 40, e, &s1, 1, OWNED_HELD);
+  CU_ASSERT_PTR_NULL (owner_plan_target (&p, "s1"));
+  s1.started_ms = 2;
+  s1.sequence = 1;
+  CU_ASSERT (owner_plan_update_target (&p, now + 50, &s1));
+  s1.started_ms = 1;
+  s1.sequence = 11;
+  CU_ASSERT_FALSE (owner_plan_update_target (&p, now + 60, &s1));
+  CU_ASSERT_EQUAL (owner_plan_target (&p, "s1")->spec.started_ms, 2);
+  owner_plan_done (&p);
+}
+
+/* A target that was removed because it was silent is known again with its next
+   heartbeat, not with one from before.  */
+static void
+test_heartbeat_after_expiry (void)
+{
+  struct run_target_spec s1 = make_target ("s1", "shop");
+  struct owner_plan p;
+  int64_t now = 1000 + SETTLED_MS;
+
+  start_plan (&p);
+  s1.sequence = 9;
+  s1.draining = true;
+  CU_ASSERT (owner_plan_update_target (&p, now, &s1));
+  now += 16000;
+  owner_plan_step (&p, now);
+  CU_ASSERT_PTR_NULL (owner_plan_target (&p, "s1"));
+  s1.sequence = 8;
+  s1.draining = false;
+  CU_ASSERT_FALSE (owner_plan_update_target (&p, now, &s1));
+  s1.sequence = 9;
+  CU_ASSERT_FALSE (owner_plan_update_target (&p, now, &s1));
+  s1.sequence = 10;
+  CU_ASSERT (owner_plan_update_target (&p, now, &s1));
+  owner_plan_done (&p);
+}
+
+/* A heartbeat that a new leader received before it had read the log does not
+   keep a target that has left, and the memory ends after 60 s.  */
+static void
+test_departed_restored (void)
+{
+  struct run_target_spec s1 = make_target ("s1", "shop");
+  struct owner_plan p;
+  int64_t now = 1000 + SETTLED_MS;
+
+  start_plan (&p);
+  s1.sequence = 8;
+  owner_plan_update_target (&p, now, &s1);
+  CU_ASSERT_PTR_NOT_NULL (owner_plan_target (&p, "s1"));
+  s1.sequence = 9;
+  owner_plan_restore_departed (&p, now, &s1, true);
+  CU_ASSERT_PTR_NULL (owner_plan_target (&p, "s1"));
+  CU_ASSERT_FALSE (owner_plan_update_target (&p, now + DEPARTED_MS - 1, &s1));
+  CU_ASSERT (owner_plan_update_target (&p, now + DEPARTED_MS, &s1));
+  owner_plan_done (&p);
+}
+
+/* What is remembered of departed targets is bounded.  */
+static void
+test_departed_bounded (void)
+{
+  struct run_target_spec t = make_target ("s1", "shop");
+  struct departed_targets d;
+
+  departed_targets_init (&d);
+  for (int i = 0; i < DEPARTED_LIMIT + 3; i++)
+    {
+      snprintf (t.id, sizeof t.id, "t%d", i);
+      departed_targets_add (&d, i, &t, true);
+    }
+  CU_ASSERT_EQUAL (HASH_COUNT (d.by_id), DEPARTED_LIMIT);
+  CU_ASSERT_EQUAL (d.evicted, 3);
+  CU_ASSERT_PTR_NULL (departed_targets_find (&d, "t2"));
+  CU_ASSERT_PTR_NOT_NULL (departed_targets_find (&d, "t3"));
+  departed_targets_expire (&d, DEPARTED_MS + 3);
+  CU_ASSERT_PTR_NULL (departed_targets_find (&d, "t3"));
+  CU_ASSERT_PTR_NOT_NULL (departed_targets_find (&d, "t4"));
+  departed_targets_done (&d);
+}
+
 /* Returns how long a new leader takes to assign a target to the only entry,
    which reports at once.  UNASSIGNED: the entry has had no assignment since
    its start.  */
@@ -436,4 +542,11 @@
   CU_add_test (s, "a restarted target is assigned again",
                test_restarted_target);
   CU_add_test (s, "a stale heartbeat is ignored", test_stale_heartbeat);
+  CU_add_test (s, "a heartbeat from before a target left",
+               test_heartbeat_after_leave);
+  CU_add_test (s, "a heartbeat from before a target was removed",
+               test_heartbeat_after_expiry);
+  CU_add_test (s, "departed targets known to a new leader",
+               test_departed_restored);
+  CU_add_test (s, "departed targets are bounded", test_departed_bounded);
 }
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -75,7 +75,7 @@
   target_reports_expire (&r, UNRESPONSIVE_MS);
   CU_ASSERT_PTR_NULL (r.by_id);
   target_reports_receive (&r, UNRESPONSIVE_MS, &leaving, TERM);
-  target_reports_remove (&r, "t1");
+  target_reports_remove (&r, UNRESPONSIVE_MS, "t1");
   CU_ASSERT_PTR_NULL (r.by_id);
   target_reports_done (&r);
 }
@@ -193,6 +193,66 @@
   deployment_done (&d);
 }
 
+/* Delivers a heartbeat of t1 to keeper K and waits for its end.  Returns
+   whether it was acknowledged.  */
+static bool
+send_heartbeat (struct deployment *d, struct quorum_keeper *k,
+                const struct run_target_spec *t)
+{
+  int64_t end = now_ms () + WAIT_MS;
+  int state = 0;
+
+  target_relay_handle_heartbeat (&k->relay, now_ms (), t, on_relay_done,
+                                 &state);
+  while (state == 0 && now_ms () < end)
+    deployment_run_step (d);
+  return state == 1;
+}
+
+/* A target has left; then a heartbeat that it sent before arrives at a keeper,
+   the one that relayed its leave, another one or the leader.  It is
+   acknowledged, and the target does not become known again, also not under the
+   next leader.  Guards against starts on a target that has drained and left
+   (review case 8).  */
+static void
+test_late_heartbeat (void)
+{
+  struct deployment d;
+  struct run_target_spec late = make_target (1, false);
+  struct quorum_keeper *leader;
+  int64_t end = now_ms () + WAIT_MS;
+  int state = 0;
+  int down = 0;
+
+  start_all (&d);
+  run_for (&d, 2000);
+  d.heartbeats_paused = true;
+  target_relay_handle_leave (&deployment_follower (&d)->relay, "t1",
+                             on_relay_done, &state);
+  while (state == 0 && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (state, 1);
+  leader = deployment_leader (&d);
+  for (int i = 0; i < SEEDS; i++)
+    CU_ASSERT (send_heartbeat (&d, d.keepers[i], &late));
+  run_for (&d, 500);
+  CU_ASSERT_PTR_NULL (owner_plan_target (&leader->plan, "t1"));
+  while (d.keepers[down] != leader)
+    down++;
+  deployment_stop_keeper (&d, down);
+  deployment_run_until_leader (&d);
+  for (int i = 0; i < SEEDS; i++)
+    if (i != down)
+      send_heartbeat (&d, d.keepers[i], &late);
+  run_for (&d, 1000);
+  leader = deployment_leader (&d);
+  CU_ASSERT_PTR_NULL (owner_plan_target (&leader->plan, "t1"));
+  late.started_ms = 2;
+  CU_ASSERT (send_heartbeat (&d, deployment_follower (&d), &late));
+  CU_ASSERT_PTR_NOT_NULL (owner_plan_target (&leader->plan, "t1"));
+  deployment_done (&d);
+}
+
 /* A keeper that knows no leader must not acknowledge a heartbeat.  */
 static void
 test_no_leader_no_acknowledgement (void)
@@ -244,6 +304,8 @@
   CU_add_test (s, "draining survives a restart",
                test_draining_survives_restart);
   CU_add_test (s, "a leave relayed by a follower", test_relayed_leave);
+  CU_add_test (s, "a late heartbeat of a target that has left",
+               test_late_heartbeat);
   CU_add_test (s, "an id that is no UTF-8 is not relayed",
                test_id_not_relayable);
   CU_add_test (s, "no leader, no acknowledgement",
