--- a/tests/unit/test_absence.c
+++ b/tests/unit/test_absence.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include "base/counters.h"
 #include "base/now.h"
 #include "platform/front_api.h"
 #include "platform/service_config_json.h"
@@ -201,6 +202,7 @@
 {
   struct fixture f;
   struct exchange x;
+  uint64_t refused;
 
   fixture_init (&f);
   post_job (&f, &x, 0);
@@ -211,8 +213,12 @@
   CU_ASSERT_EQUAL (count_running (), 0);
   close (x.fd);
   CU_ASSERT_EQUAL (call (&f, 0, "DELETE", "/q/00000000000000aa", ""), 410);
+  refused = counters.value[COUNTER_CALLERS_REFUSED];
   CU_ASSERT_EQUAL (call (&f, 0, "DELETE", "/q/none", ""), 404);
   CU_ASSERT_EQUAL (call (&f, 0, "GET", "/q/", ""), 404);
+  CU_ASSERT_EQUAL (call (&f, 0, "PUT", "/v1/instances/w1", "{}"), 404);
+  /* Each of them can be traced.  */
+  CU_ASSERT_EQUAL (counters.value[COUNTER_CALLERS_REFUSED] - refused, 3);
   fixture_done (&f);
 }
 
