--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -17,6 +17,7 @@
 #include "controller/keeper_state.h"
 #include "controller/keeper_withdrawn.h"
 #include "controller/quorum_members.h"
+#include "coord/run_target_json.h"
 
 enum
 {
@@ -363,11 +364,27 @@
   schedule_pass (k);
 }
 
+/* A new leader that has not read the targets of the log yet must not add one
+   later that deregisters now.  */
+static void
+remember_logged_target (struct quorum_keeper *k, int64_t now, const char *id)
+{
+  struct run_target_spec spec;
+
+  if (owner_plan_target (&k->plan, id) == NULL
+      && run_target_spec_from_json (&spec,
+                                    json_object_get (k->applied_targets, id)))
+    owner_plan_restore_departed (&k->plan, now, &spec, true);
+}
+
 void
 quorum_keeper_remove_target (struct quorum_keeper *k, const char *id)
 {
+  int64_t now = now_ms ();
+
   event_ring_add (EVENT_TARGET_LEAVING, id, "why=deregistered");
-  owner_plan_remove_target (&k->plan, now_ms (), id);
+  remember_logged_target (k, now, id);
+  owner_plan_remove_target (&k->plan, now, id);
   /* Logged with the next check: a new leader must know it too.  */
   k->targets_logged_ms = 0;
   schedule_pass (k);
--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -582,7 +582,7 @@
 {
   struct plan_target *t = owner_plan_target (p, spec->id);
 
-  if (t != NULL)
+  if (t != NULL || departed_targets_is_stale (&p->departed, now, spec))
     return;
   t = add_target (p, spec);
   t->last_seen_ms = now;
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -339,6 +339,25 @@
   owner_plan_done (&p);
 }
 
+/* A target that deregisters before a new leader has read the log is not added
+   from the log afterwards.  */
+static void
+test_left_before_restore (void)
+{
+  struct run_target_spec s2 = make_target ("s2", "shop");
+  struct owner_plan p;
+  int64_t now = 1000 + SETTLED_MS;
+
+  start_plan (&p);
+  owner_plan_restore_departed (&p, now, &s2, true);
+  owner_plan_restore_target (&p, now + 10, &s2);
+  CU_ASSERT_PTR_NULL (owner_plan_target (&p, "s2"));
+  s2.started_ms = 2;
+  owner_plan_restore_target (&p, now + 20, &s2);
+  CU_ASSERT_PTR_NOT_NULL (owner_plan_target (&p, "s2"));
+  owner_plan_done (&p);
+}
+
 /* What is remembered of departed targets is bounded.  */
 static void
 test_departed_bounded (void)
@@ -548,5 +567,7 @@
                test_heartbeat_after_expiry);
   CU_add_test (s, "departed targets known to a new leader",
                test_departed_restored);
+  CU_add_test (s, "a target left before the log was read",
+               test_left_before_restore);
   CU_add_test (s, "departed targets are bounded", test_departed_bounded);
 }
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -253,6 +253,32 @@
   deployment_done (&d);
 }
 
+/* A target that deregisters with a new leader before this one has read the log
+   stays away.  */
+static void
+test_leave_at_new_leader (void)
+{
+  struct deployment d;
+  struct quorum_keeper *leader;
+  int down = 0;
+
+  start_all (&d);
+  run_for (&d, 2500);
+  d.heartbeats_paused = true;
+  while (d.keepers[down] != deployment_leader (&d))
+    down++;
+  deployment_stop_keeper (&d, down);
+  deployment_run_until_leader (&d);
+  leader = deployment_leader (&d);
+  owner_plan_start_term (&leader->plan, leader->log.term, now_ms ());
+  leader->targets_restored = false;
+  quorum_keeper_remove_target (leader, "t1");
+  run_for (&d, 500);
+  CU_ASSERT_PTR_NOT_NULL (owner_plan_target (&leader->plan, "t0"));
+  CU_ASSERT_PTR_NULL (owner_plan_target (&leader->plan, "t1"));
+  deployment_done (&d);
+}
+
 /* A keeper that knows no leader must not acknowledge a heartbeat.  */
 static void
 test_no_leader_no_acknowledgement (void)
@@ -306,6 +332,8 @@
   CU_add_test (s, "a leave relayed by a follower", test_relayed_leave);
   CU_add_test (s, "a late heartbeat of a target that has left",
                test_late_heartbeat);
+  CU_add_test (s, "a leave before a new leader has read the log",
+               test_leave_at_new_leader);
   CU_add_test (s, "an id that is no UTF-8 is not relayed",
                test_id_not_relayable);
   CU_add_test (s, "no leader, no acknowledgement",
