--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -1,8 +1,10 @@
 /* Heartbeats and leave messages of targets that reach a follower, which relays
    them to the leader.  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include "base/now.h"
+#include "controller/keeper_state.h"
 #include "coord/target_reports.h"
 #include "tests/unit/deployment.h"
 #include "tests/unit/suites.h"
@@ -279,6 +281,65 @@
   deployment_done (&d);
 }
 
+static void
+apply_text (struct quorum_keeper *k, const char *text)
+{
+  json_t *o = json_loads (text, 0, NULL);
+
+  keeper_state_apply (k, 1, o);
+  json_decref (o);
+}
+
+static void
+state_done (struct quorum_keeper *k)
+{
+  json_decref (k->applied_voters);
+  json_decref (k->applied_targets);
+  json_decref (k->applied_departed);
+  free (k->config_text);
+  free (k);
+}
+
+/* What the log tells of departed targets is in snapshots, is forgotten when a
+   target is back or after its time, and may be missing in those of an earlier
+   program.  Guards against a leader that does not know which targets have
+   left.  */
+static void
+test_departed_in_state (void)
+{
+  static const char earlier[]
+      = "{\"version\":0,\"text\":\"\",\"voters\":[],\"targets\":[]}";
+  struct quorum_keeper *k = calloc (1, sizeof *k);
+  struct quorum_keeper *other = calloc (1, sizeof *other);
+  uint32_t length;
+  char *text;
+
+  keeper_state_reset (k);
+  keeper_state_reset (other);
+  apply_text (k,
+              "{\"type\":\"targets\",\"drop\":[\"t1\",\"t2\"],\"departed\":["
+              "{\"id\":\"t1\",\"born\":1,\"sequence\":9,\"left\":true,"
+              "\"at\":1000},{\"id\":\"t2\",\"born\":1,\"sequence\":9,"
+              "\"left\":true,\"at\":50000}]}");
+  CU_ASSERT_EQUAL (json_object_size (k->applied_departed), 2);
+  text = keeper_state_snapshot (k, &length);
+  keeper_state_load (other, 1, text, length);
+  free (text);
+  CU_ASSERT_PTR_NOT_NULL (json_object_get (other->applied_departed, "t1"));
+  CU_ASSERT (json_equal (other->applied_departed, k->applied_departed));
+  apply_text (k,
+              "{\"type\":\"targets\",\"put\":[{\"id\":\"t2\"}],\"drop\":[]}");
+  CU_ASSERT_PTR_NULL (json_object_get (k->applied_departed, "t2"));
+  apply_text (k, "{\"type\":\"targets\",\"departed\":[{\"id\":\"t3\","
+                 "\"at\":61000}]}");
+  CU_ASSERT_PTR_NULL (json_object_get (k->applied_departed, "t1"));
+  CU_ASSERT_PTR_NOT_NULL (json_object_get (k->applied_departed, "t3"));
+  keeper_state_load (other, 2, earlier, sizeof earlier - 1);
+  CU_ASSERT_EQUAL (json_object_size (other->applied_departed), 0);
+  state_done (k);
+  state_done (other);
+}
+
 /* A keeper that knows no leader must not acknowledge a heartbeat.  */
 static void
 test_no_leader_no_acknowledgement (void)
@@ -334,6 +395,8 @@
                test_late_heartbeat);
   CU_add_test (s, "a leave before a new leader has read the log",
                test_leave_at_new_leader);
+  CU_add_test (s, "departed targets in the log and in snapshots",
+               test_departed_in_state);
   CU_add_test (s, "an id that is no UTF-8 is not relayed",
                test_id_not_relayable);
   CU_add_test (s, "no leader, no acknowledgement",
