--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -30,7 +30,10 @@
   LOG_TARGETS_MAX = 200,
 
   /* Minimum interval between updates of the set of dispatchers.  */
-  DISPATCHERS_RESEND_MS = 100
+  DISPATCHERS_RESEND_MS = 100,
+
+  /* An entry that was heard longer ago is not reported to the leader.  */
+  HEARD_REPORT_MS = 3000
 };
 
 void
@@ -44,17 +47,30 @@
   peer_conn_send (l->conn, &m);
 }
 
-/* A free slot for a link, or that of an entry without a connection if there is
-   none.  Returns NULL if all are connected.  */
+static int64_t
+latest_heard_ms (const struct keeper_entry_link *l)
+{
+  return l->heard_ms > l->reported_ms ? l->heard_ms : l->reported_ms;
+}
+
+/* A free slot for a link, or if there is none that of the entry that was heard
+   least recently of those without a connection.  Returns NULL if all are
+   connected.  */
 static struct keeper_entry_link *
 free_link (struct quorum_keeper *k)
 {
+  struct keeper_entry_link *oldest = NULL;
+
   if (k->link_count < PLAN_ENTRY_LIMIT)
     return &k->links[k->link_count++];
   for (uint32_t i = 0; i < k->link_count; i++)
-    if (k->links[i].conn == NULL)
-      return &k->links[i];
-  return NULL;
+    if (k->links[i].conn == NULL
+        && (oldest == NULL
+            || latest_heard_ms (&k->links[i]) < latest_heard_ms (oldest)))
+      oldest = &k->links[i];
+  if (oldest != NULL && latest_heard_ms (oldest) > k->unlisted_ms)
+    k->unlisted_ms = latest_heard_ms (oldest);
+  return oldest;
 }
 
 struct keeper_entry_link *
@@ -137,6 +153,44 @@
   e->reported = true;
 }
 
+json_t *
+entry_links_heard (const struct quorum_keeper *k, int64_t now)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < k->link_count; i++)
+    {
+      const struct keeper_entry_link *l = &k->links[i];
+
+      if (now - l->heard_ms >= HEARD_REPORT_MS)
+        continue;
+      json_array_append_new (list, json_from_text (l->vm));
+      json_array_append_new (list, json_integer (now - l->heard_ms));
+    }
+  return list;
+}
+
+void
+entry_links_receive_heard (struct quorum_keeper *k, int64_t now,
+                           const json_t *list)
+{
+  for (size_t i = 0; i + 1 < json_array_size (list); i += 2)
+    {
+      const char *vm = json_string_value (json_array_get (list, i));
+      int64_t age = json_integer_value (json_array_get (list, i + 1));
+      struct keeper_entry_link *l;
+
+      if (vm == NULL || vm[0] == '\0' || strlen (vm) >= sizeof l->vm || age < 0
+          || age >= HEARD_REPORT_MS)
+        continue;
+      l = entry_links_find_or_add (k, vm);
+      if (l == NULL)
+        k->unlisted_ms = now - age;
+      else if (now - age > l->reported_ms)
+        l->reported_ms = now - age;
+    }
+}
+
 void
 entry_links_receive_heartbeat (struct quorum_keeper *k, struct peer_conn *from,
                                const struct peer_entry_heartbeat *h)
@@ -146,6 +200,8 @@
   char domain[NAME_BYTES];
   struct plan_entry *e;
 
+  if (l == NULL)
+    k->unlisted_ms = now;
   if (l == NULL || !slice_copy (h->domain, domain, sizeof domain))
     return;
   l->heard_ms = now;
@@ -157,6 +213,7 @@
       l->config_version = h->config_version;
       l->voters_digest = 0;
       l->dispatchers_digest = 0;
+      withdrawn_feed_reset (&l->withdrawn);
     }
   send_voters (k, l);
   if (now - l->config_sent_ms > CONFIG_RESEND_MS)
@@ -258,6 +315,39 @@
   e->dirty = false;
 }
 
+/* Tells the plan which targets have departed: by the log, and by the
+   heartbeats that this keeper received before it led.  */
+static void
+restore_departed (struct quorum_keeper *k, int64_t now)
+{
+  struct run_target_spec spec = { .id = "" };
+  struct departed_target *d;
+  struct departed_target *next;
+  const char *id;
+  json_t *o;
+
+  json_object_foreach (k->applied_departed, id, o)
+  {
+    int64_t age = now_wall_ms () - json_get_integer (o, "at", 0);
+
+    if (strlen (id) >= sizeof spec.id || age >= DEPARTED_MS)
+      continue;
+    snprintf (spec.id, sizeof spec.id, "%s", id);
+    spec.started_ms = json_get_integer (o, "born", 0);
+    spec.sequence = (uint64_t)json_get_integer (o, "sequence", 0);
+    owner_plan_restore_departed (&k->plan, now - (age < 0 ? 0 : age), &spec,
+                                 json_get_boolean (o, "left", false));
+  }
+  HASH_ITER (hh, k->relay.reports.departed.by_id, d, next)
+  if (d->left)
+    {
+      memcpy (spec.id, d->id, sizeof spec.id);
+      spec.started_ms = d->started_ms;
+      spec.sequence = d->sequence;
+      owner_plan_restore_departed (&k->plan, d->departed_ms, &spec, true);
+    }
+}
+
 /* Adds the targets in the log to the plan once after an election.  They stay
    in it, even without a heartbeat, until the plan expires them.  */
 static void
@@ -273,6 +363,7 @@
   json_object_foreach (k->applied_targets, id,
                        o) if (run_target_spec_from_json (&spec, o))
       owner_plan_restore_target (&k->plan, now, &spec);
+  restore_departed (k, now);
 }
 
 /* Whether the log has this incarnation of target T, with its address and
@@ -316,12 +407,37 @@
   return list;
 }
 
+/* What is remembered of the targets of DROP.  */
+static json_t *
+departed_of (const struct quorum_keeper *k, int64_t now, const json_t *drop)
+{
+  json_t *list = json_array ();
+  json_int_t wall = now_wall_ms ();
+  size_t i;
+  json_t *id;
+
+  json_array_foreach (drop, i, id)
+  {
+    const struct departed_target *d
+        = departed_targets_find (&k->plan.departed, json_string_value (id));
+
+    if (d != NULL)
+      json_array_append_new (
+          list, json_build ("{s:s s:I s:I s:b s:I}", "id", d->id, "born",
+                            (json_int_t)d->started_ms, "sequence",
+                            (json_int_t)d->sequence, "left", (int)d->left,
+                            "at", wall - now + d->departed_ms));
+  }
+  return list;
+}
+
 void
 entry_links_log_targets (struct quorum_keeper *k, int64_t now)
 {
   uint64_t digest;
   json_t *put;
   json_t *drop;
+  json_t *departed;
 
   if (!k->targets_restored || now - k->targets_checked_ms < CHECK_TARGETS_MS
       || k->log.applied_index < k->targets_index)
@@ -333,14 +449,16 @@
     return;
   put = targets_to_put (k);
   drop = targets_to_drop (k);
+  departed = departed_of (k, now, drop);
   if (json_array_size (put) < LOG_TARGETS_MAX)
     {
       k->targets_logged_digest = digest;
       k->targets_logged_ms = now;
     }
   quorum_keeper_propose (k,
-                         json_build ("{s:s s:o s:o}", "type", "targets", "put",
-                                     put, "drop", drop),
+                         json_build ("{s:s s:o s:o s:o}", "type", "targets",
+                                     "put", put, "drop", drop, "departed",
+                                     departed),
                          now, &k->targets_index);
 }
 
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -15,7 +15,9 @@
 #include "controller/entry_links.h"
 #include "controller/job_withdrawal.h"
 #include "controller/keeper_state.h"
+#include "controller/keeper_withdrawn.h"
 #include "controller/quorum_members.h"
+#include "coord/run_target_json.h"
 
 enum
 {
@@ -43,7 +45,10 @@
   /* The disk ID of the keepers that bootstrap the quorum.  Other disks get a
      random one.  */
   FOUNDER_DISK_ID = 1,
-  FOUNDING_TERM = 1
+  FOUNDING_TERM = 1,
+
+  /* Longer ago than any entry is waited for.  */
+  UNLISTED_NEVER_MS = 3600000
 };
 
 /* An operator's call that waits for the log.  */
@@ -139,6 +144,7 @@
   event_ring_add (EVENT_LEADER_ELECTED, k->settings->name, "term=%" PRIu64,
                   k->log.term);
   owner_plan_start_term (&k->plan, k->log.term, now_ms ());
+  keeper_withdrawn_lead (k);
   k->targets_restored = false;
   k->targets_logged_digest = 0;
   k->targets_index = 0;
@@ -187,9 +193,13 @@
         target_relay_handle_call (&k->relay, now_ms (), from, &m->u.call);
       else if (m->u.call.method == METHOD_WITHDRAW)
         job_withdrawal_handle_call (k, now_ms (), from, &m->u.call);
+      else if (m->u.call.method == METHOD_WITHDRAWN)
+        keeper_withdrawn_handle_call (k, now_ms (), from, &m->u.call);
       return;
     case PEER_REPLY:
-      job_withdrawal_handle_reply (k, now_ms (), &m->u.reply);
+      if (keeper_withdrawn_handle_reply (k, now_ms (), from, &m->u.reply))
+        return;
+      job_withdrawal_handle_reply (k, now_ms (), from, &m->u.reply);
       return;
     case PEER_KEEPER_HEARTBEAT:
       quorum_members_receive_heartbeat (k, from, &m->u.keeper_heartbeat);
@@ -198,8 +208,11 @@
       break;
     }
   member = quorum_members_by_address (k, from->vm);
-  if (member != LOG_NO_MEMBER && !k->failed)
-    replicated_log_receive (&k->log, now_ms (), member, m);
+  if (member == LOG_NO_MEMBER || k->failed)
+    return;
+  replicated_log_receive (&k->log, now_ms (), member, m);
+  if (m->type == PEER_APPEND_REPLY)
+    job_withdrawal_tick (k, now_ms ());
 }
 
 /* The heartbeat is the first message on a new link: it carries the disk ID,
@@ -209,9 +222,9 @@
 {
   struct quorum_keeper *k = arg;
 
-  (void)vm;
   if (!up)
     return;
+  keeper_withdrawn_link_up (k, vm);
   quorum_members_send_heartbeats (k, now_ms ());
   replicated_log_member_reachable (&k->log, now_ms ());
 }
@@ -351,11 +364,29 @@
   schedule_pass (k);
 }
 
+/* A new leader that has not read the targets of the log yet must not add one
+   later that deregisters now.  */
+static void
+remember_logged_target (struct quorum_keeper *k, int64_t now, const char *id)
+{
+  struct run_target_spec spec;
+
+  if (owner_plan_target (&k->plan, id) == NULL
+      && run_target_spec_from_json (&spec,
+                                    json_object_get (k->applied_targets, id)))
+    owner_plan_restore_departed (&k->plan, now, &spec, true);
+}
+
 void
 quorum_keeper_remove_target (struct quorum_keeper *k, const char *id)
 {
+  int64_t now = now_ms ();
+
   event_ring_add (EVENT_TARGET_LEAVING, id, "why=deregistered");
-  owner_plan_remove_target (&k->plan, id);
+  remember_logged_target (k, now, id);
+  owner_plan_remove_target (&k->plan, now, id);
+  /* Logged with the next check: a new leader must know it too.  */
+  k->targets_logged_ms = 0;
   schedule_pass (k);
 }
 
@@ -401,6 +432,7 @@
     k->receiving_since_ms = now;
   k->last_tick_ms = now;
   job_withdrawal_tick (k, now);
+  keeper_withdrawn_tick (k, now);
   if (k->failed)
     {
       if (now - k->failed_ms >= REOPEN_MS)
@@ -418,6 +450,9 @@
   else
     target_relay_tick (&k->relay, now);
   finish_calls (k, now);
+  counters.value[COUNTER_TARGETS_DEPARTED]
+      = HASH_COUNT (k->plan.departed.by_id)
+        + HASH_COUNT (k->relay.reports.departed.by_id);
   if (now - k->last_heartbeat_ms >= quorum_members_heartbeat_ms (k))
     quorum_members_send_heartbeats (k, now);
 }
@@ -556,8 +591,10 @@
   k->boot_id = boot_id;
   k->last_tick_ms = now_ms ();
   k->receiving_since_ms = k->last_tick_ms;
+  k->unlisted_ms = k->last_tick_ms - UNLISTED_NEVER_MS;
   log_journal_init (&k->journal);
   owner_plan_init (&k->plan);
+  withdrawn_jobs_init (&k->withdrawn, WITHDRAWN_LIMIT);
   target_relay_init (&k->relay, k);
   k->network
       = peer_network_new (base, &s->peer, boot_id, &network_events, k, e);
@@ -606,7 +643,9 @@
   replicated_log_done (&k->log);
   owner_plan_done (&k->plan);
   target_relay_done (&k->relay);
+  withdrawn_jobs_done (&k->withdrawn);
   json_decref (k->applied_voters);
   json_decref (k->applied_targets);
+  json_decref (k->applied_departed);
   free (k->config_text);
 }
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -1,8 +1,10 @@
 /* Heartbeats and leave messages of targets that reach a follower, which relays
    them to the leader.  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include "base/now.h"
+#include "controller/keeper_state.h"
 #include "coord/target_reports.h"
 #include "tests/unit/deployment.h"
 #include "tests/unit/suites.h"
@@ -75,7 +77,7 @@
   target_reports_expire (&r, UNRESPONSIVE_MS);
   CU_ASSERT_PTR_NULL (r.by_id);
   target_reports_receive (&r, UNRESPONSIVE_MS, &leaving, TERM);
-  target_reports_remove (&r, "t1");
+  target_reports_remove (&r, UNRESPONSIVE_MS, "t1");
   CU_ASSERT_PTR_NULL (r.by_id);
   target_reports_done (&r);
 }
@@ -193,6 +195,151 @@
   deployment_done (&d);
 }
 
+/* Delivers a heartbeat of t1 to keeper K and waits for its end.  Returns
+   whether it was acknowledged.  */
+static bool
+send_heartbeat (struct deployment *d, struct quorum_keeper *k,
+                const struct run_target_spec *t)
+{
+  int64_t end = now_ms () + WAIT_MS;
+  int state = 0;
+
+  target_relay_handle_heartbeat (&k->relay, now_ms (), t, on_relay_done,
+                                 &state);
+  while (state == 0 && now_ms () < end)
+    deployment_run_step (d);
+  return state == 1;
+}
+
+/* A target has left; then a heartbeat that it sent before arrives at a keeper,
+   the one that relayed its leave, another one or the leader.  It is
+   acknowledged, and the target does not become known again, also not under the
+   next leader.  Guards against starts on a target that has drained and left
+   (review case 8).  */
+static void
+test_late_heartbeat (void)
+{
+  struct deployment d;
+  struct run_target_spec late = make_target (1, false);
+  struct quorum_keeper *leader;
+  int64_t end = now_ms () + WAIT_MS;
+  int state = 0;
+  int down = 0;
+
+  start_all (&d);
+  run_for (&d, 2000);
+  d.heartbeats_paused = true;
+  target_relay_handle_leave (&deployment_follower (&d)->relay, "t1",
+                             on_relay_done, &state);
+  while (state == 0 && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (state, 1);
+  leader = deployment_leader (&d);
+  for (int i = 0; i < SEEDS; i++)
+    CU_ASSERT (send_heartbeat (&d, d.keepers[i], &late));
+  run_for (&d, 500);
+  CU_ASSERT_PTR_NULL (owner_plan_target (&leader->plan, "t1"));
+  while (d.keepers[down] != leader)
+    down++;
+  deployment_stop_keeper (&d, down);
+  deployment_run_until_leader (&d);
+  for (int i = 0; i < SEEDS; i++)
+    if (i != down)
+      send_heartbeat (&d, d.keepers[i], &late);
+  run_for (&d, 1000);
+  leader = deployment_leader (&d);
+  CU_ASSERT_PTR_NULL (owner_plan_target (&leader->plan, "t1"));
+  late.started_ms = 2;
+  CU_ASSERT (send_heartbeat (&d, deployment_follower (&d), &late));
+  CU_ASSERT_PTR_NOT_NULL (owner_plan_target (&leader->plan, "t1"));
+  deployment_done (&d);
+}
+
+/* A target that deregisters with a new leader before this one has read the log
+   stays away.  */
+static void
+test_leave_at_new_leader (void)
+{
+  struct deployment d;
+  struct quorum_keeper *leader;
+  int down = 0;
+
+  start_all (&d);
+  run_for (&d, 2500);
+  d.heartbeats_paused = true;
+  while (d.keepers[down] != deployment_leader (&d))
+    down++;
+  deployment_stop_keeper (&d, down);
+  deployment_run_until_leader (&d);
+  leader = deployment_leader (&d);
+  owner_plan_start_term (&leader->plan, leader->log.term, now_ms ());
+  leader->targets_restored = false;
+  quorum_keeper_remove_target (leader, "t1");
+  run_for (&d, 500);
+  CU_ASSERT_PTR_NOT_NULL (owner_plan_target (&leader->plan, "t0"));
+  CU_ASSERT_PTR_NULL (owner_plan_target (&leader->plan, "t1"));
+  deployment_done (&d);
+}
+
+static void
+apply_text (struct quorum_keeper *k, const char *text)
+{
+  json_t *o = json_loads (text, 0, NULL);
+
+  keeper_state_apply (k, 1, o);
+  json_decref (o);
+}
+
+static void
+state_done (struct quorum_keeper *k)
+{
+  json_decref (k->applied_voters);
+  json_decref (k->applied_targets);
+  json_decref (k->applied_departed);
+  free (k->config_text);
+  free (k);
+}
+
+/* What the log tells of departed targets is in snapshots, is forgotten when a
+   target is back or after its time, and may be missing in those of an earlier
+   program.  Guards against a leader that does not know which targets have
+   left.  */
+static void
+test_departed_in_state (void)
+{
+  static const char earlier[]
+      = "{\"version\":0,\"text\":\"\",\"voters\":[],\"targets\":[]}";
+  struct quorum_keeper *k = calloc (1, sizeof *k);
+  struct quorum_keeper *other = calloc (1, sizeof *other);
+  uint32_t length;
+  char *text;
+
+  keeper_state_reset (k);
+  keeper_state_reset (other);
+  apply_text (k,
+              "{\"type\":\"targets\",\"drop\":[\"t1\",\"t2\"],\"departed\":["
+              "{\"id\":\"t1\",\"born\":1,\"sequence\":9,\"left\":true,"
+              "\"at\":1000},{\"id\":\"t2\",\"born\":1,\"sequence\":9,"
+              "\"left\":true,\"at\":50000}]}");
+  CU_ASSERT_EQUAL (json_object_size (k->applied_departed), 2);
+  text = keeper_state_snapshot (k, &length);
+  keeper_state_load (other, 1, text, length);
+  free (text);
+  CU_ASSERT_PTR_NOT_NULL (json_object_get (other->applied_departed, "t1"));
+  CU_ASSERT (json_equal (other->applied_departed, k->applied_departed));
+  apply_text (k,
+              "{\"type\":\"targets\",\"put\":[{\"id\":\"t2\"}],\"drop\":[]}");
+  CU_ASSERT_PTR_NULL (json_object_get (k->applied_departed, "t2"));
+  apply_text (k, "{\"type\":\"targets\",\"departed\":[{\"id\":\"t3\","
+                 "\"at\":61000}]}");
+  CU_ASSERT_PTR_NULL (json_object_get (k->applied_departed, "t1"));
+  CU_ASSERT_PTR_NOT_NULL (json_object_get (k->applied_departed, "t3"));
+  keeper_state_load (other, 2, earlier, sizeof earlier - 1);
+  CU_ASSERT_EQUAL (json_object_size (other->applied_departed), 0);
+  state_done (k);
+  state_done (other);
+}
+
 /* A keeper that knows no leader must not acknowledge a heartbeat.  */
 static void
 test_no_leader_no_acknowledgement (void)
@@ -244,6 +391,12 @@
   CU_add_test (s, "draining survives a restart",
                test_draining_survives_restart);
   CU_add_test (s, "a leave relayed by a follower", test_relayed_leave);
+  CU_add_test (s, "a late heartbeat of a target that has left",
+               test_late_heartbeat);
+  CU_add_test (s, "a leave before a new leader has read the log",
+               test_leave_at_new_leader);
+  CU_add_test (s, "departed targets in the log and in snapshots",
+               test_departed_in_state);
   CU_add_test (s, "an id that is no UTF-8 is not relayed",
                test_id_not_relayable);
   CU_add_test (s, "no leader, no acknowledgement",
