--- a/Makefile
+++ b/Makefile
@@ -87,6 +87,7 @@
 	@sh tests/check_examples.sh $(BUILD)
 	@python3 tests/test_tools.py
 	@python3 tests/spoilt_bytes.py $(BUILD) $(SPOILT_ROUNDS) $(SPOILT_SEEDS)
+	@python3 tests/client_limits.py $(BUILD)
 	@SOAK_OPTIONS="$(SOAK_OPTIONS)" \
 	  sh tests/node_soak.sh $(BUILD) $(SOAK_SECONDS) $(SOAK_SEEDS)
 	@sh tests/full_disks.sh $(BUILD) $(DISK_SECONDS) $(DISK_SEEDS)
