--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -41,6 +41,7 @@
 void suite_scheduler (void);
 void suite_platform (void);
 void suite_framing (void);
+void suite_client_budget (void);
 
 /* A pseudo-random number generator: the same seed gives the same numbers.  */
 struct prng
--- /dev/null
+++ b/tests/unit/test_client_budget.c
@@ -0,0 +1,102 @@
+/* Tests of the budget of clients: which request is refused first, and the time
+   limits.  */
+#include "net/client_budget.h"
+#include "tests/unit/suites.h"
+
+static const struct client_limits limits = {
+  .head_ms = 3000, .body_ms = 5000, .idle_ms = 15000, .budget_bytes = 1 << 20
+};
+
+static struct client_request
+request (enum client_phase phase, int64_t began_ms, uint64_t bytes)
+{
+  return (struct client_request){ .phase = phase,
+                                  .began_ms = began_ms,
+                                  .head_ended_ms = began_ms,
+                                  .charged_bytes = bytes };
+}
+
+/* Guards against a budget that a client which stops short of its end keeps
+   while ordinary clients are refused.  */
+static void
+test_refused_first (void)
+{
+  struct client_request stalled = request (CLIENT_BODY, 0, 250000);
+  struct client_request quick = request (CLIENT_BODY, 9990, 262144);
+  struct client_request slow_head = request (CLIENT_HEAD, 0, 1000);
+  struct client_request quick_head = request (CLIENT_HEAD, 9990, 1000);
+  struct client_request pending = request (CLIENT_PENDING, 0, 1 << 20);
+  struct client_request idle = request (CLIENT_IDLE, 0, 0);
+
+  CU_ASSERT (client_budget_is_worse (&stalled, &quick, 10000));
+  CU_ASSERT (!client_budget_is_worse (&quick, &stalled, 10000));
+  CU_ASSERT (client_budget_is_worse (&stalled, &slow_head, 10000));
+  CU_ASSERT (client_budget_is_worse (&slow_head, &quick_head, 10000));
+  CU_ASSERT (!client_budget_is_worse (&quick, &quick, 10000));
+  CU_ASSERT (client_budget_is_worse (&quick_head, &pending, 10000));
+  CU_ASSERT (!client_budget_is_worse (&pending, &quick_head, 10000));
+  CU_ASSERT (!client_budget_may_refuse (&pending));
+  CU_ASSERT (!client_budget_may_refuse (&idle));
+}
+
+/* Guards against a connection that is closed while its job runs.  */
+static void
+test_closed_first (void)
+{
+  struct client_request pending = request (CLIENT_PENDING, 0, 1000);
+  struct client_request idle = request (CLIENT_IDLE, 500, 0);
+  struct client_request old_idle = request (CLIENT_IDLE, 100, 0);
+  struct client_request body = request (CLIENT_BODY, 0, 1000);
+
+  CU_ASSERT (client_budget_close_first (&idle, &pending, 1000));
+  CU_ASSERT (!client_budget_close_first (&pending, &idle, 1000));
+  CU_ASSERT (client_budget_close_first (&old_idle, &idle, 1000));
+  CU_ASSERT (client_budget_close_first (&idle, &body, 1000));
+  CU_ASSERT (client_budget_close_first (&body, &pending, 1000));
+}
+
+static void
+test_time_limits (void)
+{
+  struct client_request r = request (CLIENT_HEAD, 1000, 10);
+
+  CU_ASSERT_EQUAL (client_budget_check_time (&limits, &r, 3999),
+                   CLIENT_GOES_ON);
+  CU_ASSERT_EQUAL (client_budget_check_time (&limits, &r, 4000),
+                   CLIENT_HEAD_TOO_SLOW);
+  r.phase = CLIENT_BODY;
+  r.head_ended_ms = 3500;
+  CU_ASSERT_EQUAL (client_budget_check_time (&limits, &r, 8499),
+                   CLIENT_GOES_ON);
+  CU_ASSERT_EQUAL (client_budget_check_time (&limits, &r, 8500),
+                   CLIENT_BODY_TOO_SLOW);
+  r.phase = CLIENT_IDLE;
+  CU_ASSERT_EQUAL (client_budget_check_time (&limits, &r, 16000),
+                   CLIENT_IDLE_TOO_LONG);
+  r.phase = CLIENT_PENDING;
+  CU_ASSERT_EQUAL (client_budget_check_time (&limits, &r, 1 << 30),
+                   CLIENT_GOES_ON);
+}
+
+/* Guards against a cost that counts only the bytes sent: the library keeps
+   many times those of short fields.  */
+static void
+test_cost (void)
+{
+  struct client_request r = request (CLIENT_HEAD, 0, 0);
+
+  CU_ASSERT_EQUAL (client_budget_cost (&r, 600, 100, 0, 50), 650);
+  r.phase = CLIENT_PENDING;
+  CU_ASSERT (client_budget_cost (&r, 600, 100, 1000, 50) > 16000);
+}
+
+void
+suite_client_budget (void)
+{
+  CU_pSuite s = CU_add_suite ("client budget", NULL, NULL);
+
+  CU_add_test (s, "which request is refused first", test_refused_first);
+  CU_add_test (s, "which connection is closed first", test_closed_first);
+  CU_add_test (s, "time limits", test_time_limits);
+  CU_add_test (s, "what a request costs", test_cost);
+}
