--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -19,7 +19,8 @@
    TASKS_SENT_BACK    of these, those that it refused
    TASKS_RETURNED     of these, those that ended with any other result
    VIEWS_TAKEN        assignments of targets and dispatchers applied
-   HEARTBEATS         heartbeats of targets received by this keeper  */
+   HEARTBEATS         heartbeats of targets received by this keeper
+   CLIENTS_...        requests refused by the limits of clients, by kind  */
 #define COUNTER_TABLE(ROW)                                                    \
   ROW (JOBS_ACCEPTED, "jobs_accepted")                                        \
   ROW (JOBS_COMPLETE, "jobs_complete")                                        \
@@ -70,7 +71,13 @@
   ROW (CALLERS_REFUSED, "callers_refused")                                    \
   ROW (CALLERS_GONE, "callers_gone")                                          \
   ROW (VIEWS_TAKEN, "views_taken")                                            \
-  ROW (HEARTBEATS, "heartbeats")
+  ROW (HEARTBEATS, "heartbeats")                                              \
+  ROW (CLIENTS_HEAD_REFUSED, "clients_head_refused")                          \
+  ROW (CLIENTS_BODY_REFUSED, "clients_body_refused")                          \
+  ROW (CLIENTS_TIMED_OUT, "clients_timed_out")                                \
+  ROW (CLIENTS_BUDGET_REFUSED, "clients_budget_refused")                      \
+  ROW (CLIENTS_CONNECTIONS_CLOSED, "clients_connections_closed")              \
+  ROW (CLIENTS_BAD_FRAMING, "clients_bad_framing")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -155,6 +155,24 @@
        "free disk space or replace the disk; start the keeper if it stopped") \
   ROW (606, STATE_REFUSED, ERROR,                                             \
        "stored state or log entry of unknown form left out",                  \
-       "check the versions of the keepers' programs")
+       "check the versions of the keepers' programs")                         \
+  ROW (700, CLIENT_HEAD_REFUSED, WARN,                                        \
+       "client's head over its limits refused",                               \
+       "see operate/client-limits.md")                                        \
+  ROW (701, CLIENT_BODY_REFUSED, WARN,                                        \
+       "client's body over its limits refused",                               \
+       "see operate/client-limits.md")                                        \
+  ROW (702, CLIENT_TIMED_OUT, WARN,                                           \
+       "client's request not sent in time, refused",                          \
+       "see operate/client-limits.md")                                        \
+  ROW (703, CLIENT_BUDGET_REFUSED, WARN,                                      \
+       "client's request refused: no memory is left for requests",            \
+       "find out who sends; see operate/client-limits.md")                    \
+  ROW (704, CLIENT_CONNECTION_CLOSED, WARN,                                   \
+       "client's connection closed: there are too many",                      \
+       "find out who connects; see operate/client-limits.md")                 \
+  ROW (705, CLIENT_BAD_FRAMING, WARN,                                         \
+       "client's request with an invalid framing refused",                    \
+       "find out who sends; see operate/client-limits.md")
 
 #endif
--- a/src/base/node_settings.c
+++ b/src/base/node_settings.c
@@ -20,6 +20,24 @@
 
   IDLE_TIMEOUT_MS = 60000,
 
+  /* Of the memory, the part for what clients of the main port send, and for
+     those of each small port.  The rest is for the process's own state, and
+     for what is made of a request while it is answered.  */
+  MAIN_PORT_MEMORY_PART = 4,
+  SMALL_PORT_MEMORY_PART = 32,
+  MB_BYTES = 1 << 20,
+
+  /* An idle connection takes about 6 kB (net/client_budget): idle ones may
+     take half as much again as the main port's part.  */
+  CONNECTION_MEMORY_BYTES = 12288,
+
+  /* A small port has one of so many of the connections, and at most
+     SMALL_PORT_CONNECTIONS.  */
+  SMALL_PORT_CONNECTIONS_PART = 8,
+  SMALL_PORT_CONNECTIONS = 64,
+  SMALL_PORTS = 2,
+  SMALL_PORT_BODY_BYTES = 16384,
+
   DEFAULT_FAR_FACTOR = 2,
   DEFAULT_CATCH_UP_S = 4,
 
@@ -55,6 +73,18 @@
   { "stop_grace_s", RULE_REAL, true, 1, 600, NULL, NULL },
   { "far_factor", RULE_REAL, false, 1, 100, NULL, NULL },
   { "log_level", RULE_CHOICE, false, 0, 0, NULL, "debug|info|warn|error" },
+  { "memory_mb", RULE_INTEGER, false, 16, 1 << 20, NULL, NULL },
+  { "clients", RULE_ANY, false, 0, 0, NULL, NULL },
+  { NULL, RULE_END, false, 0, 0, NULL, NULL },
+};
+
+/* The members of "clients".  */
+static const struct json_rule client_rules[] = {
+  { "header_bytes", RULE_INTEGER, false, 1024, 1 << 20, NULL, NULL },
+  { "body_bytes", RULE_INTEGER, false, 1024, 64 << 20, NULL, NULL },
+  { "header_timeout_ms", RULE_INTEGER, false, 100, 600000, NULL, NULL },
+  { "body_timeout_ms", RULE_INTEGER, false, 100, 600000, NULL, NULL },
+  { "idle_timeout_ms", RULE_INTEGER, false, 100, 3600000, NULL, NULL },
   { NULL, RULE_END, false, 0, 0, NULL, NULL },
 };
 
@@ -149,15 +179,96 @@
                    - RESERVED_DESCRIPTORS;
 }
 
+/* Removes the members of ROOT that have no rule in RULES.  */
+static void
+remove_unknown (json_t *root, const struct json_rule *rules)
+{
+  const char *name;
+  json_t *value;
+  void *next;
+
+  json_object_foreach_safe (root, next, name, value)
+  {
+    const struct json_rule *rule = rules;
+
+    while (rule->kind != RULE_END && strcmp (rule->name, name) != 0)
+      rule++;
+    if (rule->kind == RULE_END)
+      json_object_del (root, name);
+  }
+}
+
+/* Reads "clients" and "memory_mb".  */
+static void
+read_clients (struct node_settings *s, json_t *root, struct json_report *r)
+{
+  json_t *clients = json_object_get (root, "clients");
+  struct settings *p = &s->peer;
+
+  s->memory_mb = (uint32_t)json_get_integer (root, "memory_mb", 0);
+  if (clients == NULL || json_is_null (clients))
+    return;
+  if (!json_is_object (clients))
+    {
+      json_report_add (r, "clients", "must be an object or null");
+      return;
+    }
+  remove_unknown (clients, client_rules);
+  json_check_object (clients, client_rules, "clients", r);
+  if (r->faults != 0)
+    return;
+  p->head_bytes = (uint32_t)json_get_integer (clients, "header_bytes", 0);
+  p->body_bytes
+      = (uint32_t)json_get_integer (clients, "body_bytes", p->body_bytes);
+  p->head_timeout_ms = json_get_integer (clients, "header_timeout_ms", 0);
+  p->body_timeout_ms = json_get_integer (clients, "body_timeout_ms", 0);
+  p->idle_timeout_ms
+      = json_get_integer (clients, "idle_timeout_ms", p->idle_timeout_ms);
+}
+
+/* The connections of each small port.  */
+static uint32_t
+small_connections (const struct settings *p)
+{
+  uint32_t part = p->connections / SMALL_PORT_CONNECTIONS_PART;
+
+  return part < SMALL_PORT_CONNECTIONS ? part : SMALL_PORT_CONNECTIONS;
+}
+
+void
+node_settings_port (const struct node_settings *s, const struct endpoint *a,
+                    enum node_port kind, struct settings *own)
+{
+  uint64_t memory = (uint64_t)s->memory_mb * MB_BYTES;
+  uint32_t small = small_connections (&s->peer);
+  uint64_t fitting;
+
+  *own = s->peer;
+  memcpy (own->address, a->address, sizeof own->address);
+  own->http_port = a->port;
+  if (kind == NODE_PORT_SMALL)
+    {
+      own->connections = small;
+      own->body_bytes = SMALL_PORT_BODY_BYTES;
+      own->client_bytes = memory / SMALL_PORT_MEMORY_PART;
+      return;
+    }
+  own->connections -= SMALL_PORTS * small;
+  own->client_bytes = memory / MAIN_PORT_MEMORY_PART;
+  fitting = own->client_bytes / CONNECTION_MEMORY_BYTES;
+  if (memory != 0 && own->connections > fitting)
+    own->connections = (uint32_t)fitting;
+}
+
 static void
-read_fields (struct node_settings *s, const json_t *root,
-             struct json_report *r)
+read_fields (struct node_settings *s, json_t *root, struct json_report *r)
 {
   snprintf (s->name, sizeof s->name, "%s", json_get_text (root, "vm", ""));
   s->role = strcmp (json_get_text (root, "role", ""), "keeper") == 0
                 ? ROLE_KEEPER
                 : ROLE_ENTRY;
   read_peer (s, root, r);
+  read_clients (s, root, r);
   read_endpoint (&s->callers, root, "callers", r);
   read_endpoint (&s->readiness, root, "readiness", r);
   read_endpoint (&s->control, root, "control", r);
@@ -182,25 +293,6 @@
     json_report_add (r, "callers", "is missing; an entry needs one");
 }
 
-/* Removes the members of ROOT that have no rule.  */
-static void
-remove_unknown (json_t *root)
-{
-  const char *name;
-  json_t *value;
-  void *next;
-
-  json_object_foreach_safe (root, next, name, value)
-  {
-    const struct json_rule *rule = node_rules;
-
-    while (rule->kind != RULE_END && strcmp (rule->name, name) != 0)
-      rule++;
-    if (rule->kind == RULE_END)
-      json_object_del (root, name);
-  }
-}
-
 enum settings_error
 node_settings_load (struct node_settings *s, const char *path, struct error *e)
 {
@@ -224,7 +316,7 @@
           e, SETTINGS_INVALID, "%s, line %d: %s", path, fault.line,
           root == NULL ? fault.text : "is not an object");
     }
-  remove_unknown (root);
+  remove_unknown (root, node_rules);
   json_check_object (root, node_rules, "", &report);
   if (report.faults == 0)
     read_fields (s, root, &report);
--- a/src/base/node_settings.h
+++ b/src/base/node_settings.h
@@ -21,6 +21,14 @@
   uint16_t port; /* 0: not set */
 };
 
+/* What a port is for: the main ports share the descriptors and memory of
+   clients, the others have a small part each.  */
+enum node_port
+{
+  NODE_PORT_MAIN, /* of callers, or of targets and operators */
+  NODE_PORT_SMALL /* readiness, metrics: requests without a body */
+};
+
 struct node_settings
 {
   char name[NAME_BYTES];
@@ -48,6 +56,8 @@
   int64_t stop_grace_ms;   /* from SIGTERM until it is killed */
   double far_factor;       /* run time of a task remote from its data, over
                               that of a local one */
+
+  uint32_t memory_mb; /* of this VM; 0: not known */
 };
 
 /* Reads the file PATH into S.  On SETTINGS_INVALID, the message of E lists
@@ -55,6 +65,12 @@
 enum settings_error node_settings_load (struct node_settings *s,
                                         const char *path, struct error *e);
 
+/* Sets OWN to the settings of a server on port A of S: its address and its
+   limits of clients.  */
+void node_settings_port (const struct node_settings *s,
+                         const struct endpoint *a, enum node_port kind,
+                         struct settings *own);
+
 /* Parses "ADDRESS:PORT" with an IPv4 address.  Returns false if TEXT does not
    have this form.  */
 bool endpoint_parse (struct endpoint *a, const char *text);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -79,6 +79,12 @@
   uint32_t connections;
   int64_t idle_timeout_ms;
 
+  /* limits of clients; 0: the defaults of net/http_intake */
+  uint32_t head_bytes;
+  int64_t head_timeout_ms;
+  int64_t body_timeout_ms;
+  uint64_t client_bytes; /* for all that is sent and not yet answered */
+
   /* Whether VMs that are not listed in VMS may connect.  */
   bool open_membership;
 
--- a/src/controller/metrics_api.c
+++ b/src/controller/metrics_api.c
@@ -69,9 +69,7 @@
 {
   struct settings *own = malloc (sizeof *own);
 
-  *own = s->peer;
-  memcpy (own->address, s->metrics.address, sizeof own->address);
-  own->http_port = s->metrics.port;
+  node_settings_port (s, &s->metrics, NODE_PORT_SMALL, own);
   m->server = http_server_new (base, own, on_call, m, e);
   free (own);
   return m->server != NULL;
--- a/src/coord/service_config.h
+++ b/src/coord/service_config.h
@@ -46,7 +46,12 @@
   uint32_t queue_count;
   struct service_rule *services;
   uint32_t service_count;
-  uint32_t body_bytes; /* limit of a caller's body; 0: not configured */
+
+  /* limits of callers' requests; 0: not configured */
+  uint32_t body_bytes;
+  uint32_t head_bytes;
+  int64_t head_timeout_ms;
+  int64_t idle_timeout_ms;
 };
 
 void service_config_init (struct service_config *c);
--- /dev/null
+++ b/src/net/http_intake.c
@@ -0,0 +1,625 @@
+#include "net/http_intake.h"
+
+#include <evhtp.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <event2/buffer.h>
+#include <utlist.h>
+#include "base/counters.h"
+#include "base/event_ring.h"
+#include "base/now.h"
+#include "net/http_server.h"
+
+enum
+{
+  DEFAULT_HEAD_BYTES = 65536,
+  DEFAULT_FIELDS = 256,
+  DEFAULT_EMPTY_LINES = 8,
+  DEFAULT_HEAD_MS = 30000,
+  DEFAULT_BODY_MS = 60000,
+  DEFAULT_BUDGET_BYTES = 64 << 20,
+
+  HEAD_BYTES_FIRST = 1024,
+  BODY_BYTES_FIRST = 1024,
+
+  SWEEP_MS = 250,
+  LOG_MS = 1000,
+
+  /* How long and how much is still read after a refusal.  Closing with unread
+     bytes would reset the connection, and the answer could be lost.  */
+  LINGER_MS = 1000,
+
+  HEAD_TEXT_BYTES = 256
+};
+
+/* How a fault is answered and recorded.  */
+struct fault_row
+{
+  int status; /* 0: closed without an answer */
+  const char *reason;
+  const char *code;
+  const char *message;
+  enum counter counter;
+  enum event_number event;
+};
+
+static const struct fault_row faults[INTAKE_FAULTS] = {
+  [INTAKE_INVALID]
+  = { 400, "Bad Request", "bad_framing", "the request's framing is not valid",
+      COUNTER_CLIENTS_BAD_FRAMING, EVENT_CLIENT_BAD_FRAMING },
+  [INTAKE_HEAD] = { 431, "Request Header Fields Too Large", "head_too_large",
+                    "the head is over its limits",
+                    COUNTER_CLIENTS_HEAD_REFUSED, EVENT_CLIENT_HEAD_REFUSED },
+  [INTAKE_BODY]
+  = { 413, "Content Too Large", "body_too_large", "the body is over its limit",
+      COUNTER_CLIENTS_BODY_REFUSED, EVENT_CLIENT_BODY_REFUSED },
+  [INTAKE_OVERHEAD]
+  = { 413, "Content Too Large", "chunk_overhead",
+      "the chunks' coding is out of proportion to the body",
+      COUNTER_CLIENTS_BODY_REFUSED, EVENT_CLIENT_BODY_REFUSED },
+  [INTAKE_HEAD_TIME]
+  = { 408, "Request Timeout", "head_too_slow", "the head was not sent in time",
+      COUNTER_CLIENTS_TIMED_OUT, EVENT_CLIENT_TIMED_OUT },
+  [INTAKE_BODY_TIME]
+  = { 408, "Request Timeout", "body_too_slow", "the body was not sent in time",
+      COUNTER_CLIENTS_TIMED_OUT, EVENT_CLIENT_TIMED_OUT },
+  [INTAKE_BUDGET]
+  = { 503, "Service Unavailable", "clients_memory",
+      "no memory is left for requests", COUNTER_CLIENTS_BUDGET_REFUSED,
+      EVENT_CLIENT_BUDGET_REFUSED },
+  [INTAKE_CONNECTIONS]
+  = { 0, "", "clients_connections", "", COUNTER_CLIENTS_CONNECTIONS_CLOSED,
+      EVENT_CLIENT_CONNECTION_CLOSED },
+};
+
+void
+http_intake_default_limits (struct client_limits *l)
+{
+  *l = (struct client_limits){
+    .framing = { .head_bytes = DEFAULT_HEAD_BYTES,
+                 .fields = DEFAULT_FIELDS,
+                 .empty_lines = DEFAULT_EMPTY_LINES },
+    .head_ms = DEFAULT_HEAD_MS,
+    .body_ms = DEFAULT_BODY_MS,
+    .budget_bytes = DEFAULT_BUDGET_BYTES,
+  };
+}
+
+static struct evbuffer *
+input_of (const struct intake_client *c)
+{
+  return bufferevent_get_input (c->conn->bev);
+}
+
+/* Counts a fault, and logs one of its kind a second.  */
+static void
+record (struct http_intake *n, enum intake_fault fault)
+{
+  const struct fault_row *row = &faults[fault];
+  int64_t now = now_ms ();
+
+  counters_add (row->counter, 1);
+  if (n->logged_ms[fault] != 0 && now - n->logged_ms[fault] < LOG_MS)
+    {
+      n->unlogged[fault]++;
+      return;
+    }
+  event_ring_add (row->event, "",
+                  "port=%u why=%s since_last=%u connections=%u "
+                  "held_bytes=%" PRIu64 " budget_bytes=%" PRIu64,
+                  n->port, row->code, n->unlogged[fault] + 1, n->count,
+                  n->used_bytes, n->limits.budget_bytes);
+  n->logged_ms[fault] = now;
+  n->unlogged[fault] = 0;
+}
+
+static void
+charge (struct intake_client *c, uint64_t bytes)
+{
+  c->intake->used_bytes += bytes - c->request.charged_bytes;
+  c->request.charged_bytes = bytes;
+}
+
+/* What C costs with a head of HEAD and a body of BODY bytes allocated.  */
+static uint64_t
+cost_of (const struct intake_client *c, uint64_t head, uint64_t body)
+{
+  uint64_t waiting = c->answer_bytes + c->pending_bytes;
+
+  if (c->request.phase == CLIENT_PENDING)
+    return body + waiting + evbuffer_get_length (input_of (c));
+  return client_budget_cost (&c->request, head, c->framing.field_count, body,
+                             waiting);
+}
+
+static void
+charge_again (struct intake_client *c)
+{
+  charge (c, c->closing ? 0 : cost_of (c, c->head_size, c->body_size));
+}
+
+static void
+drop_request (struct intake_client *c)
+{
+  free (c->head);
+  free (c->body);
+  c->head = c->body = NULL;
+  c->head_length = c->head_size = 0;
+  c->body_length = c->body_size = 0;
+  c->pending_bytes = c->answer_bytes = 0;
+  http_framing_init (&c->framing);
+  c->request.phase = CLIENT_IDLE;
+  c->request.began_ms = now_ms ();
+}
+
+/* Refuses C's incomplete request and closes its connection when the answer is
+   sent.  C stays valid.  */
+static void
+refuse (struct intake_client *c, enum intake_fault fault)
+{
+  const struct fault_row *row = &faults[fault];
+  char head[HEAD_TEXT_BYTES];
+  char *text = http_error_text (row->code, "not_run", row->message);
+  int n = snprintf (head, sizeof head,
+                    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+                    "Content-Length: %zu\r\nConnection: close\r\n%s\r\n",
+                    row->status, row->reason, strlen (text),
+                    fault == INTAKE_BUDGET ? "Retry-After: 1\r\n" : "");
+
+  record (c->intake, fault);
+  drop_request (c);
+  c->closing = true;
+  c->closing_ms = now_ms ();
+  charge_again (c);
+  bufferevent_write (c->conn->bev, head, (size_t)n);
+  bufferevent_write (c->conn->bev, text, strlen (text));
+  free (text);
+}
+
+/* The incomplete request to refuse first, or C if there is no worse one.  */
+static struct intake_client *
+find_worst (struct intake_client *c)
+{
+  int64_t now = now_ms ();
+  struct intake_client *worst = c;
+  struct intake_client *other;
+
+  DL_FOREACH (c->intake->clients, other)
+  if (client_budget_is_worse (&other->request, &worst->request, now))
+    worst = other;
+  return worst;
+}
+
+/* Charges C with COST in all, if need be by refusing other requests.  Refuses
+   C and returns false if its own request is the one to refuse.  */
+static bool
+reserve (struct intake_client *c, uint64_t cost)
+{
+  struct http_intake *n = c->intake;
+
+  charge (c, cost);
+  while (n->used_bytes > n->limits.budget_bytes)
+    {
+      struct intake_client *worst = find_worst (c);
+
+      refuse (worst, INTAKE_BUDGET);
+      if (worst == c)
+        return false;
+    }
+  return true;
+}
+
+static size_t
+grown (size_t size, size_t needed, size_t first, size_t maximum)
+{
+  if (size < first)
+    size = first;
+  while (size < needed)
+    size *= 2;
+  return size < maximum || maximum < needed ? size : maximum;
+}
+
+static bool
+add_head (struct intake_client *c, const struct framing_step *step)
+{
+  size_t needed = c->head_length + step->head_length;
+
+  if (needed > c->head_size)
+    {
+      size_t size = grown (c->head_size, needed, HEAD_BYTES_FIRST,
+                           c->intake->limits.framing.head_bytes);
+
+      if (!reserve (c, cost_of (c, size, c->body_size)))
+        return false;
+      c->head = realloc (c->head, size);
+      c->head_size = (uint32_t)size;
+    }
+  if (step->head_length != 0)
+    memcpy (c->head + c->head_length, step->head, step->head_length);
+  c->head_length = (uint32_t)needed;
+  if (step->drop_from != UINT32_MAX)
+    c->head_length = step->drop_from;
+  return true;
+}
+
+static bool
+add_body (struct intake_client *c, const struct framing_step *step)
+{
+  size_t needed = c->body_length + step->body_length + 1;
+
+  if (step->body_length == 0)
+    return true;
+  if (needed > c->body_size)
+    {
+      size_t maximum = c->framing.chunked
+                           ? c->intake->limits.framing.body_bytes
+                           : (size_t)c->framing.length;
+      size_t size
+          = grown (c->body_size, needed, BODY_BYTES_FIRST, maximum + 1);
+
+      if (!reserve (c, cost_of (c, c->head_size, size)))
+        return false;
+      c->body = realloc (c->body, size);
+      c->body_size = size;
+    }
+  memcpy (c->body + c->body_length, step->body, step->body_length);
+  c->body_length += step->body_length;
+  c->body[c->body_length] = '\0';
+  return true;
+}
+
+/* Ends a time in which C->freed pointed to FREED: it points to OUTER again. */
+static void
+restore_freed (struct intake_client *c, bool *outer, bool freed)
+{
+  if (!freed)
+    c->freed = outer;
+  else if (outer != NULL)
+    *outer = true;
+}
+
+/* Gives the library the head of C's request, which is complete, and nothing of
+   what follows it.  Returns false if the connection is freed.  */
+static bool
+give_head (struct intake_client *c)
+{
+  struct bufferevent *bev = c->conn->bev;
+  struct evbuffer *input = bufferevent_get_input (bev);
+  struct evbuffer *rest = NULL;
+  bool *outer = c->freed;
+  bool freed = false;
+
+  if (evbuffer_get_length (input) != 0)
+    {
+      rest = evbuffer_new ();
+      evbuffer_add_buffer (rest, input);
+    }
+  evbuffer_prepend (input, c->head, c->head_length);
+  free (c->head);
+  c->head = NULL;
+  c->head_length = c->head_size = 0;
+  c->given = false;
+  c->freed = &freed;
+  c->read (bev, c->library_arg);
+  restore_freed (c, outer, freed);
+  if (!freed && rest != NULL)
+    evbuffer_prepend_buffer (input, rest);
+  if (rest != NULL)
+    evbuffer_free (rest);
+  if (freed || c->given)
+    return !freed;
+  /* The library waits for more, although the head is whole.  */
+  record (c->intake, INTAKE_INVALID);
+  evhtp_connection_free (c->conn);
+  return false;
+}
+
+/* Passes C's complete request on.  Returns false if its connection is
+   freed.  */
+static bool
+pass_on (struct intake_client *c)
+{
+  struct client_request pending = { .phase = CLIENT_PENDING };
+  uint64_t head = client_budget_cost (&pending, c->head_size,
+                                      c->framing.field_count, 0, 0);
+
+  if (!reserve (c, head + c->body_size))
+    return true;
+  c->pending_bytes = head;
+  c->request.phase = CLIENT_PENDING;
+  return give_head (c);
+}
+
+static enum intake_fault
+fault_of (enum framing_result r)
+{
+  switch (r)
+    {
+    case FRAMING_HEAD_TOO_LONG:
+      return INTAKE_HEAD;
+    case FRAMING_BODY_TOO_LONG:
+      return INTAKE_BODY;
+    case FRAMING_OVERHEAD:
+      return INTAKE_OVERHEAD;
+    default:
+      return INTAKE_INVALID;
+    }
+}
+
+static void
+end_head (struct intake_client *c)
+{
+  static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+  c->request.phase = CLIENT_BODY;
+  c->request.head_ended_ms = now_ms ();
+  if (c->framing.expects_continue
+      && (c->framing.chunked || c->framing.length != 0))
+    bufferevent_write (c->conn->bev, text, sizeof text - 1);
+}
+
+/* Takes bytes of INPUT up to the next point where something is to be done.  */
+static enum framing_result
+take_piece (struct intake_client *c, struct evbuffer *input)
+{
+  struct evbuffer_iovec piece = { NULL, 0 };
+  struct framing_step step;
+  enum framing_result r;
+
+  evbuffer_peek (input, -1, NULL, &piece, 1);
+  r = http_framing_take (&c->framing, &c->intake->limits.framing,
+                         piece.iov_base, piece.iov_len, &step);
+  if (c->request.phase == CLIENT_IDLE && http_framing_has_begun (&c->framing))
+    {
+      c->request.phase = CLIENT_HEAD;
+      c->request.began_ms = now_ms ();
+    }
+  if ((r == FRAMING_MORE || r == FRAMING_HEAD_DONE || r == FRAMING_DONE)
+      && add_head (c, &step) && add_body (c, &step))
+    evbuffer_drain (input, step.taken);
+  return r;
+}
+
+/* Whether C's next bytes may be taken.  */
+static bool
+may_take (struct intake_client *c)
+{
+  if (c->closing || c->conn->request != NULL)
+    return false;
+  if (c->request.phase == CLIENT_PENDING)
+    drop_request (c); /* answered */
+  return true;
+}
+
+/* Takes what was read from C.  C may be freed by it.  */
+static void
+take_input (struct intake_client *c)
+{
+  struct evbuffer *input = input_of (c);
+  enum framing_result r = FRAMING_MORE;
+
+  while (may_take (c)
+         && (evbuffer_get_length (input) != 0 || r == FRAMING_HEAD_DONE))
+    {
+      r = take_piece (c, input);
+      if (c->closing)
+        break;
+      if (r == FRAMING_HEAD_DONE)
+        end_head (c);
+      else if (r == FRAMING_DONE && !pass_on (c))
+        return;
+      else if (r != FRAMING_MORE && r != FRAMING_DONE)
+        refuse (c, fault_of (r));
+    }
+  if (c->closing)
+    evbuffer_drain (input, evbuffer_get_length (input));
+  charge_again (c);
+}
+
+static void
+on_read (struct bufferevent *bev, void *arg)
+{
+  (void)bev;
+  take_input (arg);
+}
+
+static void
+on_write (struct bufferevent *bev, void *arg)
+{
+  struct intake_client *c = arg;
+  bool *outer = c->freed;
+  bool freed = false;
+
+  if (c->closing)
+    {
+      if (evbuffer_get_length (bufferevent_get_output (bev)) == 0)
+        shutdown (bufferevent_getfd (bev), SHUT_WR);
+      return;
+    }
+  if (c->conn->request == NULL)
+    {
+      /* What was sent is not the library's: 100 Continue.  The library would
+         close the connection.  */
+      take_input (c);
+      return;
+    }
+  c->freed = &freed;
+  c->write (bev, c->library_arg);
+  restore_freed (c, outer, freed);
+  if (!freed)
+    take_input (c);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *arg)
+{
+  struct intake_client *c = arg;
+
+  if (c->closing)
+    evhtp_connection_free (c->conn);
+  else
+    c->event (bev, what, c->library_arg);
+}
+
+/* Checks C's time limits.  C may be freed by it.  */
+static void
+check_time (struct intake_client *c, int64_t now)
+{
+  if (c->closing)
+    {
+      if (now - c->closing_ms >= LINGER_MS)
+        evhtp_connection_free (c->conn);
+      return;
+    }
+  may_take (c); /* notes the end of an answer */
+  switch (client_budget_check_time (&c->intake->limits, &c->request, now))
+    {
+    case CLIENT_GOES_ON:
+      break;
+    case CLIENT_IDLE_TOO_LONG:
+      evhtp_connection_free (c->conn);
+      break;
+    case CLIENT_HEAD_TOO_SLOW:
+      refuse (c, INTAKE_HEAD_TIME);
+      break;
+    case CLIENT_BODY_TOO_SLOW:
+      refuse (c, INTAKE_BODY_TIME);
+      break;
+    }
+}
+
+static void
+read_limits (struct http_intake *n)
+{
+  n->limits = n->own;
+  if (n->source != NULL)
+    n->source (n->source_arg, &n->limits);
+}
+
+static void
+on_sweep (evutil_socket_t fd, short what, void *arg)
+{
+  struct http_intake *n = arg;
+  struct intake_client *c;
+  struct intake_client *next;
+  int64_t now = now_ms ();
+
+  (void)fd;
+  (void)what;
+  read_limits (n);
+  DL_FOREACH_SAFE (n->clients, c, next)
+  check_time (c, now);
+}
+
+void
+http_intake_init (struct http_intake *n, struct event_base *base,
+                  const struct client_limits *limits, uint16_t port)
+{
+  struct timeval period = now_timeval (SWEEP_MS);
+
+  memset (n, 0, sizeof *n);
+  n->own = n->limits = *limits;
+  n->port = port;
+  n->sweep = event_new (base, -1, EV_PERSIST, on_sweep, n);
+  event_add (n->sweep, &period);
+}
+
+void
+http_intake_done (struct http_intake *n)
+{
+  event_free (n->sweep);
+}
+
+void
+http_intake_set_source (struct http_intake *n, intake_limits_source source,
+                        void *arg)
+{
+  n->source = source;
+  n->source_arg = arg;
+  read_limits (n);
+}
+
+bool
+http_intake_make_room (struct http_intake *n)
+{
+  struct intake_client *first = n->clients;
+  struct intake_client *c;
+  int64_t now = now_ms ();
+
+  if (n->count < n->limits.connections)
+    return true;
+  record (n, INTAKE_CONNECTIONS);
+  DL_FOREACH (n->clients, c)
+  {
+    may_take (c);
+    if (client_budget_close_first (&c->request, &first->request, now))
+      first = c;
+  }
+  if (first == NULL || first->request.phase == CLIENT_PENDING)
+    return false;
+  evhtp_connection_free (first->conn);
+  return true;
+}
+
+void
+http_intake_add (struct http_intake *n, struct intake_client *c,
+                 struct evhtp_connection *conn)
+{
+  c->intake = n;
+  c->conn = conn;
+  c->request.phase = CLIENT_IDLE;
+  c->request.began_ms = now_ms ();
+  DL_APPEND (n->clients, c);
+  n->count++;
+  bufferevent_getcb (conn->bev, &c->read, &c->write, &c->event,
+                     &c->library_arg);
+  bufferevent_setcb (conn->bev, on_read, on_write, on_event, c);
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, INTAKE_WAITING_BYTES);
+}
+
+void
+http_intake_remove (struct intake_client *c)
+{
+  charge (c, 0);
+  free (c->head);
+  free (c->body);
+  DL_DELETE (c->intake->clients, c);
+  c->intake->count--;
+  if (c->freed != NULL)
+    *c->freed = true;
+}
+
+void
+http_intake_take_body (struct intake_client *c, char **body, size_t *length)
+{
+  *body = c->body != NULL ? c->body : calloc (1, 1);
+  *length = c->body_length;
+  c->body = NULL;
+  c->body_length = 0;
+  c->given = true;
+}
+
+void
+http_intake_body_freed (struct intake_client *c)
+{
+  c->body_size = 0;
+  charge_again (c);
+}
+
+void
+http_intake_add_answer (struct intake_client *c, size_t bytes)
+{
+  c->answer_bytes += bytes;
+  charge_again (c);
+}
+
+bool
+http_intake_is_empty (const struct intake_client *c)
+{
+  return !c->closing
+         && (c->request.phase == CLIENT_IDLE
+             || c->request.phase == CLIENT_PENDING);
+}
--- /dev/null
+++ b/src/net/http_intake.h
@@ -0,0 +1,131 @@
+/* What clients send to a port, before the HTTP library sees it.
+
+   libevhtp bounds neither what it keeps of a head nor how it keeps chunks: 64
+   clients with short fields or with chunks of one byte took more than 300 MB.
+   So the callbacks of an accepted connection are wrapped: heads and bodies are
+   collected here within the limits of a port, and the library is given a whole
+   head without a body, once the whole request is there.  The body is handed to
+   the call by the server.  A request that is refused here was never seen by a
+   handler.
+
+   While a request is answered, at most INTAKE_WAITING_BYTES of the next are
+   read; the kernel's window then stops the sender.  */
+#ifndef NET_HTTP_INTAKE_H
+#define NET_HTTP_INTAKE_H
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include "net/client_budget.h"
+#include "net/http_framing.h"
+
+enum
+{
+  INTAKE_WAITING_BYTES = 16384
+};
+
+enum intake_fault
+{
+  INTAKE_INVALID,
+  INTAKE_HEAD,
+  INTAKE_BODY,
+  INTAKE_OVERHEAD,
+  INTAKE_HEAD_TIME,
+  INTAKE_BODY_TIME,
+  INTAKE_BUDGET,
+  INTAKE_CONNECTIONS,
+  INTAKE_FAULTS
+};
+
+struct evhtp_connection;
+struct http_intake;
+
+/* A connection.  */
+struct intake_client
+{
+  struct http_intake *intake;
+  struct evhtp_connection *conn;
+
+  /* the library's callbacks */
+  bufferevent_data_cb read;
+  bufferevent_data_cb write;
+  bufferevent_event_cb event;
+  void *library_arg;
+
+  struct http_framing framing;
+  struct client_request request;
+  char *head;
+  uint32_t head_length;
+  uint32_t head_size;
+  char *body; /* followed by a zero */
+  size_t body_length;
+  size_t body_size;
+  uint64_t pending_bytes; /* cost of the head while its request is pending */
+  uint64_t answer_bytes;
+  bool given;  /* the library has passed on the request */
+  bool *freed; /* set when the client is removed */
+
+  bool closing; /* refused: the connection is closed after the answer */
+  int64_t closing_ms;
+
+  struct intake_client *prev;
+  struct intake_client *next;
+};
+
+/* Changes the limits L as a configuration says.  */
+typedef void (*intake_limits_source) (void *arg, struct client_limits *l);
+
+/* A port.  */
+struct http_intake
+{
+  struct client_limits own;    /* as set for the process */
+  struct client_limits limits; /* in force */
+  intake_limits_source source; /* or NULL */
+  void *source_arg;
+  uint16_t port;
+  uint64_t used_bytes;
+  uint32_t count;
+  struct intake_client *clients;
+  struct event *sweep;
+  int64_t logged_ms[INTAKE_FAULTS];
+  uint32_t unlogged[INTAKE_FAULTS];
+};
+
+/* Limits without a setting: no client inside the platform's limits reaches
+   them.  */
+void http_intake_default_limits (struct client_limits *l);
+
+void http_intake_init (struct http_intake *n, struct event_base *base,
+                       const struct client_limits *limits, uint16_t port);
+void http_intake_done (struct http_intake *n);
+
+void http_intake_set_source (struct http_intake *n,
+                             intake_limits_source source, void *arg);
+
+/* Makes room for a new connection, if need be by closing one on which no
+   request is pending.  Returns false if there is no room.  */
+bool http_intake_make_room (struct http_intake *n);
+
+/* Puts C in front of the library's callbacks of CONN.  */
+void http_intake_add (struct http_intake *n, struct intake_client *c,
+                      struct evhtp_connection *conn);
+
+/* Removes C, whose connection is about to be freed.  */
+void http_intake_remove (struct intake_client *c);
+
+/* Moves the body of C's request, which the library has passed on, to BODY.  It
+   stays charged until the answer or http_intake_body_freed.  */
+void http_intake_take_body (struct intake_client *c, char **body,
+                            size_t *length);
+void http_intake_body_freed (struct intake_client *c);
+
+/* BYTES of an answer wait to be sent to C.  */
+void http_intake_add_answer (struct intake_client *c, size_t bytes);
+
+/* Whether nothing of a request that is not yet passed on was read from C, and
+   C was not refused.  */
+bool http_intake_is_empty (const struct intake_client *c);
+
+#endif
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -16,6 +16,7 @@
 #include "base/json_text.h"
 #include "base/now.h"
 #include "base/utf8.h"
+#include "net/http_intake.h"
 
 enum
 {
@@ -23,10 +24,6 @@
   ERROR_TEXT_BYTES = 4200,
   STATUS_INTERNAL = 500,
 
-  /* A body of up to this many times the limit is read in full and refused with
-     an answer; beyond that evhtp closes the connection without one.  */
-  BODY_READ_FACTOR = 8,
-
   /* The other side has closed or reset the connection.  */
   POLL_ENDED = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL
 };
@@ -37,9 +34,7 @@
   http_handler handler;
   void *arg;
   struct timeval idle;
-  uint32_t connections;
-  uint32_t connections_maximum;
-  uint32_t body_bytes_maximum;
+  struct http_intake intake;
   uint32_t open_calls;
   bool closed;
   int64_t accepted_ms; /* all connections that came before are accepted */
@@ -49,6 +44,7 @@
 /* An accepted connection.  */
 struct http_connection
 {
+  struct intake_client client;
   struct http_server *server;
   evhtp_connection_t *conn;
   struct http_call *call; /* pending, or NULL */
@@ -151,19 +147,8 @@
 static bool
 refuse_unservable (struct http_call *c)
 {
-  uint32_t maximum = c->server->body_bytes_maximum;
   const char *invalid = find_invalid_text (c);
 
-  if (c->body_length > maximum)
-    {
-      event_ring_add (EVENT_CALLER_REFUSED, c->path,
-                      "status=413 why=body_too_large bytes=%zu maximum=%u",
-                      c->body_length, maximum);
-      http_call_refuse (c, 413, "body_too_large", "not_run",
-                        "the body has %zu bytes, of at most %u",
-                        c->body_length, maximum);
-      return true;
-    }
   if (invalid != NULL)
     {
       event_ring_add (EVENT_CALLER_REFUSED, c->path,
@@ -182,7 +167,6 @@
   struct http_connection *connection
       = request->conn->hooks->on_connection_fini_arg;
   struct http_call *c = calloc (1, sizeof *c);
-  size_t length = evbuffer_get_length (request->buffer_in);
 
   c->references = 1;
   c->request = request;
@@ -195,10 +179,7 @@
   c->query = request->uri->query_raw == NULL
                  ? ""
                  : (const char *)request->uri->query_raw;
-  c->body = malloc (length + 1);
-  c->body_length = length;
-  evbuffer_copyout (request->buffer_in, c->body, length);
-  c->body[length] = '\0';
+  http_intake_take_body (&connection->client, &c->body, &c->body_length);
   s->open_calls++;
   counters_add (COUNTER_HTTP_REQUESTS, 1);
   evhtp_request_set_hook (request, evhtp_hook_on_request_fini,
@@ -229,7 +210,7 @@
   (void)conn;
   if (c->call != NULL)
     c->call->connection = NULL;
-  c->server->connections--;
+  http_intake_remove (&c->client);
   DL_DELETE (c->server->open, c);
   free (c);
   return EVHTP_RES_OK;
@@ -241,12 +222,11 @@
   struct http_server *s = arg;
   struct http_connection *c;
 
-  if (s->connections >= s->connections_maximum)
+  if (!http_intake_make_room (&s->intake))
     {
       counters_add (COUNTER_HTTP_REFUSED, 1);
       return EVHTP_RES_ERROR;
     }
-  s->connections++;
   c = calloc (1, sizeof *c);
   c->server = s;
   c->conn = conn;
@@ -257,27 +237,46 @@
                              NULL);
   evhtp_connection_set_hook (conn, evhtp_hook_on_connection_fini,
                              (evhtp_hook)on_connection_fini, c);
+  http_intake_add (&s->intake, &c->client, conn);
   return EVHTP_RES_OK;
 }
 
+/* The limits that SETTINGS say; those that are 0 have defaults.  */
+static struct client_limits
+limits_of (const struct settings *settings)
+{
+  struct client_limits l;
+
+  http_intake_default_limits (&l);
+  l.framing.body_bytes = settings->body_bytes;
+  l.connections = settings->connections;
+  l.idle_ms = settings->idle_timeout_ms;
+  if (settings->head_bytes != 0)
+    l.framing.head_bytes = settings->head_bytes;
+  if (settings->head_timeout_ms != 0)
+    l.head_ms = settings->head_timeout_ms;
+  if (settings->body_timeout_ms != 0)
+    l.body_ms = settings->body_timeout_ms;
+  if (settings->client_bytes != 0)
+    l.budget_bytes = settings->client_bytes;
+  return l;
+}
+
 struct http_server *
 http_server_new (struct event_base *base, const struct settings *settings,
                  http_handler handler, void *arg, struct error *e)
 {
   struct http_server *s = calloc (1, sizeof *s);
+  struct client_limits limits = limits_of (settings);
   char address[ADDRESS_BYTES + 8];
 
   s->handler = handler;
   s->arg = arg;
-  s->connections_maximum = settings->connections;
   s->accepted_ms = now_ms ();
   s->idle = now_timeval (settings->idle_timeout_ms);
   s->htp = evhtp_new (base, NULL);
   evhtp_set_gencb (s->htp, on_request, s);
   evhtp_set_post_accept_cb (s->htp, on_accept, s);
-  s->body_bytes_maximum = settings->body_bytes;
-  evhtp_set_max_body_size (s->htp,
-                           (uint64_t)settings->body_bytes * BODY_READ_FACTOR);
   evhtp_set_timeouts (s->htp, &s->idle, &s->idle);
   snprintf (address, sizeof address, "%s%s",
             strchr (settings->address, ':') != NULL ? "ipv6:" : "",
@@ -291,9 +290,17 @@
       free (s);
       return NULL;
     }
+  http_intake_init (&s->intake, base, &limits, settings->http_port);
   return s;
 }
 
+void
+http_server_set_limits_source (struct http_server *s,
+                               intake_limits_source source, void *arg)
+{
+  http_intake_set_source (&s->intake, source, arg);
+}
+
 void
 http_server_stop_accepting (struct http_server *s)
 {
@@ -314,6 +321,7 @@
   DL_FOREACH_SAFE (s->open, c, next)
   evhtp_connection_free (c->conn);
   http_server_stop_accepting (s);
+  http_intake_done (&s->intake);
   evhtp_free (s->htp);
   free (s);
 }
@@ -325,7 +333,7 @@
   struct http_connection *next;
 
   DL_FOREACH_SAFE (s->open, c, next)
-  if (c->conn->request == NULL
+  if (c->conn->request == NULL && http_intake_is_empty (&c->client)
       && evbuffer_get_length (bufferevent_get_input (c->conn->bev)) == 0
       && evbuffer_get_length (bufferevent_get_output (c->conn->bev)) == 0)
     evhtp_connection_free (c->conn);
@@ -336,7 +344,7 @@
 static struct pollfd *
 poll_all (const struct http_server *s)
 {
-  struct pollfd *fds = calloc (s->connections + 1, sizeof *fds);
+  struct pollfd *fds = calloc (s->intake.count + 1, sizeof *fds);
   const struct http_connection *c;
   nfds_t n = 0;
 
@@ -361,7 +369,7 @@
 {
   const struct evbuffer *in = bufferevent_get_input (c->conn->bev);
 
-  return evbuffer_get_length (in) == 0
+  return evbuffer_get_length (in) == 0 && http_intake_is_empty (&c->client)
          && (c->call != NULL || c->conn->request == NULL);
 }
 
@@ -452,6 +460,16 @@
   return false;
 }
 
+void
+http_call_drop_body (struct http_call *c)
+{
+  free (c->body);
+  c->body = NULL;
+  c->body_length = 0;
+  if (c->connection != NULL)
+    http_intake_body_freed (&c->connection->client);
+}
+
 void
 http_call_set_header (struct http_call *c, const char *name, const char *value)
 {
@@ -476,6 +494,7 @@
 
   if (request == NULL)
     return;
+  http_intake_add_answer (&c->connection->client, strlen (json));
   detach (c);
   evhtp_headers_add_header (
       request->headers_out,
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -2,6 +2,9 @@
    http_call, which may be answered at any later time.  If the caller
    disconnects first, its disconnected callback runs and the answer is dropped.
 
+   What a client may send is limited by net/http_intake: a request beyond its
+   limits is refused before a handler sees it.
+
    A request whose path, query, Host or Authorization is not UTF-8 is refused
    here with status 400: handlers may treat these as text.  */
 #ifndef NET_HTTP_SERVER_H
@@ -13,6 +16,7 @@
 #include <jansson.h>
 #include "base/error.h"
 #include "base/settings.h"
+#include "net/http_intake.h"
 
 enum http_server_error
 {
@@ -65,6 +69,11 @@
                                      struct error *e);
 void http_server_free (struct http_server *s);
 
+/* Sets a function that is called from time to time to change the limits of
+   clients as a configuration says.  */
+void http_server_set_limits_source (struct http_server *s,
+                                    intake_limits_source source, void *arg);
+
 /* Returns the number of calls not yet answered.  */
 uint32_t http_server_open_calls (const struct http_server *s);
 
@@ -97,6 +106,9 @@
 bool http_call_query (const struct http_call *c, const char *name, char *value,
                       size_t size);
 
+/* Frees the body of C, once the handler has decoded it.  */
+void http_call_drop_body (struct http_call *c);
+
 /* Adds a header to the answer.  No effect once answered.  */
 void http_call_set_header (struct http_call *c, const char *name,
                            const char *value);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -92,6 +92,7 @@
   suite_platform ();
   suite_framing ();
   suite_client_budget ();
+  suite_intake ();
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   failed = CU_get_number_of_tests_failed ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -42,6 +42,7 @@
 void suite_platform (void);
 void suite_framing (void);
 void suite_client_budget (void);
+void suite_intake (void);
 
 /* A pseudo-random number generator: the same seed gives the same numbers.  */
 struct prng
