--- a/tests/client_limits.py
+++ b/tests/client_limits.py
@@ -110,6 +110,24 @@
     return body(CONTROL_BODY_BYTES, CONTROL_BODY_BYTES - 8192, 16384)
 
 
+def small_values(line, length):
+    """A whole body of values that take 79 times their bytes when decoded."""
+    text = (b'{"routes":[' + b"{}," * (length // 3))[:length - 4] + b"{}]}"
+    return [line + b"Host: " + HOST + b"\r\nContent-Length: %d\r\n\r\n" % len(text), text]
+
+
+def small_job_values():
+    return small_values(b"POST /sound/00000000000000aa HTTP/1.1\r\n", BODY_BYTES)
+
+
+def small_config_values():
+    return small_values(b"PUT /v1/config HTTP/1.1\r\n", CONTROL_BODY_BYTES)
+
+
+def small_heartbeat_values():
+    return small_values(b"PUT /v1/instances/i-2 HTTP/1.1\r\n", CONTROL_BODY_BYTES)
+
+
 def huge_length():
     return body(1 << 40, SENT_BYTES, 65536)
 
@@ -145,13 +163,16 @@
     ("whole bodies", whole_bodies), ("bodies that stop short", short_bodies),
     ("bodies in pieces that stop short", piecewise_bodies), ("huge length", huge_length),
     ("large chunks that stop short", large_chunks), ("chunks of one byte", tiny_chunks),
-    ("chunked body without end", long_chunked), ("incomplete head", incomplete_head)]]
+    ("chunked body without end", long_chunked), ("incomplete head", incomplete_head),
+    ("bodies of small values", small_job_values)]]
 KINDS += [("readiness: " + name, READY, kind) for name, kind in [
     ("many short fields", short_fields), ("empty lines", empty_lines),
     ("bodies that stop short", short_bodies), ("chunks of one byte", tiny_chunks)]]
 KINDS += [("control: " + name, CONTROL, kind) for name, kind in [
     ("many short fields", short_fields), ("empty lines", empty_lines),
-    ("bodies that stop short", control_bodies), ("chunks of one byte", tiny_chunks)]]
+    ("bodies that stop short", control_bodies), ("chunks of one byte", tiny_chunks),
+    ("configurations of small values", small_config_values),
+    ("heartbeats of small values", small_heartbeat_values)]]
 KINDS += [("metrics: " + name, METRICS, kind) for name, kind in [
     ("many short fields", short_fields), ("empty lines", empty_lines),
     ("bodies that stop short", short_bodies), ("chunks of one byte", tiny_chunks)]]
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "base/json_size.h"
 #include "platform/service_config_json.h"
 #include "platform/heartbeat.h"
 #include "platform/job_request.h"
@@ -120,6 +121,28 @@
   return heartbeat_decode (t, "i-1", text, strlen (text), e);
 }
 
+/* Guards against bodies of small values, which are decoded into many times
+   their bytes.  */
+static void
+test_json_size (void)
+{
+  static char text[1 << 20];
+  struct run_target_spec t;
+  struct error e;
+  size_t n = 0;
+
+  CU_ASSERT (json_size_is_within ("{\"a\":[1,2]}", 11, 4));
+  CU_ASSERT (!json_size_is_within ("{\"a\":[1,2]}", 11, 3));
+  CU_ASSERT (json_size_is_within ("\",,\\\",,[{:\"", 12, 0));
+  CU_ASSERT (json_size_is_within ("\",,\\", 5, 0));
+  CU_ASSERT (json_size_is_within ("", 0, 0));
+  n += (size_t)snprintf (text, sizeof text, "{\"x\":[{}");
+  while (n < sizeof text - 8)
+    n += (size_t)snprintf (text + n, sizeof text - n, ",{}");
+  snprintf (text + n, sizeof text - n, "]}");
+  CU_ASSERT_EQUAL (decode_heartbeat (text, &t, &e), DECODE_UNREADABLE);
+}
+
 static void
 test_heartbeat (void)
 {
@@ -313,6 +336,7 @@
   CU_add_test (s, "valid jobs are decoded", test_job);
   CU_add_test (s, "errors of invalid jobs name the field", test_invalid_jobs);
   CU_add_test (s, "heartbeats are decoded", test_heartbeat);
+  CU_add_test (s, "bodies of many small values", test_json_size);
   CU_add_test (s, "service configurations are decoded", test_service_config);
   CU_add_test (s, "replies of workers are decoded", test_worker_replies);
   CU_add_test (s, "corrupted input crashes no decoder", test_corrupted_input);
