--- a/tests/unit/test_client_budget.c
+++ b/tests/unit/test_client_budget.c
@@ -1,5 +1,7 @@
 /* Tests of the budget of clients: which request is refused first, and the time
    limits.  */
+#include <stdio.h>
+#include "base/node_settings.h"
 #include "net/client_budget.h"
 #include "tests/unit/suites.h"
 
@@ -90,6 +92,66 @@
   CU_ASSERT (client_budget_cost (&r, 600, 100, 1000, 50) > 16000);
 }
 
+/* Reads settings with the members MORE.  */
+static enum settings_error
+load_settings (struct node_settings *s, const char *more)
+{
+  char folder[64];
+  char path[96];
+  struct error e;
+  enum settings_error result;
+  FILE *f;
+
+  test_folder_make (folder);
+  snprintf (path, sizeof path, "%s/settings.json", folder);
+  f = fopen (path, "w");
+  fprintf (f,
+           "{\"vm\":\"v\",\"role\":\"entry\",\"environment\":\"e\","
+           "\"address\":\"127.0.0.1\",\"domain\":\"d\",\"peer_port\":1,"
+           "\"peer_secret\":\"0123456789abcdef\",\"callers\":"
+           "\"127.0.0.1:2\",\"seeds\":[\"127.0.0.1:3\"],\"first_start\":"
+           "true,\"lost_keepers\":1,\"descriptors\":3075,"
+           "\"lease_limit_ms\":1000,\"stop_grace_s\":2%s}",
+           more);
+  fclose (f);
+  result = node_settings_load (s, path, &e);
+  test_folder_remove (folder);
+  return result;
+}
+
+/* Guards against ports that together take more descriptors or memory than the
+   VM has.  */
+static void
+test_ports (void)
+{
+  static struct node_settings s;
+  static struct settings main_port;
+  static struct settings small_port;
+  uint32_t all;
+
+  CU_ASSERT_EQUAL (load_settings (&s, ",\"memory_mb\":120,\"clients\":{"
+                                      "\"header_bytes\":4096,\"later\":[],"
+                                      "\"body_timeout_ms\":5000}"),
+                   SETTINGS_OK);
+  node_settings_port (&s, &s.callers, NODE_PORT_MAIN, &main_port);
+  node_settings_port (&s, &s.readiness, NODE_PORT_SMALL, &small_port);
+  all = main_port.connections + 2 * small_port.connections;
+  CU_ASSERT (all <= 3075 - 800);
+  CU_ASSERT (main_port.connections >= 2000);
+  CU_ASSERT_EQUAL (main_port.client_bytes, 30 << 20);
+  CU_ASSERT_EQUAL (small_port.client_bytes, (120 << 20) / 32);
+  CU_ASSERT_EQUAL (main_port.head_bytes, 4096);
+  CU_ASSERT_EQUAL (main_port.body_timeout_ms, 5000);
+  CU_ASSERT_EQUAL (main_port.body_bytes, 1 << 20);
+  CU_ASSERT_EQUAL (load_settings (&s, ""), SETTINGS_OK);
+  node_settings_port (&s, &s.callers, NODE_PORT_MAIN, &main_port);
+  CU_ASSERT_EQUAL (main_port.client_bytes, 0);
+  CU_ASSERT (main_port.connections >= 2000);
+  CU_ASSERT_EQUAL (load_settings (&s, ",\"clients\":[]"), SETTINGS_INVALID);
+  CU_ASSERT_EQUAL (load_settings (&s, ",\"clients\":{\"body_bytes\":0}"),
+                   SETTINGS_INVALID);
+}
+
 void
 suite_client_budget (void)
 {
@@ -99,4 +161,5 @@
   CU_add_test (s, "which connection is closed first", test_closed_first);
   CU_add_test (s, "time limits", test_time_limits);
   CU_add_test (s, "what a request costs", test_cost);
+  CU_add_test (s, "the ports' shares of a VM", test_ports);
 }
