--- a/src/net/http_framing.c
+++ b/src/net/http_framing.c
@@ -43,12 +43,29 @@
 }
 
 /* A token's characters, of RFC 9110.  */
+static const bool name_bytes[UINT8_MAX + 1] = {
+  ['!'] = true,  ['#'] = true, ['$'] = true, ['%'] = true, ['&'] = true,
+  ['\''] = true, ['*'] = true, ['+'] = true, ['-'] = true, ['.'] = true,
+  ['^'] = true,  ['_'] = true, ['`'] = true, ['|'] = true, ['~'] = true,
+  ['0'] = true,  ['1'] = true, ['2'] = true, ['3'] = true, ['4'] = true,
+  ['5'] = true,  ['6'] = true, ['7'] = true, ['8'] = true, ['9'] = true,
+  ['A'] = true,  ['B'] = true, ['C'] = true, ['D'] = true, ['E'] = true,
+  ['F'] = true,  ['G'] = true, ['H'] = true, ['I'] = true, ['J'] = true,
+  ['K'] = true,  ['L'] = true, ['M'] = true, ['N'] = true, ['O'] = true,
+  ['P'] = true,  ['Q'] = true, ['R'] = true, ['S'] = true, ['T'] = true,
+  ['U'] = true,  ['V'] = true, ['W'] = true, ['X'] = true, ['Y'] = true,
+  ['Z'] = true,  ['a'] = true, ['b'] = true, ['c'] = true, ['d'] = true,
+  ['e'] = true,  ['f'] = true, ['g'] = true, ['h'] = true, ['i'] = true,
+  ['j'] = true,  ['k'] = true, ['l'] = true, ['m'] = true, ['n'] = true,
+  ['o'] = true,  ['p'] = true, ['q'] = true, ['r'] = true, ['s'] = true,
+  ['t'] = true,  ['u'] = true, ['v'] = true, ['w'] = true, ['x'] = true,
+  ['y'] = true,  ['z'] = true,
+};
+
 static bool
 is_name_byte (char c)
 {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
-         || (c >= '0' && c <= '9')
-         || (c != '\0' && strchr ("!#$%&'*+-.^_`|~", c) != NULL);
+  return name_bytes[(unsigned char)c];
 }
 
 static void
@@ -207,6 +224,28 @@
   return FRAMING_HEAD_DONE;
 }
 
+/* Returns how many bytes of DATA at most stay within the text of the request
+   line, or of the value of a field that does not matter here.  Those are most
+   of a head's bytes.  */
+static size_t
+skip_text (struct http_framing *f, const struct framing_limits *limits,
+           const char *data, size_t length)
+{
+  size_t left = limits->head_bytes - f->head_bytes;
+  size_t n = 0;
+
+  if (f->state != FRAMING_LINE
+      && (f->state != FRAMING_FIELD_VALUE || f->field != FRAMING_FIELD_OTHER))
+    return 0;
+  if (length > left)
+    length = left;
+  while (n < length && (unsigned char)data[n] >= ' ')
+    n++;
+  f->head_bytes += (uint32_t)n;
+  f->kept_bytes += (uint32_t)n;
+  return n;
+}
+
 static enum framing_result
 take_head (struct http_framing *f, const struct framing_limits *limits,
            const char *data, size_t length, struct framing_step *step)
@@ -216,11 +255,18 @@
   step->head = data;
   for (i = 0; i < length; i++)
     {
-      enum framing_state before = f->state;
+      enum framing_state before;
       enum framing_result r;
 
-      if (++f->head_bytes > limits->head_bytes)
+      if (f->head_bytes >= limits->head_bytes)
+        return FRAMING_HEAD_TOO_LONG;
+      i += skip_text (f, limits, data + i, length - i);
+      if (i == length)
+        break;
+      if (f->head_bytes >= limits->head_bytes)
         return FRAMING_HEAD_TOO_LONG;
+      f->head_bytes++;
+      before = f->state;
       r = take_head_byte (f, data[i]);
       f->kept_bytes++;
       if (r == FRAMING_INVALID)
--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -24,6 +24,7 @@
 
   HEAD_BYTES_FIRST = 1024,
   BODY_BYTES_FIRST = 1024,
+  BODY_BYTES_AT_ONCE = 16384, /* of an announced length */
 
   SWEEP_MS = 250,
   LOG_MS = 1000,
@@ -260,6 +261,9 @@
       size_t size
           = grown (c->body_size, needed, BODY_BYTES_FIRST, maximum + 1);
 
+      if (!c->framing.chunked && maximum < BODY_BYTES_AT_ONCE)
+        size = maximum + 1;
+
       if (!reserve (c, cost_of (c, c->head_size, size)))
         return false;
       c->body = realloc (c->body, size);
