--- a/src/net/http_framing.c
+++ b/src/net/http_framing.c
@@ -215,9 +215,9 @@
 {
   if (f->chunked && f->has_length)
     return FRAMING_INVALID;
-  if (f->has_length && f->length > limits->body_bytes)
-    return FRAMING_BODY_TOO_LONG;
   f->body_left = f->has_length ? f->length : 0;
+  if (f->body_left > limits->body_bytes)
+    return FRAMING_BODY_TOO_LONG;
   f->state = f->chunked ? FRAMING_CHUNK_SIZE : FRAMING_BODY;
   f->size_digits = 0;
   f->length = f->chunked ? 0 : f->length;
--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -33,6 +33,10 @@
      bytes would reset the connection, and the answer could be lost.  */
   LINGER_MS = 1000,
 
+  /* The rest of a refused body of an announced length is read up to this many
+     times the limit: many clients read no answer before they have sent all. */
+  DISCARD_FACTOR = 8,
+
   HEAD_TEXT_BYTES = 256
 };
 
@@ -156,6 +160,38 @@
   c->request.began_ms = now_ms ();
 }
 
+/* How much of C's body is still to come and is read.  */
+static uint64_t
+rest_of_body (const struct intake_client *c)
+{
+  const struct http_framing *f = &c->framing;
+  uint64_t maximum
+      = (uint64_t)c->intake->limits.framing.body_bytes * DISCARD_FACTOR;
+
+  return f->chunked || f->body_left > maximum ? 0 : f->body_left;
+}
+
+/* Discards what was read from C, which was refused, and ends its sending side
+   once it has all of the answer and has sent all of its body.  */
+static void
+discard (struct intake_client *c)
+{
+  struct evbuffer *input = input_of (c);
+  size_t n = evbuffer_get_length (input);
+
+  evbuffer_drain (input, n);
+  if (n < c->discard_bytes)
+    {
+      c->discard_bytes -= n;
+      return;
+    }
+  if (c->discard_bytes != 0)
+    c->closing_ms = now_ms ();
+  c->discard_bytes = 0;
+  if (evbuffer_get_length (bufferevent_get_output (c->conn->bev)) == 0)
+    shutdown (bufferevent_getfd (c->conn->bev), SHUT_WR);
+}
+
 /* Refuses C's incomplete request and closes its connection when the answer is
    sent.  C stays valid.  */
 static void
@@ -171,6 +207,7 @@
                     fault == INTAKE_BUDGET ? "Retry-After: 1\r\n" : "");
 
   record (c->intake, fault);
+  c->discard_bytes = rest_of_body (c);
   drop_request (c);
   c->closing = true;
   c->closing_ms = now_ms ();
@@ -246,13 +283,13 @@
   return true;
 }
 
-static bool
+static void
 add_body (struct intake_client *c, const struct framing_step *step)
 {
   size_t needed = c->body_length + step->body_length + 1;
 
   if (step->body_length == 0)
-    return true;
+    return;
   if (needed > c->body_size)
     {
       size_t maximum = c->framing.chunked
@@ -265,14 +302,13 @@
         size = maximum + 1;
 
       if (!reserve (c, cost_of (c, c->head_size, size)))
-        return false;
+        return;
       c->body = realloc (c->body, size);
       c->body_size = size;
     }
   memcpy (c->body + c->body_length, step->body, step->body_length);
   c->body_length += step->body_length;
   c->body[c->body_length] = '\0';
-  return true;
 }
 
 /* Ends a time in which C->freed pointed to FREED: it points to OUTER again. */
@@ -382,8 +418,9 @@
       c->request.began_ms = now_ms ();
     }
   if ((r == FRAMING_MORE || r == FRAMING_HEAD_DONE || r == FRAMING_DONE)
-      && add_head (c, &step) && add_body (c, &step))
-    evbuffer_drain (input, step.taken);
+      && add_head (c, &step))
+    add_body (c, &step);
+  evbuffer_drain (input, step.taken);
   return r;
 }
 
@@ -419,7 +456,7 @@
         refuse (c, fault_of (r));
     }
   if (c->closing)
-    evbuffer_drain (input, evbuffer_get_length (input));
+    discard (c);
   charge_again (c);
 }
 
@@ -439,8 +476,7 @@
 
   if (c->closing)
     {
-      if (evbuffer_get_length (bufferevent_get_output (bev)) == 0)
-        shutdown (bufferevent_getfd (bev), SHUT_WR);
+      discard (c);
       return;
     }
   if (c->conn->request == NULL)
@@ -474,7 +510,8 @@
 {
   if (c->closing)
     {
-      if (now - c->closing_ms >= LINGER_MS)
+      if (now - c->closing_ms
+          >= (c->discard_bytes != 0 ? c->intake->limits.body_ms : LINGER_MS))
         evhtp_connection_free (c->conn);
       return;
     }
--- a/src/net/http_intake.h
+++ b/src/net/http_intake.h
@@ -69,6 +69,7 @@
 
   bool closing; /* refused: the connection is closed after the answer */
   int64_t closing_ms;
+  uint64_t discard_bytes; /* of a refused body, still to be read */
 
   struct intake_client *prev;
   struct intake_client *next;
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -302,6 +302,37 @@
   finish (&f);
 }
 
+/* Guards against a refusal that is lost by a client that reads no answer
+   before it has sent all of its body.  */
+static void
+test_refused_body_is_read (void)
+{
+  static struct client c;
+  static char text[TEXT_BYTES];
+  struct fixture f;
+  int64_t end = now_ms () + 200;
+
+  start (&f);
+  snprintf (text, sizeof text,
+            "POST /b HTTP/1.1\r\nContent-Length: %d\r\n\r\n%0*d",
+            2 * BODY_BYTES, BODY_BYTES, 0);
+  client_connect (&c, &f);
+  client_send (&c, &f, text);
+  while (now_ms () < end)
+    {
+      run_for (&f, 5);
+      client_receive (&c);
+    }
+  CU_ASSERT_PTR_NOT_NULL (strstr (c.got, "HTTP/1.1 413 "));
+  CU_ASSERT (!c.ended);
+  snprintf (text, sizeof text, "%0*d", BODY_BYTES, 0);
+  client_send (&c, &f, text);
+  CU_ASSERT (ends (&c, &f));
+  CU_ASSERT_EQUAL (f.calls, 0);
+  close (c.fd);
+  finish (&f);
+}
+
 /* Guards against a budget that clients which stop short take from those that
    send on: the one that has held most for longest is refused.  */
 static void
@@ -423,6 +454,8 @@
   CU_add_test (s, "a request behind a pending one",
                test_pipelined_behind_pending);
   CU_add_test (s, "refusals", test_refusals);
+  CU_add_test (s, "the rest of a refused body is read",
+               test_refused_body_is_read);
   CU_add_test (s, "the budget of clients", test_budget);
   CU_add_test (s, "too many connections", test_connections);
   CU_add_test (s, "when a request read in parts was sent", test_sent_after);
