--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -26,7 +26,8 @@
    WITHDRAWN_STOPPED  jobs withdrawn that were cancelled elsewhere
    WITHDRAWN_REPEATED requests of cancelled jobs answered without a run
    HEARTBEATS_STALE   heartbeats ignored: older than their target's departure
-   TARGETS_DEPARTED   departed targets remembered now by this keeper  */
+   TARGETS_DEPARTED   departed targets remembered now by this keeper
+   CLIENTS_...        requests refused by the limits of clients, by kind  */
 #define COUNTER_TABLE(ROW)                                                    \
   ROW (JOBS_ACCEPTED, "jobs_accepted")                                        \
   ROW (JOBS_COMPLETE, "jobs_complete")                                        \
@@ -84,7 +85,13 @@
   ROW (WITHDRAWN_STOPPED, "withdrawn_stopped")                                \
   ROW (WITHDRAWN_REPEATED, "withdrawn_repeated")                              \
   ROW (HEARTBEATS_STALE, "heartbeats_stale")                                  \
-  ROW (TARGETS_DEPARTED, "targets_departed")
+  ROW (TARGETS_DEPARTED, "targets_departed")                                  \
+  ROW (CLIENTS_HEAD_REFUSED, "clients_head_refused")                          \
+  ROW (CLIENTS_BODY_REFUSED, "clients_body_refused")                          \
+  ROW (CLIENTS_TIMED_OUT, "clients_timed_out")                                \
+  ROW (CLIENTS_BUDGET_REFUSED, "clients_budget_refused")                      \
+  ROW (CLIENTS_CONNECTIONS_CLOSED, "clients_connections_closed")              \
+  ROW (CLIENTS_BAD_FRAMING, "clients_bad_framing")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/tests/spoilt/processes.py
+++ b/tests/spoilt/processes.py
@@ -105,18 +105,21 @@
             head, _, body = got.partition(b"\r\n\r\n")
             fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
                           if b": " in line)
-            while len(body) < int(fields.get(b"content-length", b"0")):
+            length = int(fields.get(b"content-length", b"0"))
+            while len(body) < length:
                 part = s.recv(65536)
                 if not part:
                     break
                 body += part
-            return int(head.split()[1]), fields, body
+            # Bytes behind a spoilt request are another one, with its own answer.
+            return int(head.split()[1]), fields, body[:length]
     except OSError:
         return None
 
 
 class Deployment:
     """Three keepers and two entries of ragwort-node."""
+    ENTRIES = 2
 
     def __init__(self, build, net):
         self.folder = tempfile.mkdtemp(prefix="ragwort-spoilt-")
@@ -124,7 +127,7 @@
         self.net = net
         self.node = os.path.join(build, "ragwort-node")
         self.keepers = ["%s.%d" % (net, 10 + i) for i in range(3)]
-        self.entries = ["%s.%d" % (net, 20 + i) for i in range(2)]
+        self.entries = ["%s.%d" % (net, 20 + i) for i in range(self.ENTRIES)]
         self.processes = {}
         for address in self.keepers + self.entries:
             self.write_settings(address)
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -108,6 +108,9 @@
   suite_scheduler ();
   suite_speed ();
   suite_platform ();
+  suite_framing ();
+  suite_client_budget ();
+  suite_intake ();
   if (argc > 1)
     select_suites (argv + 1, argc - 1);
   CU_basic_set_mode (CU_BRM_NORMAL);
