--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -8,6 +8,7 @@
 #include "coord/job_lease.h"
 #include "coord/job_router.h"
 #include "coord/run_scheduler.h"
+#include "coord/run_speeds.h"
 #include "coord/task_delegation.h"
 
 enum
@@ -462,7 +463,7 @@
   for (uint32_t i = 0; i < s->target_count; i++)
     if (s->targets[i]->phase == TARGET_READY)
       {
-        r->cpu_milli += s->targets[i]->spec.cpu_milli;
+        r->cpu_milli += run_speeds_cpu (s->targets[i]);
         add_free_capacity (r, s->targets[i]);
       }
   r->work_ahead = run_scheduler_backlog (s, "svc", INT64_MAX).work_ahead;
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -70,7 +70,8 @@
   ROW (CALLERS_REFUSED, "callers_refused")                                    \
   ROW (CALLERS_GONE, "callers_gone")                                          \
   ROW (VIEWS_TAKEN, "views_taken")                                            \
-  ROW (HEARTBEATS, "heartbeats")
+  ROW (HEARTBEATS, "heartbeats")                                              \
+  ROW (SPEED_CHANGES, "speed_changes")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -116,6 +116,9 @@
   ROW (403, CONFIG_FOREIGN, ERROR,                                            \
        "configuration of another environment refused",                        \
        "find out who sent it; it disagrees with this VM's settings")          \
+  ROW (430, TARGET_SPEEDS, INFO,                                              \
+       "learnt speeds of a service's targets came into or out of effect",     \
+       "nothing; targets that should be alike and are not need a look")       \
   ROW (500, PEER_UP, INFO, "peer link up", "nothing")                         \
   ROW (501, PEER_DOWN, WARN, "peer link down",                                \
        "check the peer and the network to it")                                \
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -13,6 +13,7 @@
 #include "controller/job_events.h"
 #include "controller/run_events.h"
 #include "coord/run_admission.h"
+#include "coord/run_speeds.h"
 
 enum
 {
@@ -189,11 +190,42 @@
       i++;
 }
 
+/* Logs that the speeds of the targets of a service have come into effect or
+   ceased to be.  */
+static void
+log_speeds (const struct run_scheduler *s)
+{
+  double lowest = 1;
+  double highest = 1;
+  uint32_t targets = 0;
+
+  for (uint32_t i = 0; i < s->target_count; i++)
+    {
+      const struct run_target *t = s->targets[i];
+
+      if (strcmp (t->spec.service, s->speeds_service) != 0)
+        continue;
+      targets++;
+      if (t->speed_factor < lowest)
+        lowest = t->speed_factor;
+      if (t->speed_factor > highest)
+        highest = t->speed_factor;
+    }
+  counters_add (COUNTER_SPEED_CHANGES, 1);
+  event_ring_add (EVENT_TARGET_SPEEDS, s->speeds_service,
+                  "in_effect=%d targets=%u lowest=%.2f highest=%.2f",
+                  s->speeds_in_effect, targets, lowest, highest);
+}
+
 /* Starts waiting tasks here, then delegates others.  */
 static void
 run_pass (struct dispatcher *d, int64_t now)
 {
+  uint32_t speed_changes = d->scheduler.speed_changes;
+
   run_scheduler_pass (&d->scheduler, now);
+  if (d->scheduler.speed_changes != speed_changes)
+    log_speeds (&d->scheduler);
   if (d->delegation.delegate != NULL)
     d->delegation.delegate (d->delegation.arg, now);
 }
@@ -486,7 +518,7 @@
       capacity = find_capacity (capacities, &count, limit, t->spec.service);
       if (capacity == NULL)
         continue;
-      capacity->cpu_milli += t->spec.cpu_milli;
+      capacity->cpu_milli += run_speeds_cpu (t);
       if (t->spec.cpu_milli > t->cpu_used)
         add_free_cores (capacity, t->spec.cpu_milli - t->cpu_used);
     }
--- a/src/coord/run_scheduler.h
+++ b/src/coord/run_scheduler.h
@@ -71,6 +71,12 @@
   struct run_job *waiting; /* list of open jobs, in order of arrival */
   uint64_t next_number;
   int64_t speeds_updated_ms; /* last update of the targets' speed factors */
+
+  /* How often the speeds of a service have come into effect or ceased to be,
+     and the latest such change.  */
+  uint32_t speed_changes;
+  char speeds_service[CONFIG_NAME_BYTES];
+  bool speeds_in_effect;
 };
 
 void run_scheduler_init (struct run_scheduler *s,
--- a/src/coord/run_speeds.c
+++ b/src/coord/run_speeds.c
@@ -1,5 +1,6 @@
 #include "coord/run_speeds.h"
 
+#include <stdio.h>
 #include <string.h>
 
 enum
@@ -31,21 +32,23 @@
 }
 
 /* Updates the targets of the service of target FIRST, which is the first one
-   of it.  */
-static void
+   of it.  Returns whether their speeds have come into effect or ceased to
+   be.  */
+static bool
 update_service (struct run_scheduler *s, uint32_t first, int64_t now)
 {
   const char *service = s->targets[first]->spec.service;
   struct speed_spread spread = { 0, 0, 0 };
-  bool in_effect = false;
+  bool before = false;
+  bool in_effect;
 
   for (uint32_t i = first; i < s->target_count; i++)
     if (is_of_service (s->targets[i], service))
       {
         speed_spread_add (&spread, &s->targets[i]->speed, now);
-        in_effect |= s->targets[i]->speed_factor != 1;
+        before |= s->targets[i]->speed_factor != 1;
       }
-  in_effect = speed_spread_differs (&spread, in_effect);
+  in_effect = speed_spread_differs (&spread, before);
   for (uint32_t i = first; i < s->target_count; i++)
     {
       struct run_target *t = s->targets[i];
@@ -54,6 +57,12 @@
         t->speed_factor
             = in_effect ? speed_spread_factor (&spread, &t->speed, now) : 1;
     }
+  if (in_effect == before)
+    return false;
+  s->speed_changes++;
+  s->speeds_in_effect = in_effect;
+  snprintf (s->speeds_service, sizeof s->speeds_service, "%s", service);
+  return true;
 }
 
 static bool
@@ -71,9 +80,10 @@
   if (now - s->speeds_updated_ms < UPDATE_MS)
     return;
   s->speeds_updated_ms = now;
+  /* One change an update, so that the caller sees each.  */
   for (uint32_t i = 0; i < s->target_count; i++)
-    if (is_first_of_service (s, i))
-      update_service (s, i, now);
+    if (is_first_of_service (s, i) && update_service (s, i, now))
+      return;
 }
 
 uint64_t
