--- a/src/base/node_settings.c
+++ b/src/base/node_settings.c
@@ -12,6 +12,7 @@
   FILE_BYTES_MAXIMUM = 1 << 20,
   PORT_MAXIMUM = 65535,
   BODY_BYTES = 1 << 20,
+  CPU_MILLI_MAXIMUM = 1024 * 1000,
 
   /* File descriptors reserved for peers, targets and files; the others are
      for callers' connections.  */
@@ -55,6 +56,9 @@
   { "stop_grace_s", RULE_REAL, true, 1, 600, NULL, NULL },
   { "far_factor", RULE_REAL, false, 1, 100, NULL, NULL },
   { "log_level", RULE_CHOICE, false, 0, 0, NULL, "debug|info|warn|error" },
+  { "cpu_milli", RULE_INTEGER, false, 1, CPU_MILLI_MAXIMUM, NULL, NULL },
+  { "cpu_share", RULE_REAL, false, 0.001, 1024, NULL, NULL },
+  { "cores", RULE_REAL, false, 0.001, 1024, NULL, NULL },
   { NULL, RULE_END, false, 0, 0, NULL, NULL },
 };
 
@@ -149,6 +153,19 @@
                    - RESERVED_DESCRIPTORS;
 }
 
+/* The processor of this VM; see struct node_settings.  */
+static uint32_t
+read_cpu_milli (const json_t *root)
+{
+  double share = json_get_real (root, "cpu_share", 0);
+  double cores = json_get_real (root, "cores", 1);
+  int64_t given = json_get_integer (root, "cpu_milli", 0);
+  double milli = given != 0 ? (double)given : share * cores * 1000;
+
+  return (uint32_t)(milli < CPU_MILLI_MAXIMUM ? milli + 0.5
+                                              : CPU_MILLI_MAXIMUM);
+}
+
 static void
 read_fields (struct node_settings *s, const json_t *root,
              struct json_report *r)
@@ -173,6 +190,7 @@
   s->caller_retry_ms
       = json_get_integer (root, "caller_retry_ms", DEFAULT_CALLER_RETRY_MS);
   s->far_factor = json_get_real (root, "far_factor", DEFAULT_FAR_FACTOR);
+  s->cpu_milli = read_cpu_milli (root);
   s->stop_grace_ms = (int64_t)(json_get_real (root, "stop_grace_s", 0) * 1000);
   if (s->role == ROLE_KEEPER && s->peer.data_folder[0] == '\0')
     json_report_add (r, "data_folder", "is missing; a keeper needs one");
--- a/src/base/node_settings.h
+++ b/src/base/node_settings.h
@@ -48,6 +48,9 @@
   int64_t stop_grace_ms;   /* from SIGTERM until it is killed */
   double far_factor;       /* run time of a task remote from its data, over
                               that of a local one */
+  uint32_t cpu_milli;      /* processor of this VM, in thousandths of a core of
+                              speed 1: cpu_milli, or cpu_share times cores; 0:
+                              unknown */
 };
 
 /* Reads the file PATH into S.  On SETTINGS_INVALID, the message of E lists
--- a/src/controller/entry_assignment.c
+++ b/src/controller/entry_assignment.c
@@ -11,7 +11,9 @@
 #include "coord/run_target_json.h"
 
 /* The targets assigned to this entry with their fencing tokens and states, as
-   a JSON list for the leader.  The caller frees it.  */
+   a JSON list for the leader.  Its last element is the processor of this VM; a
+   keeper of the earlier program skips it, as it has no ID, but would refuse a
+   message with a further field.  The caller frees it.  */
 static char *
 owned_targets_text (const struct job_entry *n)
 {
@@ -29,6 +31,10 @@
           json_integer (dispatcher_owned_state (&n->dispatcher, t)));
       json_array_append_new (array, o);
     }
+  if (n->settings->cpu_milli != 0)
+    json_array_append_new (array,
+                           json_build ("{s:I}", "vm_cpu_milli",
+                                       (json_int_t)n->settings->cpu_milli));
   return json_encode_new (array);
 }
 
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -126,13 +126,21 @@
 {
   json_t *targets = json_loadb (text.data, text.length, 0, NULL);
   struct run_target_spec spec;
+  int64_t cpu_milli = 0;
   size_t i;
   json_t *o;
 
-  json_array_foreach (targets, i, o) if (run_target_spec_from_json (&spec, o))
+  json_array_foreach (targets, i, o)
+  {
+    if (run_target_spec_from_json (&spec, o))
       owner_plan_update_owned (
           &k->plan, now, e, &spec, (uint64_t)json_get_integer (o, "fence", 0),
           (enum owned_state)json_get_integer (o, "state", OWNED_HELD));
+    else
+      cpu_milli = json_get_integer (o, "vm_cpu_milli", cpu_milli);
+  }
+  e->cpu_milli
+      = cpu_milli > 0 && cpu_milli <= INT32_MAX ? (uint32_t)cpu_milli : 0;
   json_decref (targets);
   e->reported = true;
 }
--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -32,9 +32,15 @@
   HOME_RETURN_DELAY_MS = 3000,
 
   /* The number of targets that an entry owns before another entry is assigned
-     any.  */
+     any, if all have the same processor; else that of an entry with the mean
+     processor.  */
   TARGETS_PER_ENTRY = 24,
 
+  /* The number that even the smallest entry may own, since a dispatcher of
+     fewer targets packs tasks badly, and that the largest may.  */
+  TARGETS_PER_ENTRY_MIN = 8,
+  TARGETS_PER_ENTRY_MAX = 96,
+
   /* A target that has sent no heartbeat for this long is removed.  */
   TARGET_EXPIRY_MS = 15000,
 
@@ -385,19 +391,87 @@
   return e->alive && !e->leaving;
 }
 
+/* The class of a VM's processor: VMs whose processors differ by less than
+   about a third do not clearly differ.  */
+static uint32_t
+cpu_class (const struct plan_entry *e)
+{
+  uint32_t class = 0;
+
+  for (uint64_t cpu = 3; cpu <= e->cpu_milli; cpu = cpu * 4 / 3 + 1)
+    class ++;
+  return class;
+}
+
+/* Whether the processors of all live entries are known and at least two of
+   them clearly differ.  Adds them up in *SUM and counts them in *COUNT.  */
+static bool
+has_uneven_entries (const struct owner_plan *p, uint64_t *sum, uint32_t *count)
+{
+  const struct plan_entry *first = NULL;
+  bool uneven = false;
+
+  *sum = 0;
+  *count = 0;
+  for (uint32_t i = 0; i < p->entry_count; i++)
+    {
+      const struct plan_entry *e = p->entries[i];
+
+      if (!may_own (e))
+        continue;
+      if (e->cpu_milli == 0)
+        return false;
+      if (first == NULL)
+        first = e;
+      uneven |= cpu_class (e) != cpu_class (first);
+      *sum += e->cpu_milli;
+      ++*count;
+    }
+  return uneven;
+}
+
+/* Sets how many targets make each entry full.  */
+static void
+set_target_limits (struct owner_plan *p)
+{
+  uint32_t count;
+  uint64_t sum;
+
+  p->uneven = has_uneven_entries (p, &sum, &count);
+  for (uint32_t i = 0; i < p->entry_count; i++)
+    {
+      struct plan_entry *e = p->entries[i];
+      uint64_t limit = TARGETS_PER_ENTRY;
+
+      if (p->uneven)
+        limit = limit * e->cpu_milli * count / sum;
+      if (p->uneven && limit < TARGETS_PER_ENTRY_MIN)
+        limit = TARGETS_PER_ENTRY_MIN;
+      if (limit > TARGETS_PER_ENTRY_MAX)
+        limit = TARGETS_PER_ENTRY_MAX;
+      e->target_limit = (uint32_t)limit;
+    }
+}
+
 /* Whether ONE is preferred over OTHER as owner of a target of DOMAIN.  An
-   entry that is not full (TARGETS_PER_ENTRY) and owns the most comes first,
-   then one that owns none, then among full entries the one that owns the
-   fewest.  */
+   entry that is not full (target_limit) comes first, among these one with a
+   clearly larger processor, then the one that owns the most, then one that
+   owns none.  Among full entries the one that owns the fewest comes first,
+   relative to its processor.  */
 static bool
-is_better_owner (const struct plan_entry *one, const struct plan_entry *other,
-                 const char *domain)
+is_better_owner (const struct owner_plan *p, const struct plan_entry *one,
+                 const struct plan_entry *other, const char *domain)
 {
-  bool one_full = one->owned >= TARGETS_PER_ENTRY;
-  bool other_full = other->owned >= TARGETS_PER_ENTRY;
+  bool one_full = one->owned >= one->target_limit;
+  bool other_full = other->owned >= other->target_limit;
 
   if (one_full != other_full)
     return other_full;
+  if (p->uneven && !one_full && cpu_class (one) != cpu_class (other))
+    return cpu_class (one) > cpu_class (other);
+  if (p->uneven && one_full)
+    return (uint64_t)one->owned * other->cpu_milli
+           < (uint64_t)other->owned * one->cpu_milli;
   if (one->owned != other->owned)
     return one_full ? one->owned < other->owned : one->owned > other->owned;
   return rendezvous_weight (domain, one->vm)
@@ -417,7 +491,7 @@
 
       if (!may_own (e) || (!anywhere && strcmp (e->domain, domain) != 0))
         continue;
-      if (best == NULL || is_better_owner (e, best, domain))
+      if (best == NULL || is_better_owner (p, e, best, domain))
         best = e;
     }
   return best;
@@ -580,6 +654,7 @@
   p->last_step_ms = now;
   expire_entries (p, now);
   expire_targets (p, now);
+  set_target_limits (p);
   p->report_wait_over |= is_report_wait_over (p, now);
   if (!p->report_wait_over)
     return;
--- a/src/coord/owner_plan.h
+++ b/src/coord/owner_plan.h
@@ -4,10 +4,12 @@
 
    Each target has one owner, an entry of its own failure domain while one is
    alive there.  Few entries own many targets each, since an entry that sees
-   more free capacity at once packs tasks better.  A new leader first waits for
-   the entries to report which targets they own, and leaves those with them.
-   Every change of owner has a higher fencing token.  Tokens are unique, since
-   their high bits are the leader's term.
+   more free capacity at once packs tasks better.  If the entries' VMs clearly
+   differ in processor, those with the most own targets first, and each up to a
+   number in proportion to it; targets that have an owner stay there.  A new
+   leader first waits for the entries to report which targets they own, and
+   leaves those with them. Every change of owner has a higher fencing token.
+   Tokens are unique, since their high bits are the leader's term.
 
    A target whose owner shuts down, or that returns to its own domain, is
    released first: the owner starts nothing more there and reports when nothing
@@ -42,8 +44,10 @@
   int64_t last_seen_ms;
   bool alive;
   bool leaving;
-  bool reported;   /* has reported to this leader which targets it owns */
-  bool unassigned; /* had no assignment when it was first seen */
+  bool reported;      /* has reported to this leader which targets it owns */
+  bool unassigned;    /* had no assignment when it was first seen */
+  uint32_t cpu_milli; /* processor of its VM; 0 if it is unknown */
+  uint32_t target_limit; /* full from this many targets on */
   uint32_t owned;
   bool dirty;        /* its assignment has changed and must be sent */
   bool logged_alive; /* the value of ALIVE that was last logged */
@@ -79,6 +83,7 @@
   struct plan_target **targets;
   uint32_t target_count;
   struct plan_target *targets_by_id;
+  bool uneven;         /* the processors of the live entries clearly differ */
   bool owners_changed; /* the set of entries that own targets has changed; the
                           caller resets it when it notifies the entries */
 };
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -9,7 +9,8 @@
   TERM = 3,
   SETTLED_MS = 5000, /* by then a new leader has assigned all targets */
   TARGET_HEARTBEAT_MS = 1500,
-  ENTRY_HEARTBEAT_MS = 300
+  ENTRY_HEARTBEAT_MS = 300,
+  UNEVEN_ENTRIES = 5
 };
 
 static struct run_target_spec
@@ -408,6 +409,106 @@
   owner_plan_done (&p);
 }
 
+/* Assigns COUNT targets of one domain to five entries there with the given
+   processors, and sets OWNED to the number that each owns.  */
+static void
+assign_by_cpu (struct owner_plan *p, const uint32_t *cpu_milli, uint32_t count,
+               uint32_t *owned)
+{
+  owner_plan_init (p);
+  owner_plan_start_term (p, TERM, 1000);
+  for (int64_t now = 1000; now < 1000 + SETTLED_MS; now += ENTRY_HEARTBEAT_MS)
+    {
+      for (uint32_t i = 0; i < UNEVEN_ENTRIES; i++)
+        {
+          char vm[16];
+
+          snprintf (vm, sizeof vm, "shop-%u", i);
+          report_entry (p, now, vm, "shop")->cpu_milli = cpu_milli[i];
+        }
+      for (uint32_t i = 0; i < count; i++)
+        {
+          struct run_target_spec t = make_target ("", "shop");
+
+          snprintf (t.id, sizeof t.id, "t%u", i);
+          owner_plan_update_target (p, now, &t);
+        }
+      owner_plan_step (p, now);
+    }
+  for (uint32_t i = 0; i < UNEVEN_ENTRIES; i++)
+    owned[i] = p->entries[i]->owned;
+}
+
+/* Guards against targets that go to the smallest VMs, whose dispatchers then
+   are late, while larger VMs own none: in an uneven fleet the largest come
+   first, and each is full in proportion to its processor.  */
+static void
+test_uneven_entries (void)
+{
+  const uint32_t uneven[UNEVEN_ENTRIES] = { 90, 300, 90, 300, 90 };
+  uint32_t owned[UNEVEN_ENTRIES];
+  struct owner_plan p;
+
+  assign_by_cpu (&p, uneven, 60, owned);
+  CU_ASSERT_EQUAL (owned[0] + owned[2] + owned[4], 0);
+  CU_ASSERT_EQUAL (owned[1] + owned[3], 60);
+  CU_ASSERT (owned[1] == 41 || owned[3] == 41);
+  owner_plan_done (&p);
+  assign_by_cpu (&p, uneven, 110, owned);
+  CU_ASSERT_EQUAL (owned[1], 41);
+  CU_ASSERT_EQUAL (owned[3], 41);
+  CU_ASSERT_EQUAL (owned[0] + owned[2] + owned[4], 28);
+  CU_ASSERT (owned[0] <= 12 && owned[2] <= 12 && owned[4] <= 12);
+  owner_plan_done (&p);
+}
+
+/* Guards against another assignment where processors are equal or nearly so,
+   or where an entry of the earlier program reports none.  */
+static void
+test_even_entries (void)
+{
+  const uint32_t none[UNEVEN_ENTRIES] = { 0, 0, 0, 0, 0 };
+  const uint32_t even[UNEVEN_ENTRIES] = { 120, 120, 120, 120, 120 };
+  const uint32_t mixed[UNEVEN_ENTRIES] = { 90, 300, 0, 300, 90 };
+  uint32_t before[UNEVEN_ENTRIES];
+  uint32_t owned[UNEVEN_ENTRIES];
+  struct owner_plan p;
+
+  assign_by_cpu (&p, none, 60, before);
+  owner_plan_done (&p);
+  assign_by_cpu (&p, even, 60, owned);
+  CU_ASSERT_EQUAL (memcmp (before, owned, sizeof owned), 0);
+  owner_plan_done (&p);
+  assign_by_cpu (&p, mixed, 60, owned);
+  CU_ASSERT_EQUAL (memcmp (before, owned, sizeof owned), 0);
+  owner_plan_done (&p);
+}
+
+/* Guards against targets that are released whenever the fleet changes: a large
+   entry that joins gets the next targets, and the others keep theirs.  */
+static void
+test_large_entry_joins (void)
+{
+  const uint32_t small[UNEVEN_ENTRIES] = { 90, 90, 90, 90, 90 };
+  struct run_target_spec t = make_target ("new", "shop");
+  uint32_t owned[UNEVEN_ENTRIES];
+  struct owner_plan p;
+  struct plan_entry *e;
+  int64_t now = 1000 + SETTLED_MS;
+
+  assign_by_cpu (&p, small, 30, owned);
+  e = report_entry (&p, now, "shop-9", "shop");
+  e->cpu_milli = 300;
+  owner_plan_step (&p, now);
+  for (uint32_t i = 0; i < p.target_count; i++)
+    CU_ASSERT_FALSE (p.targets[i]->release_requested);
+  owner_plan_update_target (&p, now, &t);
+  owner_plan_step (&p, now);
+  CU_ASSERT_STRING_EQUAL (owner_of (&p, "new"), "shop-9");
+  CU_ASSERT_EQUAL (e->owned, 1);
+  owner_plan_done (&p);
+}
+
 void
 suite_plan (void)
 {
@@ -436,4 +537,9 @@
   CU_add_test (s, "a restarted target is assigned again",
                test_restarted_target);
   CU_add_test (s, "a stale heartbeat is ignored", test_stale_heartbeat);
+  CU_add_test (s, "large VMs own targets first", test_uneven_entries);
+  CU_add_test (s, "equal or unknown processors change nothing",
+               test_even_entries);
+  CU_add_test (s, "a large VM that joins moves no targets",
+               test_large_entry_joins);
 }
