--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -19,7 +19,10 @@
    TASKS_SENT_BACK    of these, those that it refused
    TASKS_RETURNED     of these, those that ended with any other result
    VIEWS_TAKEN        assignments of targets and dispatchers applied
-   HEARTBEATS         heartbeats of targets received by this keeper  */
+   HEARTBEATS         heartbeats of targets received by this keeper
+   SPEED_CHANGES      times that learnt speeds came into or out of effect
+   SHORT_OF_CPU       times that this VM became short of processor time
+   JOBS_SHED          jobs that this entry refused while it was  */
 #define COUNTER_TABLE(ROW)                                                    \
   ROW (JOBS_ACCEPTED, "jobs_accepted")                                        \
   ROW (JOBS_COMPLETE, "jobs_complete")                                        \
@@ -71,7 +74,9 @@
   ROW (CALLERS_GONE, "callers_gone")                                          \
   ROW (VIEWS_TAKEN, "views_taken")                                            \
   ROW (HEARTBEATS, "heartbeats")                                              \
-  ROW (SPEED_CHANGES, "speed_changes")
+  ROW (SPEED_CHANGES, "speed_changes")                                        \
+  ROW (SHORT_OF_CPU, "short_of_cpu")                                          \
+  ROW (JOBS_SHED, "jobs_shed")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -119,6 +119,13 @@
   ROW (430, TARGET_SPEEDS, INFO,                                              \
        "learnt speeds of a service's targets came into or out of effect",     \
        "nothing; targets that should be alike and are not need a look")       \
+  ROW (431, VM_SHORT, WARN, "VM short of processor time",                     \
+       "add entries or give them more; see operate/uneven.md")                \
+  ROW (432, VM_NOT_SHORT, INFO, "VM no longer short of processor time",       \
+       "nothing")                                                             \
+  ROW (433, JOB_SHED, INFO,                                                   \
+       "job refused, not run: the VM is short of processor time",             \
+       "see VM_SHORT")                                                        \
   ROW (500, PEER_UP, INFO, "peer link up", "nothing")                         \
   ROW (501, PEER_DOWN, WARN, "peer link down",                                \
        "check the peer and the network to it")                                \
--- a/src/base/now.c
+++ b/src/base/now.c
@@ -23,6 +23,12 @@
   return now_us () / 1000;
 }
 
+int64_t
+now_cpu_us (void)
+{
+  return read_us (CLOCK_PROCESS_CPUTIME_ID);
+}
+
 struct timeval
 now_timeval (int64_t ms)
 {
--- a/src/base/now.h
+++ b/src/base/now.h
@@ -13,6 +13,9 @@
 /* The same clock in microseconds.  */
 int64_t now_us (void);
 
+/* The processor time that this process has used, in microseconds.  */
+int64_t now_cpu_us (void);
+
 /* Converts MS milliseconds to a struct timeval for the event loop.  */
 struct timeval now_timeval (int64_t ms);
 
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -526,6 +526,8 @@
     capacities[i].work_ahead
         = run_scheduler_backlog (&d->scheduler, capacities[i].service,
                                  INT64_MAX)
-              .work_ahead;
+              .work_ahead
+          + capacities[i].cpu_milli * USABLE_CPU_PERCENT / 100
+                * (uint64_t)d->delay_ms;
   return d->leaving ? 0 : count;
 }
--- a/src/controller/dispatcher.h
+++ b/src/controller/dispatcher.h
@@ -63,6 +63,7 @@
   struct event *tick;
   bool pass_requested;
   bool leaving;
+  int64_t delay_ms; /* added to the expected wait in its capacity reports */
 };
 
 /* LEASE_LIMIT_MS is the longest lease to request from targets.  */
--- a/src/controller/entry_assignment.c
+++ b/src/controller/entry_assignment.c
@@ -11,9 +11,9 @@
 #include "coord/run_target_json.h"
 
 /* The targets assigned to this entry with their fencing tokens and states, as
-   a JSON list for the leader.  Its last element is the processor of this VM; a
-   keeper of the earlier program skips it, as it has no ID, but would refuse a
-   message with a further field.  The caller frees it.  */
+   a JSON list for the leader.  Its last element is the processor and load of
+   this VM; a keeper of the earlier program skips it, as it has no ID, but
+   would refuse a message with a further field.  The caller frees it.  */
 static char *
 owned_targets_text (const struct job_entry *n)
 {
@@ -32,9 +32,11 @@
       json_array_append_new (array, o);
     }
   if (n->settings->cpu_milli != 0)
-    json_array_append_new (array,
-                           json_build ("{s:I}", "vm_cpu_milli",
-                                       (json_int_t)n->settings->cpu_milli));
+    json_array_append_new (
+        array, json_build ("{s:I s:b s:I}", "vm_cpu_milli",
+                           (json_int_t)n->settings->cpu_milli, "vm_short",
+                           (int)n->load.is_short, "vm_used_percent",
+                           (json_int_t)n->load.used_percent));
   return json_encode_new (array);
 }
 
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -130,6 +130,7 @@
   size_t i;
   json_t *o;
 
+  e->is_short = false;
   json_array_foreach (targets, i, o)
   {
     if (run_target_spec_from_json (&spec, o))
@@ -137,7 +138,10 @@
           &k->plan, now, e, &spec, (uint64_t)json_get_integer (o, "fence", 0),
           (enum owned_state)json_get_integer (o, "state", OWNED_HELD));
     else
-      cpu_milli = json_get_integer (o, "vm_cpu_milli", cpu_milli);
+      {
+        cpu_milli = json_get_integer (o, "vm_cpu_milli", cpu_milli);
+        e->is_short = json_get_boolean (o, "vm_short", false);
+      }
   }
   e->cpu_milli
       = cpu_milli > 0 && cpu_milli <= INT32_MAX ? (uint32_t)cpu_milli : 0;
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -24,6 +24,10 @@
   /* A longer time between two ticks is logged as a stall of the event loop. */
   STALL_MS = 250,
 
+  /* Retry-After of a job that is refused for lack of processor time here.  The
+     load balancer sends most repeats to other entries.  */
+  SHED_RETRY_MS = 1000,
+
   /* Minimum duration of a graceful stop.  */
   LEAVE_MIN_MS = 1200
 };
@@ -227,6 +231,20 @@
   n->drop_callers_arg = arg;
 }
 
+/* Refuses J, which no dispatcher has seen, since this VM is short of processor
+   time.  */
+static void
+shed (const struct job_entry *n, struct routed_job *j)
+{
+  counters_add (COUNTER_JOBS_SHED, 1);
+  event_ring_add (EVENT_JOB_SHED, j->spec.key,
+                  "queue=%s rule=vm_short used_percent=%u late_ms=%" PRId64
+                  " shed_percent=%u callers=%u",
+                  j->spec.queue, n->load.used_percent, n->load.late_ms,
+                  n->load.shed_percent, n->job_count);
+  answer (j, JOB_REFUSED, REFUSAL_OVERLOAD, SHED_RETRY_MS);
+}
+
 struct routed_job *
 job_entry_submit (struct job_entry *n, int64_t now, int64_t sent_after_ms,
                   const struct job_spec *spec, job_answered answered,
@@ -235,7 +253,10 @@
   struct routed_job *j = job_new (n, now, spec, answered, arg);
 
   j->lease_deadline_ms = sent_after_ms + spec->deadline_ms;
-  route (n, now, j);
+  if (vm_load_sheds (&n->load))
+    shed (n, j);
+  else
+    route (n, now, j);
   return j;
 }
 
@@ -355,6 +376,7 @@
 job_entry_is_ready (const struct job_entry *n)
 {
   return !n->leaving && n->config.version != 0
+         && vm_load_is_ready (&n->load, now_ms ())
          && entry_dispatchers_any_usable (n);
 }
 
@@ -486,6 +508,37 @@
     }
 }
 
+/* Logs a change of whether this VM is short of processor time, and reports it
+   to the keepers' leader.  */
+static void
+report_load (struct job_entry *n)
+{
+  const struct vm_load *l = &n->load;
+
+  counters_add (COUNTER_SHORT_OF_CPU, l->is_short);
+  event_ring_add (l->is_short ? EVENT_VM_SHORT : EVENT_VM_NOT_SHORT,
+                  n->settings->name,
+                  "used_percent=%u late_ms=%" PRId64
+                  " shed_percent=%u callers=%u targets=%u",
+                  l->used_percent, l->late_ms, l->shed_percent, n->job_count,
+                  n->target_count);
+  n->targets_changed = true;
+  n->last_heartbeat_ms = 0;
+}
+
+static void
+update_load (struct job_entry *n, int64_t now)
+{
+  int64_t duration = now - n->last_tick_ms;
+
+  vm_load_tick (&n->load, duration, duration - TICK_MS);
+  if (!vm_load_is_due (&n->load, now))
+    return;
+  if (vm_load_update (&n->load, now, now_cpu_us ()))
+    report_load (n);
+  n->dispatcher.delay_ms = vm_load_delay_ms (&n->load);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
@@ -496,6 +549,7 @@
   (void)fd;
   (void)what;
   histogram_add (HISTOGRAM_LOOP_STALL, now - n->last_tick_ms - TICK_MS);
+  update_load (n, now);
   if (now - n->last_tick_ms > STALL_MS)
     event_ring_add (EVENT_LOOP_STALLED, n->settings->name, "ms=%" PRId64,
                     now - n->last_tick_ms);
@@ -529,6 +583,7 @@
   n->last_tick_ms = now_ms ();
   n->lease_limit_ms = job_lease_limit_ms (s->caller_retry_ms);
   entry_leases_init (n, n->last_tick_ms);
+  vm_load_init (&n->load, s->cpu_milli, n->last_tick_ms, now_cpu_us ());
   service_config_init (&n->config);
   n->network
       = peer_network_new (base, &s->peer, boot_id, &network_events, n, e);
--- a/src/controller/job_entry.h
+++ b/src/controller/job_entry.h
@@ -14,6 +14,7 @@
 #include "controller/delegation_controller.h"
 #include "coord/job_lease.h"
 #include "coord/job_router.h"
+#include "coord/vm_load.h"
 #include "coord/service_config.h"
 #include "net/peer_network.h"
 
@@ -85,6 +86,8 @@
   uint64_t targets_sent_term; /* the leader's term when they were last sent */
   bool targets_changed;       /* the owned targets are to be sent again */
 
+  struct vm_load load;
+
   /* stopping */
   bool leaving;
   int64_t leaving_since_ms;
--- a/src/coord/owner_plan.c
+++ b/src/coord/owner_plan.c
@@ -454,8 +454,9 @@
 }
 
 /* Whether ONE is preferred over OTHER as owner of a target of DOMAIN.  An
-   entry that is not full (target_limit) comes first, among these one with a
-   clearly larger processor, then the one that owns the most, then one that
+   entry whose VM is not short of processor time comes first, then one that is
+   not full (target_limit), among these one with a clearly larger processor,
+   then the one that owns the most, then one that
    owns none.  Among full entries the one that owns the fewest comes first,
    relative to its processor.  */
 static bool
@@ -465,6 +466,8 @@
   bool one_full = one->owned >= one->target_limit;
   bool other_full = other->owned >= other->target_limit;
 
+  if (one->is_short != other->is_short)
+    return other->is_short;
   if (one_full != other_full)
     return other_full;
   if (p->uneven && !one_full && cpu_class (one) != cpu_class (other))
--- a/src/coord/owner_plan.h
+++ b/src/coord/owner_plan.h
@@ -6,10 +6,11 @@
    alive there.  Few entries own many targets each, since an entry that sees
    more free capacity at once packs tasks better.  If the entries' VMs clearly
    differ in processor, those with the most own targets first, and each up to a
-   number in proportion to it; targets that have an owner stay there.  A new
-   leader first waits for the entries to report which targets they own, and
-   leaves those with them. Every change of owner has a higher fencing token.
-   Tokens are unique, since their high bits are the leader's term.
+   number in proportion to it.  A VM that is short of processor time comes
+   last. Targets that have an owner stay there.  A new leader first waits for
+   the entries to report which targets they own, and leaves those with them.
+   Every change of owner has a higher fencing token. Tokens are unique, since
+   their high bits are the leader's term.
 
    A target whose owner shuts down, or that returns to its own domain, is
    released first: the owner starts nothing more there and reports when nothing
@@ -48,6 +49,7 @@
   bool unassigned;    /* had no assignment when it was first seen */
   uint32_t cpu_milli; /* processor of its VM; 0 if it is unknown */
   uint32_t target_limit; /* full from this many targets on */
+  bool is_short;         /* its VM is short of processor time (vm_load) */
   uint32_t owned;
   bool dirty;        /* its assignment has changed and must be sent */
   bool logged_alive; /* the value of ALIVE that was last logged */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -90,6 +90,7 @@
   suite_placement ();
   suite_scheduler ();
   suite_speed ();
+  suite_vm_load ();
   suite_platform ();
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -509,6 +509,30 @@
   owner_plan_done (&p);
 }
 
+/* Guards against further targets for an entry that cannot keep up with those
+   that it has; it keeps these.  */
+static void
+test_short_entry (void)
+{
+  const uint32_t even[UNEVEN_ENTRIES] = { 90, 90, 90, 90, 90 };
+  struct run_target_spec t = make_target ("new", "shop");
+  uint32_t owned[UNEVEN_ENTRIES];
+  struct owner_plan p;
+  uint32_t first = 0;
+
+  assign_by_cpu (&p, even, 10, owned);
+  while (owned[first] != 10)
+    first++;
+  p.entries[first]->is_short = true;
+  owner_plan_update_target (&p, 1000 + SETTLED_MS, &t);
+  owner_plan_step (&p, 1000 + SETTLED_MS);
+  CU_ASSERT_EQUAL (p.entries[first]->owned, 10);
+  CU_ASSERT_STRING_NOT_EQUAL (owner_of (&p, "new"), p.entries[first]->vm);
+  for (uint32_t i = 0; i < p.target_count; i++)
+    CU_ASSERT_FALSE (p.targets[i]->release_requested);
+  owner_plan_done (&p);
+}
+
 void
 suite_plan (void)
 {
@@ -542,4 +566,6 @@
                test_even_entries);
   CU_add_test (s, "a large VM that joins moves no targets",
                test_large_entry_joins);
+  CU_add_test (s, "a VM short of processor time gets no further targets",
+               test_short_entry);
 }
