--- a/bench/replay.c
+++ b/bench/replay.c
@@ -37,6 +37,8 @@
   { "speeds", 'f', "X,X...", 0,
     "lasting factors on the run times of the targets, in turn (default 1)",
     0 },
+  { "swing", 'p', "X", 0,
+    "swing of the domains' shares of the jobs, out of phase (default 0)", 0 },
   { 0 }
 };
 
@@ -85,6 +87,9 @@
     case 'r':
       o->setup.capacity_report_ms = atoi (arg);
       break;
+    case 'p':
+      o->setup.swing = atof (arg);
+      break;
     case 'f':
       parse_speeds (&o->setup, arg);
       break;
@@ -144,14 +149,16 @@
       worst_window += r.min_window_share / o.seeds;
       sum.utilization += r.utilization / o.seeds;
       sum.delegations += r.delegations;
+      sum.left_domain += r.left_domain;
       sum.delegations_refused += r.delegations_refused;
     }
   printf ("class       jobs  on time   late  refused  too late  earned\n");
   for (uint32_t c = 0; c < o.setup.class_count; c++)
     print_row (o.setup.classes[c].name, &sum.classes[c]);
   print_row ("all", &sum.all);
-  printf ("worst window %.3f, cores busy %.3f, delegations %u, refused %u\n",
+  printf ("worst window %.3f, cores busy %.3f, delegations %u, refused %u, "
+          "sent to another domain %u\n",
           worst_window, sum.utilization, sum.delegations,
-          sum.delegations_refused);
+          sum.delegations_refused, sum.left_domain);
   return 0;
 }
--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -31,6 +31,9 @@
   WINDOW_MS = 2000,
   POLL_MS = 60,
 
+  /* Period of the swing of the domains' shares of the jobs.  */
+  SWING_MS = 15000,
+
   /* Offset between the entries' reports of free capacity, which do not arrive
      at the same time.  */
   REPORT_STAGGER_MS = 7,
@@ -493,6 +496,7 @@
     }
   memcpy (j->tried[j->tried_count++], d->vm, NAME_BYTES);
   job_router_sent (d, &j->spec);
+  m->result->left_domain += strcmp (d->domain, domain) != 0;
   e.dispatcher = (uint32_t)(d - known_dispatchers (m, j->entry));
   schedule_event (m, m->now + HOP_MS, &e);
 }
@@ -542,6 +546,33 @@
     }
 }
 
+/* Returns the entry at which a job arrives.  */
+static uint32_t
+draw_entry (struct model *m)
+{
+  const struct replay_setup *s = m->setup;
+  double x = uniform (m) * s->domains;
+  double turn = (double)(m->now % SWING_MS) / SWING_MS;
+
+  for (uint32_t d = 0; d + 1 < s->domains && s->swing > 0; d++)
+    {
+      double phase = turn + (double)d / s->domains;
+      double share = 1 + s->swing * sin (2 * M_PI * phase);
+
+      if (x < share)
+        return (uint32_t)((d + x / share) * s->entries);
+      x -= share;
+    }
+  if (s->swing > 0)
+    {
+      double phase = turn + (double)(s->domains - 1) / s->domains;
+      double share = 1 + s->swing * sin (2 * M_PI * phase);
+
+      x = s->domains - 1 + fmin (x / share, 0.999);
+    }
+  return (uint32_t)(x * s->entries);
+}
+
 /* Returns a new random job of class NUMBER.  */
 static struct model_job *
 draw_job (struct model *m, uint32_t number)
@@ -556,7 +587,7 @@
 
   j->model = m;
   j->class = number;
-  j->entry = (uint32_t)(uniform (m) * m->entry_count);
+  j->entry = draw_entry (m);
   j->arrived_ms = m->now;
   j->spec.step_count = 1;
   j->spec.steps[0] = (struct job_step){
--- a/bench/replay_model.h
+++ b/bench/replay_model.h
@@ -55,6 +55,10 @@
      none: all run alike.  Objectives do not depend on them.  */
   double speeds[REPLAY_SPEED_LIMIT];
   uint32_t speed_count;
+
+  /* How far the share of the jobs that arrive in a domain swings about the
+     mean, from 0 to 1, the domains out of phase; the sum does not change.  */
+  double swing;
 };
 
 struct replay_class_result
@@ -78,6 +82,7 @@
 
   uint32_t delegations;         /* that ended; revoked ones do not count */
   uint32_t delegations_refused; /* of these, refused */
+  uint32_t left_domain;         /* jobs sent to another domain, as tries */
   double utilization; /* mean share of the targets' cores that ran tasks */
 };
 
