--- a/tests/unit/test_vm_load.c
+++ b/tests/unit/test_vm_load.c
@@ -1,5 +1,11 @@
-/* Tests of the decisions of a VM that runs short of processor time.  */
+/* Tests of the decisions of a VM that runs short of processor time, and of
+   what the keepers learn of a VM's processor.  */
+#include <jansson.h>
+#include <stdio.h>
+#include "base/now.h"
+#include "coord/run_target_json.h"
 #include "coord/vm_load.h"
+#include "tests/unit/deployment.h"
 #include "tests/unit/suites.h"
 
 enum
@@ -125,6 +131,113 @@
   CU_ASSERT (ready >= 70 && ready < 85);
 }
 
+/* Whether the leader knows the processors of both entries.  */
+static bool
+knows_processors (const struct deployment *d)
+{
+  const struct quorum_keeper *k = deployment_leader (d);
+
+  if (k == NULL || k->plan.entry_count != ENTRIES)
+    return false;
+  for (int i = 0; i < ENTRIES; i++)
+    if (k->plan.entries[i]->cpu_milli == 0)
+      return false;
+  return true;
+}
+
+/* The number of targets that entry LARGE owns if its processor is much larger
+   than that of the other entry.  */
+static uint32_t
+owned_by_large (int large)
+{
+  struct deployment d;
+  int64_t end = now_ms () + WAIT_MS;
+  uint32_t owned;
+
+  deployment_init (&d);
+  d.heartbeats_paused = true;
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&d, i);
+  for (int i = 0; i < ENTRIES; i++)
+    {
+      d.entry_settings[i].cpu_milli = i == large ? 300 : CPU_MILLI;
+      deployment_start_entry (&d, i);
+    }
+  while (!knows_processors (&d) && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT (knows_processors (&d));
+  d.heartbeats_paused = false;
+  deployment_run_until_owned (&d);
+  owned = d.entries[large]->target_count;
+  deployment_done (&d);
+  return owned;
+}
+
+/* Guards against a processor that is not reported, or that the leader does not
+   use: whichever entry is large owns all targets.  */
+static void
+test_processor_reported (void)
+{
+  CU_ASSERT_EQUAL (owned_by_large (0), TARGETS);
+  CU_ASSERT_EQUAL (owned_by_large (1), TARGETS);
+}
+
+/* Guards against a report that a keeper of the earlier program takes for a
+   target: it skips elements of the list without an ID.  */
+static void
+test_report_skipped (void)
+{
+  struct run_target_spec spec;
+  json_t *o = json_object ();
+
+  json_object_set_new (o, "vm_cpu_milli", json_integer (CPU_MILLI));
+  CU_ASSERT_FALSE (run_target_spec_from_json (&spec, o));
+  json_decref (o);
+}
+
+/* The processor that settings with the members TEXT name, or -1 if they are
+   refused.  */
+static int64_t
+cpu_of_settings (const char *text)
+{
+  struct node_settings s;
+  enum settings_error result;
+  char folder[64];
+  char path[96];
+  struct error e;
+  FILE *f;
+
+  test_folder_make (folder);
+  snprintf (path, sizeof path, "%s/settings.json", folder);
+  f = fopen (path, "w");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f);
+  fprintf (f,
+           "{\"vm\":\"v\",\"role\":\"entry\",\"environment\":\"e\","
+           "\"address\":\"127.0.0.1\",\"domain\":\"d\",\"peer_port\":1,"
+           "\"peer_secret\":\"0123456789abcdef\",\"callers\":"
+           "\"127.0.0.1:2\",\"seeds\":[\"127.0.0.1:3\"],\"first_start\":"
+           "true,\"lost_keepers\":1,\"descriptors\":2000,"
+           "\"lease_limit_ms\":1000,\"stop_grace_s\":2%s}",
+           text);
+  fclose (f);
+  result = node_settings_load (&s, path, &e);
+  test_folder_remove (folder);
+  return result == SETTINGS_OK ? (int64_t)s.cpu_milli : -1;
+}
+
+/* Guards against a processor that is misread by a factor of 1000, and against
+   settings that must name one.  */
+static void
+test_settings (void)
+{
+  CU_ASSERT_EQUAL (cpu_of_settings (""), 0);
+  CU_ASSERT_EQUAL (cpu_of_settings (",\"cpu_milli\":120"), 120);
+  CU_ASSERT_EQUAL (cpu_of_settings (",\"cpu_share\":0.09"), 90);
+  CU_ASSERT_EQUAL (cpu_of_settings (",\"cpu_share\":0.3,\"cores\":2"), 600);
+  CU_ASSERT_EQUAL (cpu_of_settings (",\"cores\":2"), 0);
+  CU_ASSERT_EQUAL (cpu_of_settings (",\"cpu_milli\":0"), -1);
+}
+
 void
 suite_vm_load (void)
 {
@@ -133,4 +246,9 @@
   CU_add_test (s, "a VM short of processor time sheds jobs", test_short);
   CU_add_test (s, "nothing is shed for other causes", test_not_short);
   CU_add_test (s, "a short VM is ready most of the time", test_mostly_ready);
+  CU_add_test (s, "the leader learns each VM's processor",
+               test_processor_reported);
+  CU_add_test (s, "the earlier program skips the report of a processor",
+               test_report_skipped);
+  CU_add_test (s, "the settings name the processor", test_settings);
 }
