--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -27,7 +27,10 @@
    WITHDRAWN_REPEATED requests of cancelled jobs answered without a run
    HEARTBEATS_STALE   heartbeats ignored: older than their target's departure
    TARGETS_DEPARTED   departed targets remembered now by this keeper
-   CLIENTS_...        requests refused by the limits of clients, by kind  */
+   CLIENTS_...        requests refused by the limits of clients, by kind
+   SPEED_CHANGES      times that learnt speeds came into or out of effect
+   SHORT_OF_CPU       times that this VM became short of processor time
+   JOBS_SHED          jobs that this entry refused while it was  */
 #define COUNTER_TABLE(ROW)                                                    \
   ROW (JOBS_ACCEPTED, "jobs_accepted")                                        \
   ROW (JOBS_COMPLETE, "jobs_complete")                                        \
@@ -91,7 +94,10 @@
   ROW (CLIENTS_TIMED_OUT, "clients_timed_out")                                \
   ROW (CLIENTS_BUDGET_REFUSED, "clients_budget_refused")                      \
   ROW (CLIENTS_CONNECTIONS_CLOSED, "clients_connections_closed")              \
-  ROW (CLIENTS_BAD_FRAMING, "clients_bad_framing")
+  ROW (CLIENTS_BAD_FRAMING, "clients_bad_framing")                            \
+  ROW (SPEED_CHANGES, "speed_changes")                                        \
+  ROW (SHORT_OF_CPU, "short_of_cpu")                                          \
+  ROW (JOBS_SHED, "jobs_shed")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -131,6 +131,16 @@
   ROW (403, CONFIG_FOREIGN, ERROR,                                            \
        "configuration of another environment refused",                        \
        "find out who sent it; it disagrees with this VM's settings")          \
+  ROW (430, TARGET_SPEEDS, INFO,                                              \
+       "learnt speeds of a service's targets came into or out of effect",     \
+       "nothing; targets that should be alike and are not need a look")       \
+  ROW (431, VM_SHORT, WARN, "VM short of processor time",                     \
+       "add entries or give them more; see operate/uneven.md")                \
+  ROW (432, VM_NOT_SHORT, INFO, "VM no longer short of processor time",       \
+       "nothing")                                                             \
+  ROW (433, JOB_SHED, INFO,                                                   \
+       "job refused, not run: the VM is short of processor time",             \
+       "see VM_SHORT")                                                        \
   ROW (500, PEER_UP, INFO, "peer link up", "nothing")                         \
   ROW (501, PEER_DOWN, WARN, "peer link down",                                \
        "check the peer and the network to it")                                \
--- a/src/controller/dispatcher.h
+++ b/src/controller/dispatcher.h
@@ -64,6 +64,7 @@
   struct event *tick;
   bool pass_requested;
   struct dispatch_stop stop;
+  int64_t delay_ms; /* added to the expected wait in its capacity reports */
 };
 
 /* LEASE_LIMIT_MS is the longest lease to request from targets.  */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -107,6 +107,7 @@
   suite_placement ();
   suite_scheduler ();
   suite_speed ();
+  suite_vm_load ();
   suite_platform ();
   suite_framing ();
   suite_client_budget ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -41,6 +41,7 @@
 void suite_placement (void);
 void suite_scheduler (void);
 void suite_speed (void);
+void suite_vm_load (void);
 void suite_platform (void);
 void suite_framing (void);
 void suite_client_budget (void);
