--- a/bench/replay.c
+++ b/bench/replay.c
@@ -4,12 +4,14 @@
 #include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include "bench/replay_model.h"
 
 enum
 {
   DEFAULT_SEEDS = 5,
-  SLOWDOWN = 6
+  SLOWDOWN = 6,
+  CUSTOMER_BURST_FROM_MS = 1000
 };
 
 struct replay_options
@@ -34,9 +36,33 @@
   { "lend", 'n', NULL, 0, "dispatchers delegate tasks to each other", 0 },
   { "room", 'r', "MS", 0,
     "interval between reports of free capacity (default 150)", 0 },
+  { "site", 'S', "SITE", 0,
+    "sofnets (default), customer1 or customer2; give it first", 0 },
+  { "class", 'c', "NAME", 0, "the only class that --load is for", 0 },
   { 0 }
 };
 
+static void
+set_site (struct replay_setup *s, const char *name)
+{
+  if (strcmp (name, "customer1") == 0)
+    replay_setup_customer1 (s);
+  else if (strcmp (name, "customer2") == 0)
+    replay_setup_customer2 (s);
+  else
+    return;
+  s->burst_from_ms = CUSTOMER_BURST_FROM_MS;
+  s->burst_to_ms = s->length_ms;
+}
+
+static void
+set_loaded_class (struct replay_setup *s, const char *name)
+{
+  for (uint32_t c = 0; c < s->class_count; c++)
+    if (strcmp (s->classes[c].name, name) == 0)
+      s->loaded_classes = 1U << c;
+}
+
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
@@ -66,6 +92,12 @@
     case 'n':
       o->setup.delegation_enabled = true;
       break;
+    case 'S':
+      set_site (&o->setup, arg);
+      break;
+    case 'c':
+      set_loaded_class (&o->setup, arg);
+      break;
     case 'r':
       o->setup.capacity_report_ms = atoi (arg);
       break;
@@ -79,14 +111,42 @@
     = { option_table, parse_option, NULL, "Replays a load pattern.",
         NULL,         NULL,         NULL };
 
+/* The share of the jobs in S that ended on time, or late.  */
+static double
+served_share (const struct replay_size_result *s)
+{
+  return s->jobs == 0 ? 0 : (double)(s->on_time + s->late) / s->jobs;
+}
+
 static void
 print_row (const char *name, const struct replay_class_result *c)
 {
   double n = c->jobs == 0 ? 1 : c->jobs;
 
-  printf ("%-8s %7u %8.3f %6.3f %8.3f %9.3f %7.3f\n", name, c->jobs,
-          c->on_time / n, c->late / n, c->refused / n, c->too_late / n,
-          c->earned / (c->total_worth > 0 ? c->total_worth : 1));
+  printf ("%-8s %7u %8.3f %6.3f %8.3f %9.3f %7.3f %8.3f %8.3f\n", name,
+          c->jobs, c->on_time / n, c->late / n, c->refused / n,
+          c->too_late / n,
+          c->earned / (c->total_worth > 0 ? c->total_worth : 1),
+          served_share (&c->largest), served_share (&c->next_largest));
+}
+
+static void
+print_refusals (const char *name, const struct replay_class_result *c)
+{
+  for (uint32_t r = 0; r < REFUSAL_COUNT; r++)
+    if (c->refused_by[r] != 0)
+      printf ("%-8s refused %-10s %7u, all tasks fit at one dispatcher %u, "
+              "at several %u\n",
+              name, refusal_reason_name ((enum refusal_reason)r),
+              c->refused_by[r], c->fit_at_one[r], c->fit_at_several[r]);
+}
+
+static void
+add_sizes (struct replay_size_result *sum, const struct replay_size_result *s)
+{
+  sum->jobs += s->jobs;
+  sum->on_time += s->on_time;
+  sum->late += s->late;
 }
 
 static void
@@ -100,6 +160,14 @@
   sum->too_late += c->too_late;
   sum->total_worth += c->total_worth;
   sum->earned += c->earned;
+  add_sizes (&sum->largest, &c->largest);
+  add_sizes (&sum->next_largest, &c->next_largest);
+  for (uint32_t r = 0; r < REFUSAL_COUNT; r++)
+    {
+      sum->refused_by[r] += c->refused_by[r];
+      sum->fit_at_one[r] += c->fit_at_one[r];
+      sum->fit_at_several[r] += c->fit_at_several[r];
+    }
 }
 
 int
@@ -127,10 +195,13 @@
       sum.delegations += r.delegations;
       sum.delegations_refused += r.delegations_refused;
     }
-  printf ("class       jobs  on time   late  refused  too late  earned\n");
+  printf ("class       jobs  on time   late  refused  too late  earned "
+          " largest     next\n");
   for (uint32_t c = 0; c < o.setup.class_count; c++)
     print_row (o.setup.classes[c].name, &sum.classes[c]);
   print_row ("all", &sum.all);
+  for (uint32_t c = 0; c < o.setup.class_count; c++)
+    print_refusals (o.setup.classes[c].name, &sum.classes[c]);
   printf ("worst window %.3f, cores busy %.3f, delegations %u, refused %u\n",
           worst_window, sum.utilization, sum.delegations,
           sum.delegations_refused);
--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -7,6 +7,7 @@
 #include <utlist.h>
 #include "coord/job_lease.h"
 #include "coord/job_router.h"
+#include "coord/run_admission.h"
 #include "coord/run_scheduler.h"
 #include "coord/task_delegation.h"
 
@@ -58,8 +59,11 @@
   uint32_t entry;
   int64_t arrived_ms;
   int64_t objective_ms;
+  int64_t timeout_ms;
+  double work;
   double worth;
   double *task_ms;
+  enum refusal_reason reason; /* of its last refusal */
   char tried[ROUTE_TRY_LIMIT][NAME_BYTES];
   uint32_t tried_count;
 };
@@ -104,6 +108,21 @@
   struct model_event *next;
 };
 
+/* The size and the result of a job that has ended.  */
+struct model_outcome
+{
+  double work;
+  bool on_time;
+  bool late;
+};
+
+struct model_outcomes
+{
+  struct model_outcome *items;
+  size_t count;
+  size_t size;
+};
+
 struct model
 {
   const struct replay_setup *setup;
@@ -126,6 +145,7 @@
   double busy_cpu_ms;
   double *window_worth;
   double *window_earned;
+  struct model_outcomes outcomes[REPLAY_CLASS_LIMIT];
 };
 
 /* The argument of a scheduler's callbacks.  */
@@ -156,6 +176,49 @@
   };
 }
 
+void
+replay_setup_customer1 (struct replay_setup *s)
+{
+  *s = (struct replay_setup){
+    .seed = 1,
+    .length_ms = 10000,
+    .classes = { { "thumb", 206, 60, 8, 8000, 3.84, 0 },
+                 { "preview", 600, 200, 2, 8000, 3.2, 1 },
+                 { "proof", 37.5, 900, 4, 8000, 28.8, 2 } },
+    .class_count = 3,
+    .domains = 3,
+    .targets = 117,
+    .dispatchers = 5,
+    .entries = 12,
+    .cpu_milli = 16000,
+    .capacity_report_ms = 150,
+    .delegation_enabled = true,
+    .load = 1,
+    .burst = 1,
+    .run_time_factors = { 1.0, 1.0, 1.3 },
+    .run_time_factor_count = 3,
+    .deadline_slack_ms = 1500,
+    .entries_dispatch = true,
+  };
+}
+
+void
+replay_setup_customer2 (struct replay_setup *s)
+{
+  replay_setup_customer1 (s);
+  s->classes[0] = (struct replay_class){ "thumb", 181, 51, 8, 16000, 6.53, 0 };
+  s->classes[1]
+      = (struct replay_class){ "preview", 528, 170, 2, 16000, 5.44, 1 };
+  s->classes[2] = (struct replay_class){ "proof", 33, 760, 4, 16000, 48.6, 2 };
+  s->cpu_milli = 32000;
+  s->equal_targets = true;
+  s->run_time_factors[0] = 0.55;
+  s->run_time_factors[1] = 1.2;
+  s->run_time_factors[2] = 1.2;
+  s->run_time_factors[3] = 1.2;
+  s->run_time_factor_count = 4;
+}
+
 static double
 uniform (struct model *m)
 {
@@ -227,9 +290,15 @@
 {
   uint32_t number = (uint32_t)strtoul (t->spec.id + 1, NULL, 10);
 
+  double factor = 1;
+
+  if (m->setup->run_time_factor_count != 0)
+    factor
+        = m->setup
+              ->run_time_factors[number / 3 % m->setup->run_time_factor_count];
   return in_burst (m) && number * 37 % 100 < m->setup->slow_percent
-             ? m->setup->slowdown
-             : 1;
+             ? factor * m->setup->slowdown
+             : factor;
 }
 
 static void
@@ -275,24 +344,63 @@
   schedule_event (m, m->now + ROUND_TRIP_MS, &stopped);
 }
 
+/* Counts a refusal of J, by its reason and by whether all of its tasks would
+   have fit on free targets.  */
+static void
+count_refusal (struct model *m, const struct model_job *j)
+{
+  struct replay_class_result *c = &m->result->classes[j->class];
+  uint32_t tasks = job_spec_task_count (&j->spec);
+  uint32_t sum = 0;
+  uint32_t most = 0;
+
+  for (uint32_t d = 0; d < m->dispatcher_count; d++)
+    {
+      uint32_t n = run_admission_fitting (&m->schedulers[d], &j->spec, m->now);
+
+      sum += n;
+      most = n > most ? n : most;
+    }
+  c->refused++;
+  c->refused_by[j->reason]++;
+  if (most >= tasks)
+    c->fit_at_one[j->reason]++;
+  else if (sum >= tasks)
+    c->fit_at_several[j->reason]++;
+}
+
+static void
+note_outcome (struct model_outcomes *o, struct model_outcome outcome)
+{
+  if (o->count == o->size)
+    {
+      o->size = o->size == 0 ? 1024 : 2 * o->size;
+      o->items = realloc (o->items, o->size * sizeof *o->items);
+    }
+  o->items[o->count++] = outcome;
+}
+
 static void
 count_result (struct model *m, struct model_job *j, enum job_result result)
 {
   struct replay_class_result *c = &m->result->classes[j->class];
+  struct model_outcome outcome = { .work = j->work };
   int64_t took = m->now + HOP_MS - j->arrived_ms;
   size_t window = (size_t)(j->arrived_ms / WINDOW_MS);
   double earned = 0;
 
   if (result == JOB_REFUSED)
-    c->refused++;
+    count_refusal (m, j);
   else if (result == JOB_DONE && took <= j->objective_ms)
     {
       c->on_time++;
+      outcome.on_time = true;
       earned = j->worth;
     }
   else if (result == JOB_DONE && took <= LATE_OBJECTIVES * j->objective_ms)
     {
       c->late++;
+      outcome.late = true;
       earned = j->worth * late_share;
     }
   else
@@ -302,6 +410,7 @@
   c->earned += earned;
   m->window_worth[window] += j->worth;
   m->window_earned[window] += earned;
+  note_outcome (&m->outcomes[j->class], outcome);
   free (j->task_ms);
   free (j);
 }
@@ -312,6 +421,7 @@
 handle_refusal (struct model *m, struct model_job *j,
                 enum refusal_reason reason)
 {
+  j->reason = reason;
   if (reason == REFUSAL_EXPIRED || j->tried_count == ROUTE_TRY_LIMIT)
     count_result (m, j, JOB_REFUSED);
   else
@@ -449,6 +559,27 @@
   d->reported_ms = m->now;
 }
 
+/* The dispatcher on the VM of ENTRY, or dispatcher_count if it has none.  */
+static uint32_t
+own_dispatcher (const struct model *m, uint32_t entry)
+{
+  const struct replay_setup *s = m->setup;
+  uint32_t number = entry % s->entries;
+
+  if (!s->entries_dispatch || number >= s->dispatchers)
+    return m->dispatcher_count;
+  return entry / s->entries * s->dispatchers + number;
+}
+
+static void
+refresh_own_capacity (struct model *m, uint32_t entry)
+{
+  uint32_t own = own_dispatcher (m, entry);
+
+  if (own != m->dispatcher_count)
+    report_capacity (m, entry, own);
+}
+
 /* Sends J to the dispatcher chosen by its entry, or refuses it if there is
    none.  */
 static void
@@ -458,6 +589,7 @@
   struct route_dispatcher *d;
   struct model_event e = { .type = MODEL_SUBMIT, .job = j };
 
+  refresh_own_capacity (m, j->entry);
   snprintf (domain, sizeof domain, "d%u", j->entry / m->setup->entries);
   d = job_router_choose (
       known_dispatchers (m, j->entry), m->dispatcher_count, domain, &j->spec,
@@ -480,7 +612,7 @@
   int64_t retry_ms;
 
   j->spec.age_ms = m->now - j->arrived_ms;
-  j->spec.deadline_ms = CALLER_TIMEOUT_MS - j->spec.age_ms;
+  j->spec.deadline_ms = j->timeout_ms - j->spec.age_ms;
   j->spec.lease_ms = j->spec.deadline_ms + JOB_LEASE_STOP_MS;
   if (run_scheduler_submit (&m->schedulers[dispatcher], m->now, &j->spec, j,
                             &reason, &retry_ms)
@@ -548,6 +680,10 @@
       longest = fmax (longest, j->task_ms[i]);
       work += j->task_ms[i] * (double)j->spec.steps[0].cpu_milli;
     }
+  j->work = work;
+  j->timeout_ms = m->setup->deadline_slack_ms == 0
+                      ? CALLER_TIMEOUT_MS
+                      : (int64_t)longest + m->setup->deadline_slack_ms;
   j->worth = c->worth
              * fmin (4, 0.3 + 0.7 * work / (c->task_ms * c->tasks * c->cpu));
   j->objective_ms
@@ -567,11 +703,20 @@
 static void
 draw_arrivals (struct model *m)
 {
-  double x = m->setup->load * (in_burst (m) ? m->setup->burst : 1) / 1000;
+  const struct replay_setup *s = m->setup;
 
-  for (uint32_t c = 0; c < m->setup->class_count; c++)
-    if (uniform (m) < m->setup->classes[c].per_s * x)
-      route (m, draw_job (m, c));
+  for (uint32_t c = 0; c < s->class_count; c++)
+    {
+      bool loaded = s->loaded_classes == 0 || (s->loaded_classes >> c & 1);
+      double x = loaded ? s->load * (in_burst (m) ? s->burst : 1) : 1;
+      double expected = s->classes[c].per_s * x / 1000;
+
+      uint32_t draws = (uint32_t)ceil (expected);
+
+      for (uint32_t i = 0; i < draws; i++)
+        if (uniform (m) < expected / draws)
+          route (m, draw_job (m, c));
+    }
 }
 
 /* Makes draining_percent of the targets drain when the burst starts.  */
@@ -621,11 +766,34 @@
     }
 }
 
+/* Queries the free capacities of the dispatchers that production would query
+   for tasks that wait at DISPATCHER.  */
+static void
+query_some (struct model *m, uint32_t dispatcher)
+{
+  struct route_dispatcher *queried[DELEGATION_QUERY_LIMIT];
+  struct route_dispatcher *known
+      = known_dispatchers (m, m->entry_count + dispatcher);
+  uint32_t n = task_delegation_query (
+      known, m->dispatcher_count, known[dispatcher].vm,
+      known[dispatcher].domain, m->now, queried);
+
+  for (uint32_t i = 0; i < n; i++)
+    report_capacity (m, m->entry_count + dispatcher,
+                     (uint32_t)(queried[i] - known));
+}
+
 /* Queries the free capacities of all dispatchers if tasks wait at DISPATCHER
    and a query is due.  */
 static void
 query_capacity (struct model *m, uint32_t dispatcher)
 {
+  if (m->setup->entries_dispatch)
+    {
+      if (task_delegation_is_needed (&m->schedulers[dispatcher]))
+        query_some (m, dispatcher);
+      return;
+    }
   if (m->now % DELEGATION_QUERY_MS == 0
       && task_delegation_is_needed (&m->schedulers[dispatcher]))
     for (uint32_t d = 0; d < m->dispatcher_count; d++)
@@ -673,6 +841,10 @@
         == 0)
       for (uint32_t d = 0; d < m->dispatcher_count; d++)
         report_capacity (m, i, d);
+  if (m->setup->entries_dispatch && m->now % m->setup->capacity_report_ms == 0)
+    for (uint32_t i = 0; i < m->dispatcher_count; i++)
+      for (uint32_t d = 0; d < m->dispatcher_count; d++)
+        report_capacity (m, m->entry_count + i, d);
   while ((e = m->events[m->now]) != NULL)
     {
       LL_DELETE (m->events[m->now], e);
@@ -694,6 +866,13 @@
     }
 }
 
+static uint64_t
+target_cpu_milli (const struct replay_setup *s, uint32_t number)
+{
+  return number % 3 == 2 && !s->equal_targets ? s->cpu_milli * 3 / 2
+                                              : s->cpu_milli;
+}
+
 static void
 add_targets (struct model *m)
 {
@@ -710,7 +889,7 @@
 
       snprintf (t.id, sizeof t.id, "t%u", i);
       snprintf (t.service, sizeof t.service, "svc");
-      t.cpu_milli = i % 3 == 2 ? s->cpu_milli * 3 / 2 : s->cpu_milli;
+      t.cpu_milli = target_cpu_milli (s, i);
       run_scheduler_add_target (&m->schedulers[dispatcher], &t)->phase
           = TARGET_READY;
     }
@@ -753,6 +932,44 @@
   add_targets (m);
 }
 
+static int
+compare_work (const void *a, const void *b)
+{
+  const struct model_outcome *x = a;
+  const struct model_outcome *y = b;
+
+  return x->work < y->work ? 1 : x->work > y->work ? -1 : 0;
+}
+
+static void
+summarize_range (const struct model_outcomes *o, size_t from, size_t to,
+                 struct replay_size_result *r)
+{
+  for (size_t i = from; i < to; i++)
+    {
+      r->jobs++;
+      r->on_time += o->items[i].on_time;
+      r->late += o->items[i].late;
+    }
+}
+
+static void
+summarize_sizes (struct model *m)
+{
+  for (uint32_t c = 0; c < m->setup->class_count; c++)
+    {
+      struct model_outcomes *o = &m->outcomes[c];
+      size_t tenth = o->count / 10;
+
+      if (o->count == 0)
+        continue;
+      qsort (o->items, o->count, sizeof *o->items, compare_work);
+      summarize_range (o, 0, tenth, &m->result->classes[c].largest);
+      summarize_range (o, tenth, 3 * tenth,
+                       &m->result->classes[c].next_largest);
+    }
+}
+
 static void
 summarize (struct model *m)
 {
@@ -761,7 +978,8 @@
   double cpu = 0;
 
   for (uint32_t i = 0; i < s->domains * s->targets; i++)
-    cpu += (double)(i % 3 == 2 ? s->cpu_milli * 3 / 2 : s->cpu_milli);
+    cpu += (double)target_cpu_milli (s, i);
+  summarize_sizes (m);
   r->utilization = m->busy_cpu_ms / (cpu * (double)s->length_ms);
   for (uint32_t c = 0; c < s->class_count; c++)
     {
@@ -790,6 +1008,8 @@
   free (m->events);
   free (m->window_worth);
   free (m->window_earned);
+  for (uint32_t c = 0; c < REPLAY_CLASS_LIMIT; c++)
+    free (m->outcomes[c].items);
 }
 
 void
--- a/bench/replay_model.h
+++ b/bench/replay_model.h
@@ -8,10 +8,12 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include "coord/job_spec.h"
 
 enum
 {
-  REPLAY_CLASS_LIMIT = 4
+  REPLAY_CLASS_LIMIT = 4,
+  REPLAY_FACTOR_LIMIT = 4
 };
 
 /* A class of jobs.  */
@@ -49,6 +51,28 @@
   uint32_t draining_percent; /* of the targets, from the burst on */
   uint32_t slow_percent;     /* of the targets, slow during the burst */
   double slowdown;           /* factor on their run times */
+
+  /* Factors on the run times of targets, which have them in turn.  */
+  double run_time_factors[REPLAY_FACTOR_LIMIT];
+  uint32_t run_time_factor_count;
+
+  /* Time that callers wait beyond the run time; 0: CALLER_TIMEOUT_MS in all.
+   */
+  int64_t deadline_slack_ms;
+
+  /* Whether the first entries of a domain are its dispatchers: they know their
+     own free capacity at once, and query that of a few others at a time.  */
+  bool entries_dispatch;
+  bool equal_targets;      /* whether all have CPU_MILLI */
+  uint32_t loaded_classes; /* bit mask of those that LOAD is for; 0: all */
+};
+
+/* The jobs of a class within a range of sizes.  */
+struct replay_size_result
+{
+  uint32_t jobs;
+  uint32_t on_time;
+  uint32_t late;
 };
 
 struct replay_class_result
@@ -60,6 +84,16 @@
   uint32_t too_late;  /* ended too late to have any value, or failed */
   double total_worth; /* worth of all jobs */
   double earned;      /* worth of those that ended on time or late */
+
+  struct replay_size_result largest;      /* the tenth with the most work */
+  struct replay_size_result next_largest; /* the fifth below it */
+
+  uint32_t refused_by[REFUSAL_COUNT]; /* by the last refusal's reason */
+
+  /* Refused jobs whose tasks would all have fit on free targets when the last
+     dispatcher refused them: of one dispatcher, or of several.  */
+  uint32_t fit_at_one[REFUSAL_COUNT];
+  uint32_t fit_at_several[REFUSAL_COUNT];
 };
 
 struct replay_result
@@ -79,6 +113,14 @@
    16 targets.  */
 void replay_setup_sofnets (struct replay_setup *s);
 
+/* Sets the load of customer 1, as docs/design/05-hard-load.md describes it:
+   15 dispatchers of 23 or 24 targets in three domains, 36 entries.  A job's
+   worth is its work in core seconds.  */
+void replay_setup_customer1 (struct replay_setup *s);
+
+/* Likewise that of customer 2: targets of 32 cores, a quarter of them fast. */
+void replay_setup_customer2 (struct replay_setup *s);
+
 /* Runs the simulation S and sets R to its result.  */
 void replay_run (const struct replay_setup *s, struct replay_result *r);
 
