--- /dev/null
+++ b/src/coord/run_backlog.c
@@ -0,0 +1,64 @@
+/* The waiting jobs of a scheduler: their order, and the work ahead of a job.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+#include "coord/run_scheduler.h"
+#include "coord/wait_order.h"
+
+static bool
+is_usable (const struct run_target *t)
+{
+  return t->phase == TARGET_READY && !t->spec.draining && !t->releasing
+         && !t->health.ejected;
+}
+
+struct job_backlog
+run_scheduler_backlog (const struct run_scheduler *s, const char *service,
+                       int64_t start_by)
+{
+  struct job_backlog b = { 0, 0 };
+  struct run_job *j;
+
+  for (uint32_t i = 0; i < s->target_count; i++)
+    if (is_usable (s->targets[i])
+        && strcmp (s->targets[i]->spec.service, service) == 0)
+      b.cpu_milli += s->targets[i]->spec.cpu_milli;
+  DL_FOREACH (s->waiting, j)
+  if (strcmp (j->spec.service, service) == 0
+      && (j->first_start_ms >= 0 || j->times.start_by_ms <= start_by))
+    b.work_ahead += j->work * j->waiting_count / j->task_count;
+  return b;
+}
+
+uint32_t
+run_scheduler_waiting_jobs (const struct run_scheduler *s, const char *queue)
+{
+  struct run_job *j;
+  uint32_t n = 0;
+
+  DL_FOREACH (s->waiting, j)
+  n += j->first_start_ms < 0 && strcmp (j->spec.queue, queue) == 0;
+  return n;
+}
+
+uint32_t
+run_scheduler_rank (struct run_scheduler *s, int64_t now,
+                    struct wait_rank **ranks)
+{
+  struct run_job *j;
+  uint32_t n = 0;
+
+  *ranks = NULL;
+  DL_FOREACH (s->waiting, j)
+  n += j->waiting_count != 0;
+  if (n == 0)
+    return 0;
+  *ranks = malloc (n * sizeof **ranks);
+  n = 0;
+  DL_FOREACH (s->waiting, j)
+  if (j->waiting_count != 0)
+    (*ranks)[n++] = wait_rank_of (j, now);
+  qsort (*ranks, n, sizeof **ranks, wait_rank_compare);
+  return n;
+}
