--- a/bench/replay.c
+++ b/bench/replay.c
@@ -39,6 +39,7 @@
   { "site", 'S', "SITE", 0,
     "sofnets (default), customer1 or customer2; give it first", 0 },
   { "class", 'c', "NAME", 0, "the only class that --load is for", 0 },
+  { "equal", 'e', NULL, 0, "all queues have the same priority", 0 },
   { 0 }
 };
 
@@ -98,6 +99,9 @@
     case 'c':
       set_loaded_class (&o->setup, arg);
       break;
+    case 'e':
+      o->setup.priorities = false;
+      break;
     case 'r':
       o->setup.capacity_report_ms = atoi (arg);
       break;
--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -64,7 +64,7 @@
   double worth;
   double *task_ms;
   enum refusal_reason reason; /* of its last refusal */
-  char tried[ROUTE_TRY_LIMIT][NAME_BYTES];
+  char tried[ROUTE_URGENT_TRY_LIMIT][NAME_BYTES];
   uint32_t tried_count;
 };
 
@@ -199,6 +199,7 @@
     .run_time_factor_count = 3,
     .deadline_slack_ms = 1500,
     .entries_dispatch = true,
+    .priorities = true,
   };
 }
 
@@ -422,7 +423,9 @@
                 enum refusal_reason reason)
 {
   j->reason = reason;
-  if (reason == REFUSAL_EXPIRED || j->tried_count == ROUTE_TRY_LIMIT)
+  if (reason == REFUSAL_EXPIRED
+      || j->tried_count
+             == job_router_try_limit (&m->schedulers[0].priorities, &j->spec))
     count_result (m, j, JOB_REFUSED);
   else
     route (m, j);
@@ -895,6 +898,21 @@
     }
 }
 
+static void
+set_priorities (const struct model *m, struct run_scheduler *s)
+{
+  struct queue_rule rules[REPLAY_CLASS_LIMIT] = { 0 };
+
+  for (uint32_t c = 0; c < m->setup->class_count; c++)
+    {
+      snprintf (rules[c].name, sizeof rules[c].name, "%s",
+                m->setup->classes[c].name);
+      snprintf (rules[c].service, sizeof rules[c].service, "svc");
+      rules[c].priority = m->setup->classes[c].priority;
+    }
+  service_priorities_set (&s->priorities, rules, m->setup->class_count);
+}
+
 static void
 model_init (struct model *m, const struct replay_setup *s,
             struct replay_result *r, struct callback_arg *args)
@@ -920,6 +938,8 @@
     {
       args[d] = (struct callback_arg){ m, d };
       run_scheduler_init (&m->schedulers[d], &output, &args[d]);
+      if (s->priorities)
+        set_priorities (m, &m->schedulers[d]);
     }
   for (uint32_t i = 0; i < record_count; i++)
     {
--- a/bench/replay_model.h
+++ b/bench/replay_model.h
@@ -63,6 +63,7 @@
   /* Whether the first entries of a domain are its dispatchers: they know their
      own free capacity at once, and query that of a few others at a time.  */
   bool entries_dispatch;
+  bool priorities;         /* whether the configuration has the priorities */
   bool equal_targets;      /* whether all have CPU_MILLI */
   uint32_t loaded_classes; /* bit mask of those that LOAD is for; 0: all */
 };
--- a/src/controller/entry_assignment.c
+++ b/src/controller/entry_assignment.c
@@ -266,6 +266,8 @@
                   m->version, n->config.version, config.queue_count);
   service_config_done (&n->config);
   n->config = config;
+  service_priorities_set (&n->dispatcher.scheduler.priorities, config.queues,
+                          config.queue_count);
 }
 
 uint32_t
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -73,6 +73,12 @@
           j->answer.reason, j->answer.retry_ms);
 }
 
+static uint32_t
+try_limit (const struct job_entry *n, const struct routed_job *j)
+{
+  return job_router_try_limit (&n->dispatcher.scheduler.priorities, &j->spec);
+}
+
 static void
 handle_result (struct job_entry *n, int64_t now, struct routed_job *j,
                enum job_result result, enum refusal_reason reason,
@@ -88,7 +94,7 @@
       return;
     }
   j->answer = (struct job_answer){ result, reason, retry_ms };
-  next = job_router_after_refusal (reason, j->tried_count);
+  next = job_router_after_refusal (reason, j->tried_count, try_limit (n, j));
   if (next == ROUTE_ELSEWHERE)
     route (n, now, j);
   else
@@ -179,7 +185,7 @@
   enum route_next next = ROUTE_REFUSED;
 
   entry_dispatchers_refresh_own (n, now);
-  while (j->tried_count < ROUTE_TRY_LIMIT)
+  while (j->tried_count < try_limit (n, j))
     {
       struct route_dispatcher *d = job_router_choose (
           n->dispatchers, n->dispatcher_count, n->settings->peer.domain,
@@ -189,7 +195,8 @@
         break;
       if (submit_to (n, now, j, d))
         return;
-      next = job_router_after_refusal (j->answer.reason, j->tried_count);
+      next = job_router_after_refusal (j->answer.reason, j->tried_count,
+                                       try_limit (n, j));
       if (next != ROUTE_ELSEWHERE)
         break;
     }
@@ -249,7 +256,7 @@
   struct routed_job *j = job_new (n, now, spec, answered, arg);
 
   j->parent = parent;
-  j->tried_count = ROUTE_TRY_LIMIT;
+  j->tried_count = ROUTE_URGENT_TRY_LIMIT;
   if (send_job (n, now, j, d))
     {
       memcpy (j->vm, d->vm, sizeof j->vm);
--- a/src/coord/job_router.c
+++ b/src/coord/job_router.c
@@ -100,13 +100,25 @@
   return best;
 }
 
+uint32_t
+job_router_try_limit (const struct service_priorities *p,
+                      const struct job_spec *spec)
+{
+  const struct service_priority *s
+      = service_priorities_find (p, spec->service);
+
+  return s != NULL && spec->priority == s->highest ? ROUTE_URGENT_TRY_LIMIT
+                                                   : ROUTE_TRY_LIMIT;
+}
+
 enum route_next
-job_router_after_refusal (enum refusal_reason reason, uint32_t tried_count)
+job_router_after_refusal (enum refusal_reason reason, uint32_t tried_count,
+                          uint32_t limit)
 {
   if (reason == REFUSAL_DUPLICATE)
     return ROUTE_UNKNOWN;
   if (reason == REFUSAL_EXPIRED || reason == REFUSAL_TOO_LARGE
-      || tried_count >= ROUTE_TRY_LIMIT)
+      || tried_count >= limit)
     return ROUTE_REFUSED;
   return ROUTE_ELSEWHERE;
 }
--- a/src/coord/job_router.h
+++ b/src/coord/job_router.h
@@ -16,11 +16,18 @@
 #include "coord/job_spec.h"
 #include "coord/free_capacity.h"
 #include "coord/job_lease.h"
+#include "coord/service_priorities.h"
 
 enum
 {
   ROUTE_SERVICE_LIMIT = 16,
-  ROUTE_TRY_LIMIT = 3
+  ROUTE_TRY_LIMIT = 3,
+
+  /* Where load is shed by priority, jobs of the service's highest priority are
+     tried at more dispatchers: in the replay of customer 1 at 2.2 times the
+     load, 72 % of them are on time instead of 66 %.  With 15 tries it is 74 %,
+     at the cost of the other queues and of a message for each try.  */
+  ROUTE_URGENT_TRY_LIMIT = 6
 };
 
 /* The capacity of a dispatcher for one service, as last reported, and what was
@@ -73,11 +80,16 @@
   ROUTE_UNKNOWN    /* answer that it may have run */
 };
 
-/* What to do with a job that TRIED_COUNT dispatchers have refused, the last
-   one for REASON.  An earlier attempt that is still active at one of them may
-   have run, and no other dispatcher knows of it.  */
+/* The number of dispatchers at which a job of SPEC is tried.  */
+uint32_t job_router_try_limit (const struct service_priorities *p,
+                               const struct job_spec *spec);
+
+/* What to do with a job that TRIED_COUNT of at most LIMIT dispatchers have
+   refused, the last one for REASON.  An earlier attempt that is still active
+   at one of them may have run, and no other dispatcher knows of it.  */
 enum route_next job_router_after_refusal (enum refusal_reason reason,
-                                          uint32_t tried_count);
+                                          uint32_t tried_count,
+                                          uint32_t limit);
 
 /* Records that a job of SPEC was sent to D.  */
 void job_router_sent (struct route_dispatcher *d, const struct job_spec *spec);
--- a/src/coord/job_spec.c
+++ b/src/coord/job_spec.c
@@ -36,7 +36,8 @@
           [REFUSAL_EXPIRED] = "expired",     [REFUSAL_LEAVING] = "leaving",
           [REFUSAL_DUPLICATE] = "duplicate", [REFUSAL_STALE] = "stale",
           [REFUSAL_LOST_PEER] = "lost_peer", [REFUSAL_SHARE] = "share",
-          [REFUSAL_FULL] = "full",           [REFUSAL_LEASE] = "lease" };
+          [REFUSAL_FULL] = "full",           [REFUSAL_LEASE] = "lease",
+          [REFUSAL_DISPLACED] = "displaced" };
 
   return r < REFUSAL_COUNT ? names[r] : "unknown";
 }
--- a/src/coord/job_spec.h
+++ b/src/coord/job_spec.h
@@ -42,6 +42,7 @@
   REFUSAL_SHARE,     /* its queue has used up its share of the cores */
   REFUSAL_FULL,      /* no free capacity for tasks that must not wait */
   REFUSAL_LEASE,     /* its lease was not renewed (coord/job_lease) */
+  REFUSAL_DISPLACED, /* gave way to jobs of higher priority */
   REFUSAL_COUNT
 };
 
--- a/src/coord/run_admission.c
+++ b/src/coord/run_admission.c
@@ -1,6 +1,7 @@
 #include "coord/run_admission.h"
 
 #include <string.h>
+#include "coord/overload_policy.h"
 
 enum refusal_reason
 run_admission_check_fit (const struct run_scheduler *s,
@@ -103,6 +104,9 @@
     return REFUSAL_NONE;
   if (j->spec.part.is_part)
     return REFUSAL_FULL;
+  if (j->by_priority)
+    return overload_policy_starts_on_time (s, j) ? REFUSAL_NONE
+                                                 : REFUSAL_OVERLOAD;
   if (queue_share_is_exhausted (&s->share, now, j->spec.queue, j->spec.service,
                                 usable))
     return REFUSAL_SHARE;
--- a/src/coord/run_admission.h
+++ b/src/coord/run_admission.h
@@ -23,8 +23,9 @@
 
 /* Returns the reason why J must not wait here, or REFUSAL_NONE.  A job that
    can start at once is admitted.  Otherwise its queue must not have used up
-   its share and the work ahead in B must leave the job time to start; tasks
-   delegated by another VM are refused, since they must not wait here.  */
+   its share and the work ahead in B must leave the job time to start, or the
+   overload policy decides; tasks delegated by another VM are refused, since
+   they must not wait here.  */
 enum refusal_reason run_admission_check_load (struct run_scheduler *s,
                                               int64_t now_ms,
                                               const struct run_job *j,
--- a/src/coord/run_backlog.c
+++ b/src/coord/run_backlog.c
@@ -6,8 +6,8 @@
 #include "coord/run_scheduler.h"
 #include "coord/wait_order.h"
 
-static bool
-is_usable (const struct run_target *t)
+bool
+run_scheduler_may_use (const struct run_target *t)
 {
   return t->phase == TARGET_READY && !t->spec.draining && !t->releasing
          && !t->health.ejected;
@@ -21,7 +21,7 @@
   struct run_job *j;
 
   for (uint32_t i = 0; i < s->target_count; i++)
-    if (is_usable (s->targets[i])
+    if (run_scheduler_may_use (s->targets[i])
         && strcmp (s->targets[i]->spec.service, service) == 0)
       b.cpu_milli += s->targets[i]->spec.cpu_milli;
   DL_FOREACH (s->waiting, j)
@@ -31,6 +31,26 @@
   return b;
 }
 
+struct job_backlog
+run_scheduler_backlog_of (const struct run_scheduler *s,
+                          const struct run_job *j)
+{
+  struct job_backlog b
+      = run_scheduler_backlog (s, j->spec.service, j->times.start_by_ms);
+  const struct run_job *o;
+
+  if (!j->by_priority)
+    return b;
+  b.work_ahead = 0;
+  DL_FOREACH (s->waiting, o)
+  if (strcmp (o->spec.service, j->spec.service) == 0
+      && (o->first_start_ms >= 0 || o->rank < j->rank
+          || (o->rank == j->rank
+              && o->times.start_by_ms <= j->times.start_by_ms)))
+    b.work_ahead += o->work * o->waiting_count / o->task_count;
+  return b;
+}
+
 uint32_t
 run_scheduler_waiting_jobs (const struct run_scheduler *s, const char *queue)
 {
--- a/src/coord/run_job.h
+++ b/src/coord/run_job.h
@@ -64,6 +64,8 @@
 
   struct job_times times;
   int64_t lease_end_ms;   /* its runs must be over by then (job_lease) */
+  bool by_priority;       /* whether its service sheds load by priority */
+  uint32_t rank;          /* its priority if so, else 0 */
   uint64_t work;          /* expected, in thousandths of a core times ms */
   int64_t first_start_ms; /* -1 before; a delegated task counts as started */
   int64_t last_start_ms;  /* likewise */
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
+#include "coord/overload_policy.h"
 #include "coord/run_admission.h"
 #include "coord/run_placement.h"
 #include "coord/run_progress.h"
@@ -32,6 +33,7 @@
   s->remote_factor = default_remote_factor;
   work_estimate_init (&s->estimate);
   queue_share_init (&s->share);
+  service_priorities_init (&s->priorities);
 }
 
 void
@@ -49,6 +51,7 @@
     free (s->targets[i]);
   free (s->targets);
   work_estimate_done (&s->estimate);
+  service_priorities_done (&s->priorities);
 }
 
 struct run_target *
@@ -176,7 +179,10 @@
   if (*reason != REFUSAL_NONE)
     return NULL;
   j = run_job_new (spec, ++s->next_number, &s->estimate, now);
-  b = run_scheduler_backlog (s, spec->service, j->times.start_by_ms);
+  j->by_priority
+      = service_priorities_find (&s->priorities, spec->service) != NULL;
+  j->rank = j->by_priority ? spec->priority : 0;
+  b = run_scheduler_backlog_of (s, j);
   if (!spec->part.is_part)
     queue_share_request (&s->share, now, spec->queue, spec->service, j->work);
   *reason = run_admission_check_load (s, now, j, &b);
@@ -190,6 +196,7 @@
   j->user_data = user_data;
   HASH_ADD_STR (s->jobs, id, j);
   DL_APPEND (s->waiting, j);
+  s->check_displaced |= j->by_priority;
   return j;
 }
 
@@ -263,6 +270,26 @@
   }
 }
 
+/* Refuses waiting jobs that give way to jobs of higher priority.  */
+static void
+refuse_displaced (struct run_scheduler *s)
+{
+  struct run_job *j;
+  struct run_job *next;
+
+  if (!s->check_displaced)
+    return;
+  s->check_displaced = false;
+  DL_FOREACH_SAFE (s->waiting, j, next)
+  if (overload_policy_is_displaced (s, j))
+    {
+      struct job_backlog b = run_scheduler_backlog_of (s, j);
+
+      close_job (s, j, JOB_REFUSED, REFUSAL_DISPLACED,
+                 job_admission_retry_ms (&b, j->number * 7919));
+    }
+}
+
 static void
 notify_health (struct run_scheduler *s, const struct run_target *t)
 {
@@ -339,6 +366,7 @@
 
   stop_stalled (s, now);
   refuse_expired (s, now);
+  refuse_displaced (s);
   n = run_scheduler_rank (s, now, &ranks);
   for (uint32_t i = 0; i < n; i++)
     place_job (s, ranks[i].job, now);
--- a/src/coord/run_scheduler.h
+++ b/src/coord/run_scheduler.h
@@ -19,6 +19,7 @@
 #include <stdint.h>
 #include "coord/queue_share.h"
 #include "coord/run_job.h"
+#include "coord/service_priorities.h"
 #include "coord/work_estimate.h"
 
 /* The outcome of a start request to a target.  */
@@ -65,11 +66,13 @@
   double remote_factor; /* run time off the data's rack, relative to on it */
   struct work_estimate estimate;
   struct queue_share share;
+  struct service_priorities priorities; /* set by the owner */
   struct run_target **targets;
   uint32_t target_count;
   struct run_job *jobs;    /* by id */
   struct run_job *waiting; /* list of open jobs, in order of arrival */
   uint64_t next_number;
+  bool check_displaced; /* in the next pass */
 };
 
 void run_scheduler_init (struct run_scheduler *s,
@@ -177,6 +180,13 @@
                                           const char *service,
                                           int64_t start_by_ms);
 
+/* The waiting work that precedes J, and the cores as above.  */
+struct job_backlog run_scheduler_backlog_of (const struct run_scheduler *s,
+                                             const struct run_job *j);
+
+/* Whether T gets starts in general, free or not at present.  */
+bool run_scheduler_may_use (const struct run_target *t);
+
 /* The number of jobs of QUEUE of which no task has started.  */
 uint32_t run_scheduler_waiting_jobs (const struct run_scheduler *s,
                                      const char *queue);
--- a/src/coord/wait_order.c
+++ b/src/coord/wait_order.c
@@ -3,7 +3,7 @@
 struct wait_rank
 wait_rank_of (struct run_job *j, int64_t now)
 {
-  struct wait_rank r = { 1, j->times.start_by_ms, j };
+  struct wait_rank r = { 1, j->rank, j->times.start_by_ms, j };
 
   if (j->first_start_ms >= 0)
     r.group = 0;
@@ -23,6 +23,8 @@
 
   if (x->group != y->group)
     return x->group - y->group;
+  if (x->rank != y->rank)
+    return x->rank < y->rank ? -1 : 1;
   if (x->key != y->key)
     return x->key < y->key ? -1 : 1;
   return x->job->number < y->job->number ? -1 : 1;
--- a/src/coord/wait_order.h
+++ b/src/coord/wait_order.h
@@ -10,12 +10,13 @@
 #include <stdint.h>
 #include "coord/run_scheduler.h"
 
-/* The position of a job in the order: by group, then by key, the lowest
-   first.  */
+/* The position of a job in the order: by group, by rank, then by key, the
+   lowest first.  */
 struct wait_rank
 {
-  int group;   /* 0: started, 1: can be on time, 2: late */
-  int64_t key; /* latest start in ms; for late jobs the work in core ms */
+  int group;     /* 0: started, 1: can be on time, 2: late */
+  uint32_t rank; /* priority where the service sheds load by it, else 0 */
+  int64_t key;   /* latest start in ms; for late jobs the work in core ms */
   struct run_job *job;
 };
 
--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -86,6 +86,94 @@
   CU_ASSERT (on_time_share (&r.all) > 0.97);
 }
 
+/* Replays X times the load of customer 1 while a seventh of the targets is
+   lost, with the priorities in the configuration if BY_PRIORITY.  */
+static struct replay_result
+replay_customer1 (double x, bool by_priority)
+{
+  struct replay_setup s;
+  struct replay_result r;
+
+  replay_setup_customer1 (&s);
+  s.length_ms = 6000;
+  s.load = x;
+  s.burst_from_ms = 1000;
+  s.draining_percent = 14;
+  s.priorities = by_priority;
+  replay_run (&s, &r);
+  return r;
+}
+
+static double
+served_share (const struct replay_size_result *s)
+{
+  return (double)(s->on_time + s->late) / s->jobs;
+}
+
+/* 2.2 times the load of customer 1, a seventh of the targets lost.  Guards
+   against a priority that no decision reads: thumb, of priority 0, was then
+   on time less often than proof, of priority 2.  Also against a rule that
+   starves a queue, or serves it at the cost of its largest jobs.  */
+static void
+test_shed_by_priority (void)
+{
+  struct replay_result r = replay_customer1 (2.2, true);
+
+  for (uint32_t c = 0; c < 3; c++)
+    {
+      const struct replay_class_result *q = &r.classes[c];
+      double served = (double)(q->on_time + q->late) / q->jobs;
+
+      CU_ASSERT (on_time_share (&r.classes[0]) >= on_time_share (q));
+      CU_ASSERT (served > 1.0 / 3);
+      CU_ASSERT (served_share (&q->largest) >= served / 2);
+      CU_ASSERT (served_share (&q->next_largest) >= served / 2);
+    }
+}
+
+/* The same load.  Guards against callers that pay for the priorities: more of
+   the work of all queues together must be on time than by equal shares.  */
+static void
+test_priorities_waste_nothing (void)
+{
+  struct replay_result by_priority = replay_customer1 (2.2, true);
+  struct replay_result by_shares = replay_customer1 (2.2, false);
+
+  CU_ASSERT (by_priority.all.earned > by_shares.all.earned);
+  CU_ASSERT (on_time_share (&by_priority.all)
+             > on_time_share (&by_shares.all));
+}
+
+/* 1.8 times the load of customer 1, all queues with one priority.  Guards
+   against rules of load shedding that act where priorities do not differ.  */
+static void
+test_equal_priorities (void)
+{
+  struct replay_setup s;
+  struct replay_result configured;
+  struct replay_result unknown;
+
+  replay_setup_customer1 (&s);
+  s.length_ms = 3000;
+  s.load = 1.8;
+  for (uint32_t c = 0; c < s.class_count; c++)
+    s.classes[c].priority = 7;
+  replay_run (&s, &configured);
+  s.priorities = false;
+  replay_run (&s, &unknown);
+  CU_ASSERT_EQUAL (configured.delegations, unknown.delegations);
+  for (uint32_t c = 0; c < s.class_count; c++)
+    {
+      const struct replay_class_result *one = &configured.classes[c];
+      const struct replay_class_result *other = &unknown.classes[c];
+
+      CU_ASSERT_EQUAL (one->on_time, other->on_time);
+      CU_ASSERT_EQUAL (one->late, other->late);
+      CU_ASSERT_EQUAL (one->refused, other->refused);
+      CU_ASSERT_EQUAL (one->earned, other->earned);
+    }
+}
+
 /* The slowness of a target decays when nothing has been measured for some
    seconds, so that it gets work again; a single measurement of slow progress
    raises it again.  */
@@ -155,6 +243,10 @@
 
   CU_add_test (s, "no queue is starved under overload", test_overload);
   CU_add_test (s, "no job is refused below the capacity", test_below_capacity);
+  CU_add_test (s, "load is shed by priority", test_shed_by_priority);
+  CU_add_test (s, "shedding by priority wastes no cores",
+               test_priorities_waste_nothing);
+  CU_add_test (s, "equal priorities change nothing", test_equal_priorities);
   CU_add_test (s, "slow targets are detected", test_slow_targets);
   CU_add_test (s, "slowness decays", test_slowness_decay);
   CU_add_test (s, "queues get max-min fair shares", test_even_shares);
--- a/tests/unit/test_scheduler.c
+++ b/tests/unit/test_scheduler.c
@@ -576,7 +576,8 @@
                { REFUSAL_DUPLICATE, ROUTE_TRY_LIMIT, ROUTE_UNKNOWN } };
 
   for (size_t i = 0; i < sizeof rows / sizeof *rows; i++)
-    CU_ASSERT_EQUAL (job_router_after_refusal (rows[i].reason, rows[i].tried),
+    CU_ASSERT_EQUAL (job_router_after_refusal (rows[i].reason, rows[i].tried,
+                                               ROUTE_TRY_LIMIT),
                      rows[i].next);
 }
 
