--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -64,7 +64,7 @@
   double worth;
   double *task_ms;
   enum refusal_reason reason; /* of its last refusal */
-  char tried[ROUTE_URGENT_TRY_LIMIT][NAME_BYTES];
+  char tried[ROUTE_FREE_TRY_LIMIT][NAME_BYTES];
   uint32_t tried_count;
 };
 
@@ -594,9 +594,10 @@
 
   refresh_own_capacity (m, j->entry);
   snprintf (domain, sizeof domain, "d%u", j->entry / m->setup->entries);
-  d = job_router_choose (
-      known_dispatchers (m, j->entry), m->dispatcher_count, domain, &j->spec,
-      (const char (*)[NAME_BYTES])j->tried, j->tried_count, m->now);
+  d = job_router_next (known_dispatchers (m, j->entry), m->dispatcher_count,
+                       domain, &m->schedulers[0].priorities, &j->spec,
+                       (const char (*)[NAME_BYTES])j->tried, j->tried_count,
+                       m->now);
   if (d == NULL)
     {
       count_result (m, j, JOB_REFUSED);
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -185,11 +185,12 @@
   enum route_next next = ROUTE_REFUSED;
 
   entry_dispatchers_refresh_own (n, now);
-  while (j->tried_count < try_limit (n, j))
+  for (;;)
     {
-      struct route_dispatcher *d = job_router_choose (
+      struct route_dispatcher *d = job_router_next (
           n->dispatchers, n->dispatcher_count, n->settings->peer.domain,
-          &j->spec, (const char (*)[NAME_BYTES])j->tried, j->tried_count, now);
+          &n->dispatcher.scheduler.priorities, &j->spec,
+          (const char (*)[NAME_BYTES])j->tried, j->tried_count, now);
 
       if (d == NULL)
         break;
@@ -256,7 +257,7 @@
   struct routed_job *j = job_new (n, now, spec, answered, arg);
 
   j->parent = parent;
-  j->tried_count = ROUTE_URGENT_TRY_LIMIT;
+  j->tried_count = ROUTE_FREE_TRY_LIMIT;
   if (send_job (n, now, j, d))
     {
       memcpy (j->vm, d->vm, sizeof j->vm);
--- a/src/coord/job_router.c
+++ b/src/coord/job_router.c
@@ -9,6 +9,10 @@
      little would be left of a job's lease.  */
   CAPACITY_MAX_AGE_MS = 700,
 
+  /* Older reports do not show where a job fits: most tasks that ran then have
+     ended.  */
+  ROOM_MAX_AGE_MS = 150,
+
   /* The assumed time in which all usable cores of a dispatcher become free
      once.  A job that needs more than the free cores waits for a part of it,
      in proportion to the missing ones.  */
@@ -73,6 +77,19 @@
   return false;
 }
 
+/* The expected wait at D and the cost of leaving DOMAIN; -1 if D cannot be
+   used.  */
+static int64_t
+route_cost (const struct route_dispatcher *d, const char *domain,
+            const struct job_spec *spec, int64_t now)
+{
+  int64_t wait = job_router_wait_ms (d, spec, now);
+
+  if (wait < 0 || strcmp (d->domain, domain) == 0)
+    return wait;
+  return wait + OTHER_DOMAIN_MS;
+}
+
 struct route_dispatcher *
 job_router_choose (struct route_dispatcher *dispatchers, uint32_t count,
                    const char *domain, const struct job_spec *spec,
@@ -85,12 +102,10 @@
   for (uint32_t i = 0; i < count; i++)
     {
       struct route_dispatcher *d = &dispatchers[i];
-      int64_t cost = job_router_wait_ms (d, spec, now);
+      int64_t cost = route_cost (d, domain, spec, now);
 
       if (cost < 0 || is_tried (tried, tried_count, d->vm))
         continue;
-      if (strcmp (d->domain, domain) != 0)
-        cost += OTHER_DOMAIN_MS;
       if (best == NULL || cost < best_cost)
         {
           best = d;
@@ -100,15 +115,93 @@
   return best;
 }
 
-uint32_t
-job_router_try_limit (const struct service_priorities *p,
-                      const struct job_spec *spec)
+/* Subtracts the tasks of SPEC from C.  Returns false if they do not all
+   fit.  */
+static bool
+subtract_tasks (struct free_capacity *c, const struct job_spec *spec)
+{
+  for (uint32_t i = 0; i < spec->step_count; i++)
+    {
+      const struct job_step *step = &spec->steps[i];
+
+      if (free_capacity_tasks (c, step->cpu_milli, step->count) < step->count)
+        return false;
+      free_capacity_subtract (c, step->cpu_milli, step->count);
+    }
+  return true;
+}
+
+/* Whether a recent report of D shows that all tasks of SPEC fit.  */
+static bool
+has_room (const struct route_dispatcher *d, const struct job_spec *spec,
+          int64_t now)
+{
+  const struct route_capacity *r = find_capacity (d, spec->service);
+  struct free_capacity left;
+
+  if (r == NULL || now - d->reported_ms > ROOM_MAX_AGE_MS)
+    return false;
+  left = r->free_by_target;
+  return subtract_tasks (&left, spec);
+}
+
+/* Like job_router_choose, among the dispatchers that have room for all tasks;
+   the tasks are subtracted from the room.  */
+static struct route_dispatcher *
+choose_with_room (struct route_dispatcher *dispatchers, uint32_t count,
+                  const char *domain, const struct job_spec *spec,
+                  const char (*tried)[NAME_BYTES], uint32_t tried_count,
+                  int64_t now)
+{
+  struct route_dispatcher *best = NULL;
+  int64_t best_cost = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct route_dispatcher *d = &dispatchers[i];
+      int64_t cost = route_cost (d, domain, spec, now);
+
+      if (cost < 0 || is_tried (tried, tried_count, d->vm)
+          || !has_room (d, spec, now) || (best != NULL && cost >= best_cost))
+        continue;
+      best = d;
+      best_cost = cost;
+    }
+  if (best != NULL)
+    subtract_tasks (&find_capacity (best, spec->service)->free_by_target,
+                    spec);
+  return best;
+}
+
+struct route_dispatcher *
+job_router_next (struct route_dispatcher *dispatchers, uint32_t count,
+                 const char *domain, const struct service_priorities *p,
+                 const struct job_spec *spec, const char (*tried)[NAME_BYTES],
+                 uint32_t tried_count, int64_t now)
 {
   const struct service_priority *s
       = service_priorities_find (p, spec->service);
+  struct route_dispatcher *d = NULL;
+  uint32_t limit = s != NULL && spec->priority == s->highest
+                       ? ROUTE_URGENT_TRY_LIMIT
+                       : ROUTE_TRY_LIMIT;
+
+  if (s != NULL && tried_count < ROUTE_FREE_TRY_LIMIT)
+    d = choose_with_room (dispatchers, count, domain, spec, tried, tried_count,
+                          now);
+  if (d == NULL && tried_count < limit)
+    d = job_router_choose (dispatchers, count, domain, spec, tried,
+                           tried_count, now);
+  return d;
+}
 
-  return s != NULL && spec->priority == s->highest ? ROUTE_URGENT_TRY_LIMIT
-                                                   : ROUTE_TRY_LIMIT;
+uint32_t
+job_router_try_limit (const struct service_priorities *p,
+                      const struct job_spec *spec)
+{
+  return service_priorities_find (p, spec->service) != NULL
+             ? ROUTE_FREE_TRY_LIMIT
+             : ROUTE_TRY_LIMIT;
 }
 
 enum route_next
--- a/src/coord/job_router.h
+++ b/src/coord/job_router.h
@@ -27,7 +27,11 @@
      tried at more dispatchers: in the replay of customer 1 at 2.2 times the
      load, 72 % of them are on time instead of 66 %.  With 15 tries it is 74 %,
      at the cost of the other queues and of a message for each try.  */
-  ROUTE_URGENT_TRY_LIMIT = 6
+  ROUTE_URGENT_TRY_LIMIT = 6,
+
+  /* There, a job is tried at this many dispatchers while reports show that all
+     of its tasks fit.  */
+  ROUTE_FREE_TRY_LIMIT = 12
 };
 
 /* The capacity of a dispatcher for one service, as last reported, and what was
@@ -80,7 +84,17 @@
   ROUTE_UNKNOWN    /* answer that it may have run */
 };
 
-/* The number of dispatchers at which a job of SPEC is tried.  */
+/* The dispatcher at which to try a job of SPEC next, which the TRIED ones have
+   refused, or NULL if there is none.  In services that shed load by priority
+   (P), a dispatcher comes first whose recent report shows that all tasks of
+   the job fit; they are subtracted from the report.  */
+struct route_dispatcher *
+job_router_next (struct route_dispatcher *dispatchers, uint32_t count,
+                 const char *domain, const struct service_priorities *p,
+                 const struct job_spec *spec, const char (*tried)[NAME_BYTES],
+                 uint32_t tried_count, int64_t now_ms);
+
+/* The number of dispatchers at which a job of SPEC is tried at most.  */
 uint32_t job_router_try_limit (const struct service_priorities *p,
                                const struct job_spec *spec);
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -89,6 +89,7 @@
   suite_stall ();
   suite_placement ();
   suite_scheduler ();
+  suite_overload ();
   suite_platform ();
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -39,6 +39,7 @@
 void suite_stall (void);
 void suite_placement (void);
 void suite_scheduler (void);
+void suite_overload (void);
 void suite_platform (void);
 
 /* A pseudo-random number generator: the same seed gives the same numbers.  */
--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -144,6 +144,26 @@
              > on_time_share (&by_shares.all));
 }
 
+/* The same load.  Guards against refusals while another dispatcher could start
+   all tasks at once: three of five refused jobs were such when the reports of
+   free capacity were read as totals.  One in four remains for reports that
+   are out of date.  */
+static void
+test_refused_with_free_targets (void)
+{
+  struct replay_result r = replay_customer1 (2.2, true);
+  uint32_t refused = 0;
+  uint32_t fit = 0;
+
+  for (uint32_t c = 0; c < 3; c++)
+    for (uint32_t reason = 0; reason < REFUSAL_COUNT; reason++)
+      {
+        refused += r.classes[c].refused_by[reason];
+        fit += r.classes[c].fit_at_one[reason];
+      }
+  CU_ASSERT (fit * 4 < refused);
+}
+
 /* 1.8 times the load of customer 1, all queues with one priority.  Guards
    against rules of load shedding that act where priorities do not differ.  */
 static void
@@ -246,6 +266,8 @@
   CU_add_test (s, "load is shed by priority", test_shed_by_priority);
   CU_add_test (s, "shedding by priority wastes no cores",
                test_priorities_waste_nothing);
+  CU_add_test (s, "few jobs are refused while targets are free",
+               test_refused_with_free_targets);
   CU_add_test (s, "equal priorities change nothing", test_equal_priorities);
   CU_add_test (s, "slow targets are detected", test_slow_targets);
   CU_add_test (s, "slowness decays", test_slowness_decay);
