--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -19,7 +19,8 @@
    TASKS_SENT_BACK    of these, those that it refused
    TASKS_RETURNED     of these, those that ended with any other result
    VIEWS_TAKEN        assignments of targets and dispatchers applied
-   HEARTBEATS         heartbeats of targets received by this keeper  */
+   HEARTBEATS         heartbeats of targets received by this keeper
+   JOBS_DISPLACED     waiting jobs that gave way to jobs of higher priority  */
 #define COUNTER_TABLE(ROW)                                                    \
   ROW (JOBS_ACCEPTED, "jobs_accepted")                                        \
   ROW (JOBS_COMPLETE, "jobs_complete")                                        \
@@ -70,7 +71,8 @@
   ROW (CALLERS_REFUSED, "callers_refused")                                    \
   ROW (CALLERS_GONE, "callers_gone")                                          \
   ROW (VIEWS_TAKEN, "views_taken")                                            \
-  ROW (HEARTBEATS, "heartbeats")
+  ROW (HEARTBEATS, "heartbeats")                                              \
+  ROW (JOBS_DISPLACED, "jobs_displaced")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -108,6 +108,9 @@
   ROW (343, DISPATCH_STALE, INFO,                                             \
        "job refused: too little of its lease was left",                       \
        "check for a stalled VM or a blocked link")                            \
+  ROW (350, JOB_DISPLACED, INFO,                                              \
+       "waiting job gave way to jobs of higher priority",                     \
+       "nothing; if it recurs, add targets")                                  \
   ROW (400, CONFIG_IN_FORCE, INFO, "configuration in force on this VM",       \
        "nothing")                                                             \
   ROW (401, CONFIG_ACCEPTED, INFO, "configuration accepted", "nothing")       \
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -20,7 +20,9 @@
   TICK_MS = 20,
 
   /* Work is logged in core milliseconds.  */
-  WORK_PER_CORE_MS = 1000
+  WORK_PER_CORE_MS = 1000,
+
+  AHEAD_BYTES = 96
 };
 
 void
@@ -63,6 +65,33 @@
     counters_add (COUNTER_DISPATCH_FAILED, 1);
 }
 
+/* Writes what was ahead of the job that S refused last by its priority.  */
+static void
+describe_ahead (const struct run_scheduler *s, char text[AHEAD_BYTES])
+{
+  const struct overload_ahead *a = &s->refused_ahead;
+
+  snprintf (text, AHEAD_BYTES,
+            "rank=%u ahead_tasks=%u ahead_urgent=%u room=%u", a->rank,
+            a->tasks, a->urgent, a->room);
+}
+
+static void
+log_displaced (const struct dispatcher *d, const struct run_job *run,
+               int64_t now, int64_t retry_ms)
+{
+  char ahead[AHEAD_BYTES];
+
+  describe_ahead (&d->scheduler, ahead);
+  counters_add (COUNTER_JOBS_DISPLACED, 1);
+  event_ring_add (EVENT_JOB_DISPLACED, run->spec.key,
+                  "queue=%s priority=%u tasks=%u %s waited_ms=%" PRId64
+                  " slack_ms=%" PRId64 " retry_ms=%" PRId64,
+                  run->spec.queue, run->spec.priority, run->task_count, ahead,
+                  now - run->times.arrived_ms, run->times.start_by_ms - now,
+                  retry_ms);
+}
+
 static void
 on_finished (void *arg, struct run_job *run, enum job_result result,
              enum refusal_reason reason, int64_t retry_ms)
@@ -73,7 +102,8 @@
                        ? -1
                        : run->first_start_ms - run->times.arrived_ms;
 
-  (void)arg;
+  if (reason == REFUSAL_DISPLACED)
+    log_displaced (arg, run, now, retry_ms);
   count_result (result);
   histogram_add (HISTOGRAM_JOB_WAIT, waited);
   histogram_add (HISTOGRAM_JOB_TOTAL, now - run->times.arrived_ms);
@@ -372,19 +402,25 @@
       struct job_backlog b
           = run_scheduler_backlog (&d->scheduler, spec->service, INT64_MAX);
       char part[JOB_PART_BYTES];
+      char ahead[AHEAD_BYTES] = "rank=none";
 
       job_events_part (spec, part);
+      if (*reason == REFUSAL_OVERLOAD
+          && service_priorities_find (&d->scheduler.priorities, spec->service)
+                 != NULL)
+        describe_ahead (&d->scheduler, ahead);
       counters_add (COUNTER_DISPATCH_REFUSED, 1);
       event_ring_add (
           EVENT_DISPATCH_REFUSED, spec->key,
           "reason=%s queue=%s tasks=%u ahead_ms=%" PRId64 " cpu=%" PRIu64
           " retry_ms=%" PRId64 " fitting=%u work=%" PRIu64 " path_ms=%" PRId64
-          " age_ms=%" PRId64 " part=%s",
+          " age_ms=%" PRId64 " part=%s priority=%u %s",
           refusal_reason_name (*reason), spec->queue,
           job_spec_task_count (spec), job_admission_wait_ms (&b), b.cpu_milli,
           *retry_ms, run_admission_fitting (&d->scheduler, spec, now),
           job_spec_work (spec) / WORK_PER_CORE_MS,
-          job_spec_critical_path_ms (spec), spec->age_ms, part);
+          job_spec_critical_path_ms (spec), spec->age_ms, part, spec->priority,
+          ahead);
       free (j);
       return NULL;
     }
--- a/src/coord/overload_policy.c
+++ b/src/coord/overload_policy.c
@@ -96,12 +96,13 @@
 struct overload_ahead
 overload_policy_ahead (const struct run_scheduler *s, const struct run_job *j)
 {
-  struct overload_ahead a = { 0, 0, 0 };
+  struct overload_ahead a = { 0, 0, 0, 0 };
   const struct job_step *step = largest_first_step (&j->spec);
   int64_t slack = j->times.start_by_ms - j->times.arrived_ms;
   int64_t by_ms = j->times.arrived_ms + slack * SLACK_PERCENT / 100;
   const struct run_job *o;
 
+  a.rank = j->rank;
   for (uint32_t i = 0; i < s->target_count && step != NULL; i++)
     if (run_scheduler_may_use (s->targets[i])
         && strcmp (s->targets[i]->spec.service, j->spec.service) == 0)
--- a/src/coord/overload_policy.h
+++ b/src/coord/overload_policy.h
@@ -26,14 +26,6 @@
 void overload_policy_rank (struct run_scheduler *s, int64_t now_ms,
                            struct run_job *j);
 
-/* What is ahead of a job at its dispatcher.  */
-struct overload_ahead
-{
-  uint32_t tasks;  /* waiting tasks that are placed before its own */
-  uint32_t urgent; /* of these, of jobs of higher priority */
-  uint32_t room;   /* tasks of its size that fit by the time it must start */
-};
-
 struct overload_ahead overload_policy_ahead (const struct run_scheduler *s,
                                              const struct run_job *j);
 
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -187,6 +187,8 @@
   if (*reason != REFUSAL_NONE)
     {
       *retry_ms = job_admission_retry_ms (&b, j->number * 7919);
+      if (j->by_priority)
+        s->refused_ahead = overload_policy_ahead (s, j);
       run_job_free (j);
       return NULL;
     }
@@ -283,6 +285,7 @@
     {
       struct job_backlog b = run_scheduler_backlog_of (s, j);
 
+      s->refused_ahead = overload_policy_ahead (s, j);
       queue_share_revoke (&s->share, now, j->spec.queue, j->work);
       close_job (s, j, JOB_REFUSED, REFUSAL_DISPLACED,
                  job_admission_retry_ms (&b, j->number * 7919));
--- a/src/coord/run_scheduler.h
+++ b/src/coord/run_scheduler.h
@@ -73,6 +73,9 @@
   struct run_job *waiting; /* list of open jobs, in order of arrival */
   uint64_t next_number;
   bool check_displaced; /* in the next pass */
+
+  /* What was ahead of the job by priority that was refused last.  */
+  struct overload_ahead refused_ahead;
 };
 
 void run_scheduler_init (struct run_scheduler *s,
