--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -30,7 +30,8 @@
    CLIENTS_...        requests refused by the limits of clients, by kind
    SPEED_CHANGES      times that learnt speeds came into or out of effect
    SHORT_OF_CPU       times that this VM became short of processor time
-   JOBS_SHED          jobs that this entry refused while it was  */
+   JOBS_SHED          jobs that this entry refused while it was
+   JOBS_DISPLACED     waiting jobs that gave way to jobs of higher priority  */
 #define COUNTER_TABLE(ROW)                                                    \
   ROW (JOBS_ACCEPTED, "jobs_accepted")                                        \
   ROW (JOBS_COMPLETE, "jobs_complete")                                        \
@@ -97,7 +98,8 @@
   ROW (CLIENTS_BAD_FRAMING, "clients_bad_framing")                            \
   ROW (SPEED_CHANGES, "speed_changes")                                        \
   ROW (SHORT_OF_CPU, "short_of_cpu")                                          \
-  ROW (JOBS_SHED, "jobs_shed")
+  ROW (JOBS_SHED, "jobs_shed")                                                \
+  ROW (JOBS_DISPLACED, "jobs_displaced")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -82,6 +82,12 @@
           j->answer.reason, j->answer.retry_ms);
 }
 
+static uint32_t
+try_limit (const struct job_entry *n, const struct routed_job *j)
+{
+  return job_router_try_limit (&n->dispatcher.scheduler.priorities, &j->spec);
+}
+
 static void
 handle_result (struct job_entry *n, int64_t now, struct routed_job *j,
                enum job_result result, enum refusal_reason reason,
@@ -97,7 +103,7 @@
       return;
     }
   j->answer = (struct job_answer){ result, reason, retry_ms };
-  next = job_router_after_refusal (reason, j->tried_count);
+  next = job_router_after_refusal (reason, j->tried_count, try_limit (n, j));
   if (next == ROUTE_ELSEWHERE)
     route (n, now, j);
   else
@@ -188,17 +194,19 @@
   enum route_next next = ROUTE_REFUSED;
 
   entry_dispatchers_refresh_own (n, now);
-  while (j->tried_count < ROUTE_TRY_LIMIT)
+  for (;;)
     {
-      struct route_dispatcher *d = job_router_choose (
+      struct route_dispatcher *d = job_router_next (
           n->dispatchers, n->dispatcher_count, n->settings->peer.domain,
-          &j->spec, (const char (*)[NAME_BYTES])j->tried, j->tried_count, now);
+          &n->dispatcher.scheduler.priorities, &j->spec,
+          (const char (*)[NAME_BYTES])j->tried, j->tried_count, now);
 
       if (d == NULL)
         break;
       if (submit_to (n, now, j, d))
         return;
-      next = job_router_after_refusal (j->answer.reason, j->tried_count);
+      next = job_router_after_refusal (j->answer.reason, j->tried_count,
+                                       try_limit (n, j));
       if (next != ROUTE_ELSEWHERE)
         break;
     }
@@ -275,7 +283,7 @@
   struct routed_job *j = job_new (n, now, spec, answered, arg);
 
   j->parent = parent;
-  j->tried_count = ROUTE_TRY_LIMIT;
+  j->tried_count = ROUTE_PRIORITY_TRY_LIMIT;
   if (send_job (n, now, j, d))
     {
       memcpy (j->vm, d->vm, sizeof j->vm);
--- a/src/coord/job_router.h
+++ b/src/coord/job_router.h
@@ -16,11 +16,19 @@
 #include "coord/job_spec.h"
 #include "coord/free_capacity.h"
 #include "coord/job_lease.h"
+#include "coord/service_priorities.h"
 
 enum
 {
   ROUTE_SERVICE_LIMIT = 16,
-  ROUTE_TRY_LIMIT = 3
+  ROUTE_TRY_LIMIT = 3,
+
+  /* Where load is shed by priority, a job is tried at this many dispatchers
+     while recent reports show that all of its tasks fit, and jobs of the
+     service's highest priority also without that: in the replay of customer 1
+     at 2.2 times the load, 76 % of these are on time instead of 66 % with
+     three tries, and the other queues lose nothing.  */
+  ROUTE_PRIORITY_TRY_LIMIT = 12
 };
 
 /* The capacity of a dispatcher for one service, as last reported, and what was
@@ -73,11 +81,26 @@
   ROUTE_UNKNOWN    /* answer that it may have run */
 };
 
-/* What to do with a job that TRIED_COUNT dispatchers have refused, the last
-   one for REASON.  An earlier attempt that is still active at one of them may
-   have run, and no other dispatcher knows of it.  */
+/* The dispatcher at which to try a job of SPEC next, which the TRIED ones have
+   refused, or NULL if there is none.  In services that shed load by priority
+   (P), a dispatcher comes first whose recent report shows that all tasks of
+   the job fit; they are subtracted from the report.  */
+struct route_dispatcher *
+job_router_next (struct route_dispatcher *dispatchers, uint32_t count,
+                 const char *domain, const struct service_priorities *p,
+                 const struct job_spec *spec, const char (*tried)[NAME_BYTES],
+                 uint32_t tried_count, int64_t now_ms);
+
+/* The number of dispatchers at which a job of SPEC is tried at most.  */
+uint32_t job_router_try_limit (const struct service_priorities *p,
+                               const struct job_spec *spec);
+
+/* What to do with a job that TRIED_COUNT of at most LIMIT dispatchers have
+   refused, the last one for REASON.  An earlier attempt that is still active
+   at one of them may have run, and no other dispatcher knows of it.  */
 enum route_next job_router_after_refusal (enum refusal_reason reason,
-                                          uint32_t tried_count);
+                                          uint32_t tried_count,
+                                          uint32_t limit);
 
 /* Records that a job of SPEC was sent to D.  */
 void job_router_sent (struct route_dispatcher *d, const struct job_spec *spec);
--- a/src/coord/run_job.h
+++ b/src/coord/run_job.h
@@ -52,6 +52,15 @@
   uint32_t avoid_count;
 };
 
+/* What is ahead of a job at its dispatcher.  */
+struct overload_ahead
+{
+  uint32_t rank;   /* its own, see struct run_job */
+  uint32_t tasks;  /* waiting tasks that are placed before its own */
+  uint32_t urgent; /* of these, of jobs of higher priority */
+  uint32_t room;   /* tasks of its size that fit by the time it must start */
+};
+
 struct run_job
 {
   struct job_spec spec;
@@ -64,6 +73,8 @@
 
   struct job_times times;
   int64_t lease_end_ms;   /* its runs must be over by then (job_lease) */
+  bool by_priority;       /* whether its service sheds load by priority */
+  uint32_t rank;          /* its priority if so, else 0 */
   uint64_t work;          /* expected, in thousandths of a core times ms */
   int64_t first_start_ms; /* -1 before; a delegated task counts as started */
   int64_t last_start_ms;  /* likewise */
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
+#include "coord/overload_policy.h"
 #include "coord/run_admission.h"
 #include "coord/run_placement.h"
 #include "coord/run_progress.h"
@@ -33,6 +34,7 @@
   s->remote_factor = default_remote_factor;
   work_estimate_init (&s->estimate);
   queue_share_init (&s->share);
+  service_priorities_init (&s->priorities);
 }
 
 void
@@ -50,6 +52,7 @@
     free (s->targets[i]);
   free (s->targets);
   work_estimate_done (&s->estimate);
+  service_priorities_done (&s->priorities);
 }
 
 struct run_target *
@@ -160,42 +163,6 @@
   close_job (s, j, result, reason, 0);
 }
 
-static bool
-is_usable (const struct run_target *t)
-{
-  return t->phase == TARGET_READY && !t->spec.draining && !t->releasing
-         && !t->health.ejected;
-}
-
-struct job_backlog
-run_scheduler_backlog (const struct run_scheduler *s, const char *service,
-                       int64_t start_by)
-{
-  struct job_backlog b = { 0, 0 };
-  struct run_job *j;
-
-  for (uint32_t i = 0; i < s->target_count; i++)
-    if (is_usable (s->targets[i])
-        && strcmp (s->targets[i]->spec.service, service) == 0)
-      b.cpu_milli += run_speeds_cpu (s->targets[i]);
-  DL_FOREACH (s->waiting, j)
-  if (strcmp (j->spec.service, service) == 0
-      && (j->first_start_ms >= 0 || j->times.start_by_ms <= start_by))
-    b.work_ahead += j->work * j->waiting_count / j->task_count;
-  return b;
-}
-
-uint32_t
-run_scheduler_waiting_jobs (const struct run_scheduler *s, const char *queue)
-{
-  struct run_job *j;
-  uint32_t n = 0;
-
-  DL_FOREACH (s->waiting, j)
-  n += j->first_start_ms < 0 && strcmp (j->spec.queue, queue) == 0;
-  return n;
-}
-
 struct run_job *
 run_scheduler_submit (struct run_scheduler *s, int64_t now,
                       const struct job_spec *spec, void *user_data,
@@ -214,13 +181,16 @@
   if (*reason != REFUSAL_NONE)
     return NULL;
   j = run_job_new (spec, ++s->next_number, &s->estimate, now);
-  b = run_scheduler_backlog (s, spec->service, j->times.start_by_ms);
   if (!spec->part.is_part)
     queue_share_request (&s->share, now, spec->queue, spec->service, j->work);
+  overload_policy_rank (s, now, j);
+  b = run_scheduler_backlog_of (s, j);
   *reason = run_admission_check_load (s, now, j, &b);
   if (*reason != REFUSAL_NONE)
     {
       *retry_ms = job_admission_retry_ms (&b, j->number * 7919);
+      if (j->by_priority)
+        s->refused_ahead = overload_policy_ahead (s, j);
       run_job_free (j);
       return NULL;
     }
@@ -228,6 +198,7 @@
   j->user_data = user_data;
   HASH_ADD_STR (s->jobs, id, j);
   DL_APPEND (s->waiting, j);
+  s->check_displaced |= j->by_priority;
   return j;
 }
 
@@ -301,6 +272,28 @@
   }
 }
 
+/* Refuses waiting jobs that give way to jobs of higher priority.  */
+static void
+refuse_displaced (struct run_scheduler *s, int64_t now)
+{
+  struct run_job *j;
+  struct run_job *next;
+
+  if (!s->check_displaced)
+    return;
+  s->check_displaced = false;
+  DL_FOREACH_SAFE (s->waiting, j, next)
+  if (overload_policy_is_displaced (s, j))
+    {
+      struct job_backlog b = run_scheduler_backlog_of (s, j);
+
+      s->refused_ahead = overload_policy_ahead (s, j);
+      queue_share_revoke (&s->share, now, j->spec.queue, j->work);
+      close_job (s, j, JOB_REFUSED, REFUSAL_DISPLACED,
+                 job_admission_retry_ms (&b, j->number * 7919));
+    }
+}
+
 static void
 notify_health (struct run_scheduler *s, const struct run_target *t)
 {
@@ -369,27 +362,6 @@
     }
 }
 
-uint32_t
-run_scheduler_rank (struct run_scheduler *s, int64_t now,
-                    struct wait_rank **ranks)
-{
-  struct run_job *j;
-  uint32_t n = 0;
-
-  *ranks = NULL;
-  DL_FOREACH (s->waiting, j)
-  n += j->waiting_count != 0;
-  if (n == 0)
-    return 0;
-  *ranks = malloc (n * sizeof **ranks);
-  n = 0;
-  DL_FOREACH (s->waiting, j)
-  if (j->waiting_count != 0)
-    (*ranks)[n++] = wait_rank_of (j, now);
-  qsort (*ranks, n, sizeof **ranks, wait_rank_compare);
-  return n;
-}
-
 void
 run_scheduler_pass (struct run_scheduler *s, int64_t now)
 {
@@ -399,6 +371,7 @@
   run_speeds_update (s, now);
   stop_stalled (s, now);
   refuse_expired (s, now);
+  refuse_displaced (s, now);
   n = run_scheduler_rank (s, now, &ranks);
   for (uint32_t i = 0; i < n; i++)
     place_job (s, ranks[i].job, now);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -108,6 +108,7 @@
   suite_scheduler ();
   suite_speed ();
   suite_vm_load ();
+  suite_overload ();
   suite_platform ();
   suite_framing ();
   suite_client_budget ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -42,6 +42,7 @@
 void suite_scheduler (void);
 void suite_speed (void);
 void suite_vm_load (void);
+void suite_overload (void);
 void suite_platform (void);
 void suite_framing (void);
 void suite_client_budget (void);
