--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -70,7 +70,11 @@
   ROW (CALLERS_REFUSED, "callers_refused")                                    \
   ROW (CALLERS_GONE, "callers_gone")                                          \
   ROW (VIEWS_TAKEN, "views_taken")                                            \
-  ROW (HEARTBEATS, "heartbeats")
+  ROW (HEARTBEATS, "heartbeats")                                              \
+  ROW (EVACUATION_ORDERS, "evacuation_orders")                                \
+  ROW (EVACUATION_REFUSALS, "evacuation_refusals")                            \
+  ROW (EVACUATION_SENDS, "evacuation_sends")                                  \
+  ROW (COLD_STARTS, "cold_starts")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -116,6 +116,19 @@
   ROW (403, CONFIG_FOREIGN, ERROR,                                            \
        "configuration of another environment refused",                        \
        "find out who sent it; it disagrees with this VM's settings")          \
+  ROW (410, EVACUATION_ORDERED, WARN,                                         \
+       "evacuation of a failure domain committed by the keepers",             \
+       "see operate/evacuation.md; end it when the domain may be used again") \
+  ROW (411, EVACUATION_ENDED, INFO,                                           \
+       "end of an evacuation committed by the keepers", "nothing")            \
+  ROW (412, EVACUATION_REFUSED, WARN, "evacuation order refused",             \
+       "check the domain's name and the number of evacuated domains")         \
+  ROW (413, EVACUATION_IN_FORCE, INFO,                                        \
+       "set of evacuated failure domains in force on this VM", "nothing")     \
+  ROW (414, EVACUATION_SENT, DEBUG,                                           \
+       "set of evacuated failure domains sent to an entry", "nothing")        \
+  ROW (415, TARGET_COLD, INFO, "target reports that it is cold",              \
+       "nothing; it is used last until it has warmed up")                     \
   ROW (500, PEER_UP, INFO, "peer link up", "nothing")                         \
   ROW (501, PEER_DOWN, WARN, "peer link down",                                \
        "check the peer and the network to it")                                \
--- a/src/controller/keeper_state.c
+++ b/src/controller/keeper_state.c
@@ -80,6 +80,27 @@
       json_object_del (k->applied_targets, json_string_value (id));
 }
 
+static void
+apply_evacuation (struct quorum_keeper *k, uint64_t index, const json_t *o)
+{
+  const char *domain = json_get_text (o, "domain", "");
+  bool active = json_get_boolean (o, "active", false);
+  enum evacuation_change change = evacuation_set_apply (
+      &k->evacuations, index, domain, active, json_get_integer (o, "at", 0));
+
+  if (change == EVACUATION_REFUSED)
+    {
+      event_ring_add (EVENT_EVACUATION_REFUSED, domain,
+                      "active=%d index=%" PRIu64 " domains=%u", active, index,
+                      k->evacuations.count);
+      return;
+    }
+  counters_add (COUNTER_EVACUATION_ORDERS, 1);
+  event_ring_add (active ? EVENT_EVACUATION_ORDERED : EVENT_EVACUATION_ENDED,
+                  domain, "index=%" PRIu64 " repeated=%d domains=%u", index,
+                  change == EVACUATION_UNCHANGED, k->evacuations.count);
+}
+
 static json_t *
 targets_list (const struct quorum_keeper *k)
 {
@@ -102,6 +123,8 @@
     apply_targets (k, o);
   else if (strcmp (type, "voters") == 0)
     set_voters (k, json_object_get (o, "list"));
+  else if (strcmp (type, "evacuation") == 0)
+    apply_evacuation (k, index, o);
   else
     event_ring_add (EVENT_STATE_REFUSED, k->settings->name,
                     "index=%" PRIu64 " type=%s", index, type);
@@ -114,6 +137,7 @@
   k->applied_voters = json_array ();
   json_decref (k->applied_targets);
   k->applied_targets = json_object ();
+  evacuation_set_init (&k->evacuations);
 }
 
 char *
@@ -121,9 +145,10 @@
 {
   struct quorum_keeper *k = arg;
   json_t *o = json_build (
-      "{s:I s:s s:O s:o}", "version", (json_int_t)k->config_version, "text",
-      k->config_text == NULL ? "" : k->config_text, "voters",
-      k->applied_voters, "targets", targets_list (k));
+      "{s:I s:s s:O s:o s:o}", "version", (json_int_t)k->config_version,
+      "text", k->config_text == NULL ? "" : k->config_text, "voters",
+      k->applied_voters, "targets", targets_list (k), "evacuations",
+      evacuation_set_to_json (&k->evacuations));
   char *text;
 
   if (o == NULL)
@@ -133,6 +158,23 @@
   return text;
 }
 
+/* Replaces the evacuations by those of a snapshot.  One without them was
+   written by an earlier version of this program, which does not know them; an
+   evacuation must not end by that.  */
+static void
+load_evacuations (struct quorum_keeper *k, const json_t *o)
+{
+  struct evacuation_set set;
+
+  if (o == NULL)
+    return;
+  if (evacuation_set_from_json (&set, o))
+    k->evacuations = set;
+  else
+    event_ring_add (EVENT_STATE_REFUSED, k->settings->name, "evacuations: %s",
+                    "malformed");
+}
+
 void
 keeper_state_load (void *arg, uint64_t index, const char *data,
                    uint32_t length)
@@ -147,5 +189,6 @@
   set_voters (k, json_object_get (o, "voters"));
   json_object_clear (k->applied_targets);
   put_targets (k, json_object_get (o, "targets"));
+  load_evacuations (k, json_object_get (o, "evacuations"));
   json_decref (o);
 }
--- a/src/controller/keeper_state.h
+++ b/src/controller/keeper_state.h
@@ -1,12 +1,13 @@
 /* The state machine of the log of a quorum_keeper: the configuration, the
-   voters and the known targets, and snapshots of them.  */
+   voters, the known targets and the evacuated failure domains, and snapshots
+   of them.  */
 #ifndef CONTROLLER_KEEPER_STATE_H
 #define CONTROLLER_KEEPER_STATE_H
 
 #include "controller/quorum_keeper.h"
 
-/* Clears the voters and targets, before the log is read.  The configuration
-   stays: an older version never replaces a newer one.  */
+/* Clears the voters, targets and evacuations, before the log is read.  The
+   configuration stays: an older version never replaces a newer one.  */
 void keeper_state_reset (struct quorum_keeper *k);
 
 /* Applies the command O of the log entry INDEX.  */
--- a/src/controller/quorum_keeper.h
+++ b/src/controller/quorum_keeper.h
@@ -17,6 +17,7 @@
 #include "base/node_settings.h"
 #include "controller/log_journal.h"
 #include "controller/target_relay.h"
+#include "coord/evacuation.h"
 #include "coord/owner_plan.h"
 #include "coord/quorum_plan.h"
 #include "coord/replicated_log.h"
@@ -93,6 +94,7 @@
   char *config_text;
   json_t *applied_voters;
   json_t *applied_targets; /* the targets in the log, by id */
+  struct evacuation_set evacuations;
 
   /* only while leader */
   struct owner_plan plan;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -90,6 +90,7 @@
   suite_placement ();
   suite_scheduler ();
   suite_platform ();
+  suite_evacuation ();
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   failed = CU_get_number_of_tests_failed ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -40,6 +40,7 @@
 void suite_placement (void);
 void suite_scheduler (void);
 void suite_platform (void);
+void suite_evacuation (void);
 
 /* A pseudo-random number generator: the same seed gives the same numbers.  */
 struct prng
