--- a/src/base/node_settings.c
+++ b/src/base/node_settings.c
@@ -55,6 +55,7 @@
   { "stop_grace_s", RULE_REAL, true, 1, 600, NULL, NULL },
   { "far_factor", RULE_REAL, false, 1, 100, NULL, NULL },
   { "log_level", RULE_CHOICE, false, 0, 0, NULL, "debug|info|warn|error" },
+  { "domains", RULE_ANY, false, 0, 0, NULL, NULL },
   { NULL, RULE_END, false, 0, 0, NULL, NULL },
 };
 
@@ -112,6 +113,44 @@
   }
 }
 
+/* Reads the names of the failure domains, the members of "domains"; their
+   values, the regions, are not used.  */
+static void
+read_domains (struct node_settings *s, const json_t *root,
+              struct json_report *r)
+{
+  json_t *domains = json_object_get (root, "domains");
+  const char *name;
+  json_t *region;
+
+  if (domains == NULL || json_is_null (domains))
+    return;
+  if (!json_is_object (domains)
+      || json_object_size (domains) > KNOWN_DOMAIN_LIMIT)
+    {
+      json_report_add (r, "domains", "is not an object of at most %d domains",
+                       KNOWN_DOMAIN_LIMIT);
+      return;
+    }
+  json_object_foreach (domains, name, region)
+  {
+    if (name[0] == '\0' || strlen (name) >= NAME_BYTES)
+      json_report_add (r, "domains", "has a name of no or too many bytes: %s",
+                       name);
+    else
+      snprintf (s->domains[s->domain_count++], NAME_BYTES, "%s", name);
+  }
+}
+
+bool
+node_settings_knows_domain (const struct node_settings *s, const char *domain)
+{
+  for (uint32_t i = 0; i < s->domain_count; i++)
+    if (strcmp (s->domains[i], domain) == 0)
+      return true;
+  return s->domain_count == 0;
+}
+
 static void
 read_peer (struct node_settings *s, const json_t *root, struct json_report *r)
 {
@@ -164,6 +203,7 @@
   memcpy (s->metrics.address, s->peer.address, sizeof s->metrics.address);
   s->metrics.port = (uint16_t)json_get_integer (root, "metrics_port", 0);
   read_seeds (s, root, r);
+  read_domains (s, root, r);
   s->first_start = json_get_boolean (root, "first_start", false);
   s->lost_keepers = (uint32_t)json_get_integer (root, "lost_keepers", 1);
   s->catch_up_ms
--- a/src/base/node_settings.h
+++ b/src/base/node_settings.h
@@ -12,7 +12,8 @@
 
 enum
 {
-  SEED_LIMIT = 8
+  SEED_LIMIT = 8,
+  KNOWN_DOMAIN_LIMIT = 64
 };
 
 struct endpoint
@@ -36,6 +37,10 @@
   struct endpoint control;
   struct endpoint metrics;
 
+  /* the failure domains of the deployment, if the file lists them */
+  char domains[KNOWN_DOMAIN_LIMIT][NAME_BYTES];
+  uint32_t domain_count;
+
   /* keepers and leases */
   struct endpoint seeds[SEED_LIMIT];
   uint32_t seed_count;
@@ -55,6 +60,11 @@
 enum settings_error node_settings_load (struct node_settings *s,
                                         const char *path, struct error *e);
 
+/* Whether DOMAIN is a failure domain of the deployment.  True for every name
+   if S lists none.  */
+bool node_settings_knows_domain (const struct node_settings *s,
+                                 const char *domain);
+
 /* Parses "ADDRESS:PORT" with an IPv4 address.  Returns false if TEXT does not
    have this form.  */
 bool endpoint_parse (struct endpoint *a, const char *text);
--- a/tests/check_examples.sh
+++ b/tests/check_examples.sh
@@ -51,6 +51,10 @@
   examples/open/node-keeper.json > "$dir/open.json"
 expect "an unknown field is ignored" 0 '' \
   "$build/ragwort-node" --check "$dir/open.json"
+sed 's/"domains": {[^}]*}/"domains": ["winkel"]/' \
+  examples/open/node-keeper.json > "$dir/open.json"
+expect "domains that are no object" 2 'domains: is not an object' \
+  "$build/ragwort-node" --check "$dir/open.json"
 expect "no settings" 64 'RAGWORTLINE_BOOT' env -u RAGWORTLINE_BOOT \
   "$build/ragwort-node"
 sed 's/"timeout_ms"/"timeout"/' examples/sofia/document.json > "$dir/wrong.json"
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -256,11 +256,17 @@
               "\"127.0.0.1:2\",\"seeds\":[\"127.0.0.1:3\"],\"first_start\":"
               "true,\"lost_keepers\":1,\"descriptors\":2000,"
               "\"lease_limit_ms\":1000,\"far_factor\":1.5,"
+              "\"domains\":{\"d\":\"r\",\"other\":\"r\"},"
               "\"stop_grace_s\":2.5}");
   fclose (f);
   CU_ASSERT_EQUAL (node_settings_load (&s, path, &e), SETTINGS_OK);
   CU_ASSERT_EQUAL (s.stop_grace_ms, 2500);
   CU_ASSERT_DOUBLE_EQUAL (s.far_factor, 1.5, 0.001);
+  CU_ASSERT_EQUAL (s.domain_count, 2);
+  CU_ASSERT_TRUE (node_settings_knows_domain (&s, "other"));
+  CU_ASSERT_FALSE (node_settings_knows_domain (&s, "r"));
+  s.domain_count = 0;
+  CU_ASSERT_TRUE (node_settings_knows_domain (&s, "any"));
   test_folder_remove (folder);
 }
 
