--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -277,23 +277,14 @@
 }
 
 void
-quorum_keeper_put_config (struct quorum_keeper *k, int64_t now,
-                          uint64_t version, const char *text, config_done done,
-                          void *arg)
+quorum_keeper_commit (struct quorum_keeper *k, int64_t now, json_t *command,
+                      config_done done, void *arg)
 {
   struct keeper_call *c;
-  json_t *command;
 
-  if (!quorum_keeper_leads (k))
-    {
-      done (arg, CONFIG_UNCONFIRMED, NULL);
-      return;
-    }
-  command = json_build ("{s:s s:I s:s}", "type", "document", "version",
-                        (json_int_t)version, "text",
-                        version <= k->config_version ? "" : text);
-  if (command == NULL)
+  if (command == NULL || !quorum_keeper_leads (k))
     {
+      json_decref (command);
       done (arg, CONFIG_UNCONFIRMED, NULL);
       return;
     }
@@ -304,6 +295,18 @@
   quorum_keeper_propose (k, command, now, &(uint64_t){ 0 });
 }
 
+void
+quorum_keeper_put_config (struct quorum_keeper *k, int64_t now,
+                          uint64_t version, const char *text, config_done done,
+                          void *arg)
+{
+  quorum_keeper_commit (k, now,
+                        json_build ("{s:s s:I s:s}", "type", "document",
+                                    "version", (json_int_t)version, "text",
+                                    version <= k->config_version ? "" : text),
+                        done, arg);
+}
+
 void
 quorum_keeper_get_config (struct quorum_keeper *k, int64_t now,
                           config_done done, void *arg)
--- a/src/controller/quorum_keeper.h
+++ b/src/controller/quorum_keeper.h
@@ -164,6 +164,12 @@
                                uint64_t version, const char *text,
                                config_done done, void *arg);
 
+/* Commits COMMAND, which is released, through the log.  DONE as above, with
+   CONFIG_COMMITTED as soon as this keeper has applied it, or
+   CONFIG_UNCONFIRMED.  */
+void quorum_keeper_commit (struct quorum_keeper *k, int64_t now_ms,
+                           json_t *command, config_done done, void *arg);
+
 /* Reads the newest configuration, after a majority has confirmed that this
    keeper is still the leader.  DONE as above.  */
 void quorum_keeper_get_config (struct quorum_keeper *k, int64_t now_ms,
--- a/tests/unit/test_deployment.c
+++ b/tests/unit/test_deployment.c
@@ -1,12 +1,13 @@
 /* Tests of keepers and entries together (deployment.h): the service
-   configuration, keepers that lose their disk, owners of targets, and
-   delegated tasks.  */
+   configuration, keepers that lose their disk, owners of targets, delegated
+   tasks, and evacuated failure domains.  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include "base/counters.h"
 #include "base/event_ring.h"
 #include "base/now.h"
+#include "controller/evacuation_control.h"
 #include "controller/routed_job.h"
 #include "tests/unit/deployment.h"
 #include "tests/unit/event_lines.h"
@@ -514,6 +515,170 @@
   event_ring_done ();
 }
 
+/* The result of an order or a list of evacuations.  */
+struct evacuation_reply
+{
+  bool done;
+  enum evacuation_result result;
+  struct evacuation_set set;
+};
+
+static void
+on_evacuation_reply (void *arg, enum evacuation_result result,
+                     const struct evacuation_set *set)
+{
+  struct evacuation_reply *r = arg;
+
+  r->done = true;
+  r->result = result;
+  if (set != NULL)
+    r->set = *set;
+}
+
+/* Sends an order about DOMAIN to the leader, again after each failure, as an
+   operator does.  The test fails if it is not acknowledged within WAIT_MS.  */
+static void
+order_evacuation (struct deployment *d, const char *domain, bool active)
+{
+  int64_t end = now_ms () + WAIT_MS;
+  struct evacuation_reply reply;
+
+  do
+    {
+      memset (&reply, 0, sizeof reply);
+      deployment_run_until_leader (d);
+      evacuation_control_order (deployment_leader (d), now_ms (), domain,
+                                active, on_evacuation_reply, &reply);
+      while (!reply.done && now_ms () < end)
+        deployment_run_step (d);
+    }
+  while (reply.result != EVACUATION_DONE && now_ms () < end);
+  CU_ASSERT_TRUE (reply.done);
+  CU_ASSERT_EQUAL (reply.result, EVACUATION_DONE);
+}
+
+/* Reads the set from the leader, again after each failure.  */
+static void
+read_evacuations (struct deployment *d, struct evacuation_set *set)
+{
+  int64_t end = now_ms () + WAIT_MS;
+  struct evacuation_reply reply;
+
+  do
+    {
+      memset (&reply, 0, sizeof reply);
+      deployment_run_until_leader (d);
+      evacuation_control_read (deployment_leader (d), now_ms (),
+                               on_evacuation_reply, &reply);
+      while (!reply.done && now_ms () < end)
+        deployment_run_step (d);
+    }
+  while (reply.result != EVACUATION_READ && now_ms () < end);
+  CU_ASSERT_EQUAL (reply.result, EVACUATION_READ);
+  *set = reply.set;
+}
+
+static int
+leader_index (const struct deployment *d)
+{
+  int i = 0;
+
+  while (d->keepers[i] != deployment_leader (d))
+    i++;
+  return i;
+}
+
+/* An acknowledged order must survive the loss of the leader right after the
+   acknowledgement, and then of all power; a repeated one is acknowledged again
+   and keeps its version.  The same for the end of the evacuation.  */
+static void
+test_evacuation_durable (void)
+{
+  struct deployment d;
+  struct evacuation_set first;
+  struct evacuation_set set;
+
+  deployment_init (&d);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&d, i);
+  order_evacuation (&d, "shop", true);
+  deployment_stop_keeper (&d, leader_index (&d));
+  read_evacuations (&d, &first);
+  CU_ASSERT_EQUAL (first.count, 1);
+  CU_ASSERT_PTR_NOT_NULL (evacuation_set_find (&first, "shop"));
+  order_evacuation (&d, "shop", true);
+  for (int i = 0; i < SEEDS; i++)
+    if (d.keepers[i] != NULL)
+      deployment_stop_keeper (&d, i);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&d, i);
+  read_evacuations (&d, &set);
+  CU_ASSERT_EQUAL (set.count, 1);
+  CU_ASSERT_EQUAL (set.version, first.version);
+  order_evacuation (&d, "shop", false);
+  order_evacuation (&d, "shop", false);
+  deployment_stop_keeper (&d, leader_index (&d));
+  read_evacuations (&d, &set);
+  CU_ASSERT_EQUAL (set.count, 0);
+  CU_ASSERT (set.version > first.version);
+  deployment_done (&d);
+}
+
+/* A leader that is lost between an order and its acknowledgement must answer
+   that the outcome is not known, never that the order is in force; the
+   repeated order is acknowledged by the next leader.  */
+static void
+test_evacuation_leader_lost (void)
+{
+  struct deployment d;
+  struct evacuation_reply reply = { 0 };
+  struct evacuation_set set;
+
+  deployment_init (&d);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&d, i);
+  read_evacuations (&d, &set);
+  CU_ASSERT_EQUAL (set.count, 0);
+  evacuation_control_order (deployment_leader (&d), now_ms (), "shop", true,
+                            on_evacuation_reply, &reply);
+  CU_ASSERT_FALSE (reply.done);
+  deployment_stop_keeper (&d, leader_index (&d));
+  CU_ASSERT_TRUE (reply.done);
+  CU_ASSERT_EQUAL (reply.result, EVACUATION_UNCONFIRMED);
+  order_evacuation (&d, "shop", true);
+  read_evacuations (&d, &set);
+  CU_ASSERT_PTR_NOT_NULL (evacuation_set_find (&set, "shop"));
+  deployment_done (&d);
+}
+
+/* Without a majority of the keepers an order must not be acknowledged, and the
+   caller gets an answer within a second, so that it can go elsewhere.  */
+static void
+test_evacuation_no_majority (void)
+{
+  struct deployment d;
+  struct evacuation_reply reply = { 0 };
+  int leader;
+  int64_t start;
+
+  deployment_init (&d);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&d, i);
+  deployment_run_until_leader (&d);
+  leader = leader_index (&d);
+  for (int i = 0; i < SEEDS; i++)
+    if (i != leader)
+      deployment_stop_keeper (&d, i);
+  start = now_ms ();
+  evacuation_control_order (d.keepers[leader], start, "shop", true,
+                            on_evacuation_reply, &reply);
+  while (!reply.done && now_ms () - start < WAIT_MS)
+    deployment_run_step (&d);
+  CU_ASSERT_TRUE (reply.done);
+  CU_ASSERT_EQUAL (reply.result, EVACUATION_UNCONFIRMED);
+  deployment_done (&d);
+}
+
 void
 suite_deployment (void)
 {
@@ -540,4 +705,10 @@
                test_repeated_at_same_entry);
   CU_add_test (s, "lines of a revoked delegation", test_delegation_lines);
   CU_add_test (s, "lines of a delegate that crashed", test_lost_link_lines);
+  CU_add_test (s, "an acknowledged evacuation is durable",
+               test_evacuation_durable);
+  CU_add_test (s, "a leader is lost between order and acknowledgement",
+               test_evacuation_leader_lost);
+  CU_add_test (s, "no evacuation is acknowledged without a majority",
+               test_evacuation_no_majority);
 }
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -373,6 +373,90 @@
   deployment_done (&d);
 }
 
+/* The status of a request without a body to the control API of S.  */
+static int
+status_of_line (struct deployment *d, const struct node_settings *s,
+                const char *line)
+{
+  char request[REQUEST_BYTES];
+  int n = snprintf (request, sizeof request, "%s HTTP/1.1\r\nHost: h\r\n\r\n",
+                    line);
+
+  return status_of (d, s, request, (size_t)n);
+}
+
+/* The orders of both sets of paths are acknowledged and may be repeated; an
+   unknown domain is refused.  Guards against the 404 that they got before.  */
+static void
+test_evacuation_paths (void)
+{
+  static const struct
+  {
+    const char *line;
+    int status;
+    uint32_t domains; /* evacuated afterwards */
+  } rows[] = {
+    { "POST /v1/evacuate/shop", 200, 1 },
+    { "POST /v1/evacuate/shop", 200, 1 },
+    { "GET /v1/evacuations", 200, 1 },
+    { "POST /v1/evacuate/moon", 400, 1 },
+    { "POST /v1/evacuate/", 400, 1 },
+    { "POST /v1/evacuate/shop%00", 400, 1 },
+    { "PUT /v1/evacuations/oven%2d1", 200, 2 },
+    { "DELETE /v1/evacuate/shop", 200, 1 },
+    { "DELETE /v1/evacuate/shop", 200, 1 },
+    { "DELETE /v1/evacuations/oven-1", 200, 0 },
+    { "DELETE /v1/evacuate/moon", 400, 0 },
+    { "GET /v1/evacuate/shop", 404, 0 },
+  };
+  struct deployment d;
+  struct quorum_keeper *leader;
+  struct node_settings s;
+  struct control_api api;
+  struct error e;
+
+  start_keepers (&d);
+  leader = deployment_leader (&d);
+  s = *leader->settings;
+  s.domain_count = 2;
+  snprintf (s.domains[0], NAME_BYTES, "shop");
+  snprintf (s.domains[1], NAME_BYTES, "oven-1");
+  leader->settings = &s;
+  CU_ASSERT_FATAL (control_api_start (&api, d.base, &s, leader, &e));
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      CU_ASSERT_EQUAL (status_of_line (&d, &s, rows[i].line), rows[i].status);
+      CU_ASSERT_EQUAL (leader->evacuations.count, rows[i].domains);
+    }
+  control_api_done (&api);
+  deployment_done (&d);
+}
+
+/* A keeper that does not lead sends operators to the leader with 307, which
+   they follow.  */
+static void
+test_evacuation_at_follower (void)
+{
+  static const char *const lines[]
+      = { "POST /v1/evacuate/shop", "DELETE /v1/evacuate/shop",
+          "GET /v1/evacuations" };
+  struct deployment d;
+  struct quorum_keeper *k;
+  struct control_api api;
+  struct error e;
+
+  start_keepers (&d);
+  k = deployment_follower (&d);
+  for (int64_t end = now_ms () + ANSWER_MS;
+       quorum_keeper_leader_address (k) == NULL && now_ms () < end;)
+    run_for (d.base, 1);
+  CU_ASSERT_FATAL (control_api_start (&api, d.base, k->settings, k, &e));
+  for (size_t i = 0; i < sizeof lines / sizeof lines[0]; i++)
+    CU_ASSERT_EQUAL (status_of_line (&d, k->settings, lines[i]), 307);
+  control_api_done (&api);
+  deployment_done (&d);
+}
+
 void
 suite_http (void)
 {
@@ -386,4 +470,8 @@
                test_body_refused_within_character);
   CU_add_test (s, "a target's id that is no UTF-8 at a follower",
                test_id_not_utf8_at_follower);
+  CU_add_test (s, "orders to evacuate a failure domain",
+               test_evacuation_paths);
+  CU_add_test (s, "an order to evacuate at a follower",
+               test_evacuation_at_follower);
 }
