--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -278,6 +278,12 @@
   return NULL;
 }
 
+static bool
+is_evacuated (const struct dispatcher *d, const struct run_target *t)
+{
+  return evacuation_set_find (&d->evacuations, t->spec.domain) != NULL;
+}
+
 static void
 add_runner (struct dispatcher *d, const struct owned_target *owned)
 {
@@ -289,6 +295,7 @@
                                         * sizeof (struct target_runner *));
   d->runners[d->runner_count++] = r;
   t->releasing = owned->release;
+  t->evacuated = is_evacuated (d, t);
   event_ring_add (EVENT_TARGET_OWNED, owned->spec.id,
                   "address=%s fence=%" PRIu64 " born=%" PRId64,
                   owned->spec.address, owned->fencing_token,
@@ -331,6 +338,41 @@
   request_pass (d);
 }
 
+/* Refuses the jobs of which no task has started and that fit on no usable
+   target here any more, so that they are tried elsewhere.  */
+static void
+refuse_misfits (struct dispatcher *d, int64_t now)
+{
+  struct run_job *j;
+  struct run_job *next;
+
+  DL_FOREACH_SAFE (d->scheduler.waiting, j, next)
+  {
+    enum refusal_reason reason
+        = run_admission_check_fit (&d->scheduler, &j->spec);
+
+    if (j->first_start_ms < 0 && reason != REFUSAL_NONE)
+      run_scheduler_abort (&d->scheduler, now, j, JOB_REFUSED, reason);
+  }
+}
+
+bool
+dispatcher_set_evacuations (struct dispatcher *d, int64_t now,
+                            const struct evacuation_set *set)
+{
+  if (!evacuation_set_replace (&d->evacuations, set))
+    return false;
+  for (uint32_t i = 0; i < d->scheduler.target_count; i++)
+    {
+      struct run_target *t = d->scheduler.targets[i];
+
+      t->evacuated = is_evacuated (d, t);
+    }
+  refuse_misfits (d, now);
+  request_pass (d);
+  return true;
+}
+
 enum owned_state
 dispatcher_owned_state (const struct dispatcher *d,
                         const struct owned_target *target)
@@ -481,7 +523,7 @@
       struct dispatch_capacity *capacity;
 
       if (t->phase != TARGET_READY || t->spec.draining || t->releasing
-          || t->health.ejected)
+          || t->evacuated || t->health.ejected)
         continue;
       capacity = find_capacity (capacities, &count, limit, t->spec.service);
       if (capacity == NULL)
--- a/src/controller/dispatcher.h
+++ b/src/controller/dispatcher.h
@@ -16,6 +16,7 @@
 #include "controller/dispatch_capacity.h"
 #include "controller/target_port.h"
 #include "controller/target_runner.h"
+#include "coord/evacuation.h"
 #include "coord/owner_plan.h"
 #include "coord/run_scheduler.h"
 #include "net/peer_conn.h"
@@ -61,6 +62,7 @@
   struct dispatch_delegation delegation;
   struct event *pass; /* coalesces a burst of changes into one pass */
   struct event *tick;
+  struct evacuation_set evacuations; /* its domains get no starts */
   bool pass_requested;
   bool leaving;
 };
@@ -80,6 +82,13 @@
                              const struct owned_target *targets,
                              uint32_t count);
 
+/* Replaces the set of evacuated failure domains by SET if that is newer, and
+   returns whether it was.  Nothing is started any more on their targets, and
+   they count as no capacity.  What runs there goes on; jobs of which no task
+   has started and that fit nowhere else here are refused.  */
+bool dispatcher_set_evacuations (struct dispatcher *d, int64_t now_ms,
+                                 const struct evacuation_set *set);
+
 /* The ownership state of TARGET to report to the keepers' leader.  */
 enum owned_state dispatcher_owned_state (const struct dispatcher *d,
                                          const struct owned_target *target);
--- a/src/controller/entry_assignment.c
+++ b/src/controller/entry_assignment.c
@@ -10,6 +10,13 @@
 #include "base/json_text.h"
 #include "coord/run_target_json.h"
 
+enum
+{
+  STATUS_OK = 200,
+  STATUS_BAD_REQUEST = 400,
+  REPLY_BYTES = 64
+};
+
 /* The targets assigned to this entry with their fencing tokens and states, as
    a JSON list for the leader.  The caller frees it.  */
 static char *
@@ -268,6 +275,33 @@
   n->config = config;
 }
 
+void
+entry_assignment_receive_evacuations (struct job_entry *n, int64_t now,
+                                      struct peer_conn *from,
+                                      const struct peer_call *c)
+{
+  json_t *o = json_loadb (c->body.data, c->body.length, 0, NULL);
+  struct evacuation_set set;
+  bool valid = evacuation_set_from_json (&set, o);
+  char reply[REPLY_BYTES];
+
+  json_decref (o);
+  if (!valid)
+    {
+      event_ring_add (EVENT_PEER_REFUSED, from->vm,
+                      "set of evacuated domains is malformed");
+      peer_conn_reply (from, c->id, STATUS_BAD_REQUEST, "");
+      return;
+    }
+  if (dispatcher_set_evacuations (&n->dispatcher, now, &set))
+    event_ring_add (EVENT_EVACUATION_IN_FORCE, from->vm,
+                    "version=%" PRIu64 " domains=%u first=%s", set.version,
+                    set.count, set.count == 0 ? "-" : set.list[0].domain);
+  snprintf (reply, sizeof reply, "{\"version\":%" PRIu64 "}",
+            n->dispatcher.evacuations.version);
+  peer_conn_reply (from, c->id, STATUS_OK, reply);
+}
+
 uint32_t
 entry_assignment_count_released (const struct job_entry *n)
 {
--- a/src/controller/entry_assignment.h
+++ b/src/controller/entry_assignment.h
@@ -1,6 +1,7 @@
 /* Messages between an entry and the keepers: sends them the entry's
    heartbeats, and receives from them its assignment (targets and dispatchers),
-   the configuration and the addresses of the voters.  */
+   the evacuated failure domains, the configuration and the addresses of the
+   voters.  */
 #ifndef CONTROLLER_ENTRY_ASSIGNMENT_H
 #define CONTROLLER_ENTRY_ASSIGNMENT_H
 
@@ -27,6 +28,13 @@
 void entry_assignment_receive_config (struct job_entry *n, const char *from,
                                       const struct peer_service_config *m);
 
+/* Handles the call C of the keeper FROM with the set of evacuated failure
+   domains: puts the set in force if it is newer than the one held, and replies
+   with the version that is held then.  */
+void entry_assignment_receive_evacuations (struct job_entry *n, int64_t now,
+                                           struct peer_conn *from,
+                                           const struct peer_call *c);
+
 /* The number of assigned targets that this entry no longer holds: released and
    idle, or taken over under a higher fencing token.  */
 uint32_t entry_assignment_count_released (const struct job_entry *n);
--- a/src/controller/entry_dispatchers.c
+++ b/src/controller/entry_dispatchers.c
@@ -92,6 +92,24 @@
   return false;
 }
 
+bool
+entry_dispatchers_all_evacuated (const struct job_entry *n)
+{
+  bool any = false;
+
+  for (uint32_t i = 0; i < n->dispatcher_count; i++)
+    {
+      const struct route_dispatcher *d = &n->dispatchers[i];
+
+      if (d->retired)
+        continue;
+      if (evacuation_set_find (&n->dispatcher.evacuations, d->domain) == NULL)
+        return false;
+      any = true;
+    }
+  return any;
+}
+
 void
 entry_dispatchers_receive_capacity (struct job_entry *n, int64_t now,
                                     const char *vm,
--- a/src/controller/entry_dispatchers.h
+++ b/src/controller/entry_dispatchers.h
@@ -12,6 +12,10 @@
 /* Whether any reachable dispatcher has reported capacity for a service.  */
 bool entry_dispatchers_any_usable (const struct job_entry *n);
 
+/* Whether the failure domains of all known dispatchers are evacuated, so that
+   no capacity is to be expected anywhere.  */
+bool entry_dispatchers_all_evacuated (const struct job_entry *n);
+
 /* Updates the free capacity of this VM's own dispatcher.  */
 void entry_dispatchers_refresh_own (struct job_entry *n, int64_t now_ms);
 
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -8,6 +8,7 @@
 #include "base/json_check.h"
 #include "base/json_text.h"
 #include "base/now.h"
+#include "controller/evacuation_sender.h"
 #include "controller/quorum_members.h"
 #include "coord/dispatcher_subset.h"
 #include "coord/rendezvous.h"
@@ -73,16 +74,16 @@
   return l;
 }
 
-/* Sends an entry the configuration if it has an older one.  A keeper whose
-   state is not current sends none: its snapshot may be older than what a
-   restarted entry had in force.  */
+/* Sends an entry the configuration if it has an older one, after the evacuated
+   domains.  A keeper whose state is not current sends neither: its snapshot
+   may be older than what a restarted entry had in force.  */
 static void
 send_config (struct quorum_keeper *k, struct keeper_entry_link *l, int64_t now)
 {
   struct peer_message m = { .type = PEER_SERVICE_CONFIG };
 
   if (l->conn == NULL || l->config_version >= k->config_version
-      || !replicated_log_has_current_state (&k->log))
+      || !evacuation_sender_update (k, l, now))
     return;
   m.u.service_config
       = (struct peer_service_config){ k->config_version,
@@ -157,8 +158,11 @@
       l->config_version = h->config_version;
       l->voters_digest = 0;
       l->dispatchers_digest = 0;
+      l->evacuations_version = 0;
+      l->evacuations_sent = 0;
     }
   send_voters (k, l);
+  evacuation_sender_update (k, l, now);
   if (now - l->config_sent_ms > CONFIG_RESEND_MS)
     {
       l->config_version = h->config_version;
@@ -232,15 +236,18 @@
   json_object_set_new (assignment, "targets", array);
 }
 
+/* Sends E its assignment, unless it cannot be sent the evacuated domains
+   first: it must not start anything there.  */
 static void
-push_assignment (struct quorum_keeper *k, struct plan_entry *e)
+push_assignment (struct quorum_keeper *k, struct plan_entry *e, int64_t now)
 {
   struct keeper_entry_link *l = entry_links_find_or_add (k, e->vm);
   struct dispatcher_subset subset;
   json_t *assignment;
   char *text;
 
-  if (l == NULL || l->conn == NULL || !e->reported)
+  if (l == NULL || l->conn == NULL || !e->reported
+      || !evacuation_sender_update (k, l, now))
     return;
   dispatcher_subset_make (&k->plan, e, &subset);
   assignment = json_object ();
@@ -405,7 +412,10 @@
   mark_changed_dispatchers (k, now);
   for (uint32_t i = 0; i < k->plan.entry_count; i++)
     if (k->plan.entries[i]->dirty && k->plan.entries[i]->alive)
-      push_assignment (k, k->plan.entries[i]);
+      push_assignment (k, k->plan.entries[i], now);
   for (uint32_t i = 0; i < k->link_count; i++)
-    send_config (k, &k->links[i], now);
+    {
+      evacuation_sender_update (k, &k->links[i], now);
+      send_config (k, &k->links[i], now);
+    }
 }
--- a/src/controller/entry_links.h
+++ b/src/controller/entry_links.h
@@ -1,5 +1,6 @@
 /* A keeper's connections to the entries: receives their heartbeats, and sends
-   them assignments, the configuration and the addresses of the voters.  */
+   them assignments, the evacuated failure domains, the configuration and the
+   addresses of the voters.  */
 #ifndef CONTROLLER_ENTRY_LINKS_H
 #define CONTROLLER_ENTRY_LINKS_H
 
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -355,7 +355,8 @@
 job_entry_is_ready (const struct job_entry *n)
 {
   return !n->leaving && n->config.version != 0
-         && entry_dispatchers_any_usable (n);
+         && (entry_dispatchers_any_usable (n)
+             || entry_dispatchers_all_evacuated (n));
 }
 
 static struct routed_job *
@@ -402,6 +403,8 @@
     case PEER_CALL:
       if (m->u.call.method == METHOD_WITHDRAW)
         entry_withdrawal_handle_call (n, now, from, &m->u.call);
+      else if (m->u.call.method == METHOD_EVACUATIONS)
+        entry_assignment_receive_evacuations (n, now, from, &m->u.call);
       break;
     case PEER_JOB_END:
       receive_end (n, now, from->vm, &m->u.job_end);
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -13,6 +13,7 @@
 #include "base/json_text.h"
 #include "base/now.h"
 #include "controller/entry_links.h"
+#include "controller/evacuation_sender.h"
 #include "controller/job_withdrawal.h"
 #include "controller/keeper_state.h"
 #include "controller/quorum_members.h"
@@ -189,7 +190,8 @@
         job_withdrawal_handle_call (k, now_ms (), from, &m->u.call);
       return;
     case PEER_REPLY:
-      job_withdrawal_handle_reply (k, now_ms (), &m->u.reply);
+      if (!evacuation_sender_handle_reply (k, from, &m->u.reply))
+        job_withdrawal_handle_reply (k, now_ms (), &m->u.reply);
       return;
     case PEER_KEEPER_HEARTBEAT:
       quorum_members_receive_heartbeat (k, from, &m->u.keeper_heartbeat);
--- a/src/controller/quorum_keeper.h
+++ b/src/controller/quorum_keeper.h
@@ -62,9 +62,12 @@
   uint64_t assignment_number;
   uint64_t config_version; /* sent to the entry, or reported by it */
   int64_t config_sent_ms;
-  uint64_t dispatchers_digest; /* of the dispatchers sent; 0: none */
-  uint64_t voters_digest;      /* of the voters sent; 0: none */
-  int64_t heard_ms;            /* when its last heartbeat was received */
+  uint64_t dispatchers_digest;  /* of the dispatchers sent; 0: none */
+  uint64_t voters_digest;       /* of the voters sent; 0: none */
+  uint64_t evacuations_version; /* of the evacuations that the entry has */
+  uint64_t evacuations_sent;    /* version last sent to it */
+  int64_t evacuations_sent_ms;
+  int64_t heard_ms; /* when its last heartbeat was received */
 };
 
 struct quorum_keeper
--- a/src/coord/run_admission.c
+++ b/src/coord/run_admission.c
@@ -11,16 +11,22 @@
   for (uint32_t i = 0; i < spec->step_count; i++)
     {
       bool fits = false;
+      bool fits_evacuated = false;
 
-      for (uint32_t t = 0; t < s->target_count && !fits; t++)
+      for (uint32_t n = 0; n < s->target_count && !fits; n++)
         {
-          if (strcmp (s->targets[t]->spec.service, spec->service) != 0)
+          const struct run_target *t = s->targets[n];
+          bool could = run_target_could_run (t, &spec->steps[i]);
+
+          if (strcmp (t->spec.service, spec->service) != 0)
             continue;
-          any = true;
-          fits = run_target_could_run (s->targets[t], &spec->steps[i]);
+          any = any || !t->evacuated;
+          fits = could && !t->evacuated;
+          fits_evacuated = fits_evacuated || (could && t->evacuated);
         }
+      /* What fits on an evacuated target is not too large for the service.  */
       if (!fits)
-        return any ? REFUSAL_TOO_LARGE : REFUSAL_NO_TARGET;
+        return any && !fits_evacuated ? REFUSAL_TOO_LARGE : REFUSAL_NO_TARGET;
     }
   return REFUSAL_NONE;
 }
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -162,7 +162,7 @@
 is_usable (const struct run_target *t)
 {
   return t->phase == TARGET_READY && !t->spec.draining && !t->releasing
-         && !t->health.ejected;
+         && !t->evacuated && !t->health.ejected;
 }
 
 struct job_backlog
--- a/src/coord/run_target.c
+++ b/src/coord/run_target.c
@@ -75,8 +75,8 @@
                       int64_t lease_end_ms, int64_t now)
 {
   return t->phase == TARGET_READY && !t->spec.draining && !t->releasing
-         && now >= t->full_until_ms && t->run_count < t->spec.slots
-         && t->run_count < TARGET_RUN_LIMIT
+         && !t->evacuated && now >= t->full_until_ms
+         && t->run_count < t->spec.slots && t->run_count < TARGET_RUN_LIMIT
          && t->cpu_used + step->cpu_milli <= t->spec.cpu_milli
          && t->memory_used + step->memory_mb <= t->spec.memory_mb
          && t->gpu_used + step->gpu <= t->spec.gpu
--- a/src/coord/run_target.h
+++ b/src/coord/run_target.h
@@ -55,6 +55,7 @@
   struct run_target_spec spec;
   enum target_phase phase;
   bool releasing; /* to be handed to another owner: no new starts */
+  bool evacuated; /* its failure domain is: no new starts */
   struct target_health health;
   int64_t full_until_ms; /* no starts before; it refused one as full */
   int64_t lease_end_ms;  /* all leases requested so far are over by then */
--- a/src/net/peer_message.h
+++ b/src/net/peer_message.h
@@ -61,8 +61,12 @@
   METHOD_PROPOSE,        /* body: a control command for the keepers' leader */
   METHOD_CONFIG_FETCH,   /* returns the configuration in force */
   METHOD_TARGET_REPORTS, /* body: target reports received by another keeper */
-  METHOD_WITHDRAW /* key: a job to be withdrawn; from an entry to a keeper, and
-                     from that keeper to all entries */
+  METHOD_WITHDRAW,   /* key: a job to be withdrawn; from an entry to a keeper,
+                        and   from that keeper to all entries */
+  METHOD_EVACUATIONS /* body: the evacuated failure domains; from a keeper to
+                        an entry, which returns the version that it has.  Not a
+                        type of its own: earlier programs ignore an unknown
+                        method, but close the connection on an unknown type */
 };
 
 struct peer_hello
--- a/tests/unit/test_deployment.c
+++ b/tests/unit/test_deployment.c
@@ -23,6 +23,10 @@
      two tasks are delegated.  */
   DELEGATED_JOB_TASKS = 10,
 
+  /* Longer than a test lasts: a run without progress is restarted after about
+     its expected time.  */
+  LONG_TASK_MS = 4000,
+
   /* Upper bound for the peer messages of three idle keepers in IDLE_MS: 2
      appends and their replies every 80 ms, 6 heartbeats every 250 ms, and a
      margin.  */
@@ -287,10 +291,12 @@
 }
 
 /* Starts two entries in different failure domains with two targets each, and
-   submits a job to the first entry that needs targets of both domains.
-   Returns the job once all its tasks were started.  */
+   submits a job to the first entry that needs targets of both domains, with
+   tasks that are expected to take ESTIMATE_MS.  Returns the job once all its
+   tasks were started.  */
 static struct routed_job *
-start_delegation (struct deployment *d, struct caller *c)
+start_delegation_of (struct deployment *d, struct caller *c,
+                     int64_t estimate_ms)
 {
   struct job_spec spec = { .attempts = 3,
                            .stretch_milli = 1600,
@@ -318,7 +324,7 @@
   snprintf (spec.service, sizeof spec.service, "svc");
   spec.steps[0] = (struct job_step){ .count = DELEGATED_JOB_TASKS,
                                      .cpu_milli = 1000,
-                                     .estimate_ms = 200 };
+                                     .estimate_ms = estimate_ms };
   spec.payload = slice_of ("");
   memset (c, 0, sizeof *c);
   j = job_entry_submit (d->entries[0], now_ms (), now_ms (), &spec,
@@ -329,6 +335,12 @@
   return j;
 }
 
+static struct routed_job *
+start_delegation (struct deployment *d, struct caller *c)
+{
+  return start_delegation_of (d, c, 200);
+}
+
 static uint32_t
 count_running (void)
 {
@@ -344,17 +356,10 @@
   return n;
 }
 
-/* A job is answered once, after all local and delegated tasks are done, and no
-   task is started twice.  */
+/* Ends all runs of the job of start_delegation.  */
 static void
-test_delegated_tasks_end (void)
+end_delegated_job (void)
 {
-  struct deployment d;
-  struct caller c;
-  int64_t end = now_ms () + LONG_WAIT_MS;
-
-  start_delegation (&d, &c);
-  CU_ASSERT_EQUAL (count_running (), DELEGATED_JOB_TASKS);
   for (int t = 0; t < TARGETS; t++)
     for (int i = 0; i < DELEGATED_JOB_TASKS; i++)
       {
@@ -365,6 +370,20 @@
         snprintf (name, sizeof name, "0123456789abcdef.0.0.%d", i);
         fake_port_end_run (fake_port_target (id), name, RUN_END_DONE);
       }
+}
+
+/* A job is answered once, after all local and delegated tasks are done, and no
+   task is started twice.  */
+static void
+test_delegated_tasks_end (void)
+{
+  struct deployment d;
+  struct caller c;
+  int64_t end = now_ms () + LONG_WAIT_MS;
+
+  start_delegation (&d, &c);
+  CU_ASSERT_EQUAL (count_running (), DELEGATED_JOB_TASKS);
+  end_delegated_job ();
   while (c.answers == 0 && now_ms () < end)
     deployment_run_step (&d);
   CU_ASSERT_EQUAL (c.answers, 1);
@@ -679,6 +698,238 @@
   deployment_done (&d);
 }
 
+/* Starts keepers, and two entries that own the targets of their own failure
+   domains: t0 and t2 in "shop", t1 and t3 in "oven".  */
+static void
+start_two_domains (struct deployment *d)
+{
+  int64_t end = now_ms () + WAIT_MS;
+
+  deployment_init (d);
+  d->two_domains = true;
+  snprintf (d->entry_settings[1].peer.domain, NAME_BYTES, "oven");
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (d, i);
+  for (int i = 0; i < ENTRIES; i++)
+    deployment_start_entry (d, i);
+  while ((d->entries[0]->target_count != 2 || d->entries[1]->target_count != 2
+          || d->entries[0]->dispatcher_count != 2)
+         && now_ms () < end)
+    deployment_run_step (d);
+  CU_ASSERT_EQUAL (d->entries[0]->target_count, 2);
+}
+
+/* Whether all entries have the same set of evacuated domains as the leader,
+   which knows that.  */
+static bool
+evacuations_are_everywhere (const struct deployment *d)
+{
+  const struct quorum_keeper *leader = deployment_leader (d);
+
+  if (leader == NULL || leader->link_count < ENTRIES)
+    return false;
+  for (uint32_t i = 0; i < leader->link_count; i++)
+    if (leader->links[i].evacuations_version != leader->evacuations.version)
+      return false;
+  for (int i = 0; i < ENTRIES; i++)
+    if (d->entries[i]->dispatcher.evacuations.version
+        != leader->evacuations.version)
+      return false;
+  return true;
+}
+
+static void
+run_until_evacuations_everywhere (struct deployment *d)
+{
+  int64_t end = now_ms () + WAIT_MS;
+
+  while (!evacuations_are_everywhere (d) && now_ms () < end)
+    deployment_run_step (d);
+  CU_ASSERT_TRUE (evacuations_are_everywhere (d));
+}
+
+/* Submits a job of COUNT tasks of one core, in a queue with the name of its
+   KEY, to the entry in "shop".  */
+static void
+submit_tasks (struct deployment *d, const char *key, uint32_t count,
+              struct caller *c)
+{
+  struct job_spec spec = { .attempts = 3,
+                           .stretch_milli = 1600,
+                           .floor_ms = 5000,
+                           .deadline_ms = WAIT_MS,
+                           .step_count = 1 };
+
+  snprintf (spec.key, sizeof spec.key, "%s", key);
+  snprintf (spec.queue, sizeof spec.queue, "%s", key);
+  snprintf (spec.service, sizeof spec.service, "svc");
+  spec.steps[0] = (struct job_step){ .count = count,
+                                     .cpu_milli = 1000,
+                                     .estimate_ms = LONG_TASK_MS };
+  spec.payload = slice_of ("");
+  memset (c, 0, sizeof *c);
+  job_entry_submit (d->entries[0], now_ms (), now_ms (), &spec, on_answered,
+                    c);
+}
+
+static uint32_t
+starts_in_shop (void)
+{
+  return fake_port_target ("t0")->starts + fake_port_target ("t2")->starts;
+}
+
+/* Once an order is in force everywhere, jobs from callers in the evacuated
+   domain run in the other one, and after its end in their own again.  */
+static void
+test_evacuation_in_force (void)
+{
+  struct deployment d;
+  struct caller c;
+  int64_t end;
+
+  start_two_domains (&d);
+  order_evacuation (&d, "shop", true);
+  run_until_evacuations_everywhere (&d);
+  for (int i = 0; i < 20; i++)
+    deployment_run_step (&d);
+  submit_tasks (&d, "0123456789abcdef", 4, &c);
+  for (end = now_ms () + WAIT_MS; fake_port_starts () < 4 && now_ms () < end;)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (fake_port_starts (), 4);
+  CU_ASSERT_EQUAL (starts_in_shop (), 0);
+  order_evacuation (&d, "shop", false);
+  run_until_evacuations_everywhere (&d);
+  for (int i = 0; i < 20; i++)
+    deployment_run_step (&d);
+  submit_tasks (&d, "0123456789abcdee", 4, &c);
+  for (end = now_ms () + WAIT_MS; fake_port_starts () < 8 && now_ms () < end;)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (starts_in_shop (), 4);
+  deployment_done (&d);
+}
+
+/* What runs in a domain when it is evacuated, delegated tasks too, is neither
+   stopped nor started anew elsewhere.  */
+static void
+test_evacuation_running (void)
+{
+  static const char *const domains[] = { "shop", "oven" };
+
+  for (size_t i = 0; i < sizeof domains / sizeof domains[0]; i++)
+    {
+      struct deployment d;
+      struct caller c;
+      int64_t end = now_ms () + LONG_WAIT_MS;
+
+      start_delegation_of (&d, &c, LONG_TASK_MS);
+      order_evacuation (&d, domains[i], true);
+      run_until_evacuations_everywhere (&d);
+      for (int n = 0; n < 10; n++)
+        deployment_run_step (&d);
+      CU_ASSERT_EQUAL (count_running (), DELEGATED_JOB_TASKS);
+      end_delegated_job ();
+      while (c.answers == 0 && now_ms () < end)
+        deployment_run_step (&d);
+      CU_ASSERT_EQUAL (c.answer.result, JOB_DONE);
+      CU_ASSERT_EQUAL (fake_port_starts (), DELEGATED_JOB_TASKS);
+      deployment_done (&d);
+    }
+}
+
+/* An entry that restarts during an evacuation must know of it whenever it owns
+   targets, also when the leader has changed since.  */
+static void
+test_evacuation_entry_restart (void)
+{
+  struct deployment d;
+  bool always = true;
+  int64_t end = now_ms () + WAIT_MS;
+
+  start_two_domains (&d);
+  order_evacuation (&d, "shop", true);
+  deployment_stop_entry (&d, 0);
+  deployment_stop_keeper (&d, leader_index (&d));
+  deployment_start_entry (&d, 0);
+  while (d.entries[0]->target_count != 2 && now_ms () < end)
+    {
+      deployment_run_step (&d);
+      if (d.entries[0]->target_count != 0)
+        always = always
+                 && evacuation_set_find (&d.entries[0]->dispatcher.evacuations,
+                                         "shop")
+                        != NULL;
+    }
+  CU_ASSERT_TRUE (always);
+  CU_ASSERT_EQUAL (d.entries[0]->target_count, 2);
+  for (uint32_t i = 0; i < d.entries[0]->dispatcher.scheduler.target_count;
+       i++)
+    CU_ASSERT_TRUE (d.entries[0]->dispatcher.scheduler.targets[i]->evacuated);
+  deployment_done (&d);
+}
+
+/* When all domains are evacuated callers are refused at once, and the entries
+   stay ready: else balancers would drop every entry, and callers would get no
+   answer at all.  */
+static void
+test_evacuation_of_all (void)
+{
+  struct deployment d;
+  struct config_reply reply;
+  struct caller c;
+  int64_t end;
+
+  start_two_domains (&d);
+  put_config (&d, 1, first_text, &reply);
+  for (end = now_ms () + WAIT_MS;
+       !job_entry_is_ready (d.entries[0]) && now_ms () < end;)
+    deployment_run_step (&d);
+  order_evacuation (&d, "shop", true);
+  order_evacuation (&d, "oven", true);
+  run_until_evacuations_everywhere (&d);
+  for (int i = 0; i < 30; i++)
+    {
+      deployment_run_step (&d);
+      CU_ASSERT_TRUE (job_entry_is_ready (d.entries[0]));
+    }
+  submit_tasks (&d, "0123456789abcdef", 1, &c);
+  for (end = now_ms () + WAIT_MS; c.answers == 0 && now_ms () < end;)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (c.answer.result, JOB_REFUSED);
+  CU_ASSERT_EQUAL (fake_port_starts (), 0);
+  deployment_done (&d);
+}
+
+/* A job that waits at a dispatcher when its domain is evacuated is tried at
+   another one at once, instead of waiting there until its deadline.  */
+static void
+test_evacuation_waiting_job (void)
+{
+  static const char waiting[] = "0123456789abcdee"; /* key and queue */
+  struct deployment d;
+  struct caller first;
+  struct caller second;
+  int64_t end = now_ms () + WAIT_MS;
+
+  start_two_domains (&d);
+  submit_tasks (&d, "0123456789abcdef", 16, &first);
+  while (fake_port_starts () < 16 && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (fake_port_starts (), 16);
+  submit_tasks (&d, waiting, 2, &second);
+  for (int i = 0; i < 10; i++)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (job_entry_waiting (d.entries[0], waiting), 1);
+  order_evacuation (&d, "shop", true);
+  run_until_evacuations_everywhere (&d);
+  CU_ASSERT_EQUAL (job_entry_waiting (d.entries[0], waiting), 0);
+  for (int i = 0; i < 10; i++)
+    deployment_run_step (&d);
+  CU_ASSERT (second.answer.result == JOB_REFUSED
+             || job_entry_waiting (d.entries[1], waiting) == 1);
+  CU_ASSERT_EQUAL (starts_in_shop (), 8);
+  deployment_done (&d);
+}
+
 void
 suite_deployment (void)
 {
@@ -709,6 +960,15 @@
                test_evacuation_durable);
   CU_add_test (s, "a leader is lost between order and acknowledgement",
                test_evacuation_leader_lost);
+  CU_add_test (s, "an evacuation is in force until its end",
+               test_evacuation_in_force);
+  CU_add_test (s, "what runs in an evacuated domain goes on",
+               test_evacuation_running);
+  CU_add_test (s, "an entry restarts during an evacuation",
+               test_evacuation_entry_restart);
+  CU_add_test (s, "all domains are evacuated", test_evacuation_of_all);
+  CU_add_test (s, "a job waits where its domain is evacuated",
+               test_evacuation_waiting_job);
   CU_add_test (s, "no evacuation is acknowledged without a majority",
                test_evacuation_no_majority);
 }
--- a/tests/unit/test_scheduler.c
+++ b/tests/unit/test_scheduler.c
@@ -484,6 +484,35 @@
   run_scheduler_done (&s);
 }
 
+/* A target of an evacuated domain gets no starts and is no capacity.  A task
+   that fits only there is not too large for the service: the job is refused
+   with a reason for which it is tried elsewhere.  */
+static void
+test_evacuated (void)
+{
+  struct run_scheduler s;
+  struct job_spec job = make_job ("a", 4, CPU, 100);
+  struct job_spec large = make_job ("b", 1, CPU + 1, 100);
+
+  init_scheduler (&s, 3);
+  s.targets[2]->evacuated = true;
+  CU_ASSERT_EQUAL (run_scheduler_backlog (&s, "svc", 0).cpu_milli, 2 * CPU);
+  CU_ASSERT_PTR_NOT_NULL (submit (&s, 0, &job));
+  run_scheduler_pass (&s, 0);
+  CU_ASSERT_EQUAL (seen.starts, 2);
+  CU_ASSERT_EQUAL (s.targets[2]->run_count, 0);
+  CU_ASSERT_PTR_NULL (submit (&s, 0, &large));
+  CU_ASSERT_EQUAL (seen.reason, REFUSAL_NO_TARGET);
+  s.targets[0]->evacuated = true;
+  s.targets[1]->evacuated = true;
+  CU_ASSERT_PTR_NULL (submit (&s, 0, &large));
+  CU_ASSERT_EQUAL (seen.reason, REFUSAL_NO_TARGET);
+  s.targets[2]->evacuated = false;
+  run_scheduler_pass (&s, 1);
+  CU_ASSERT_EQUAL (s.targets[2]->run_count, 1);
+  run_scheduler_done (&s);
+}
+
 /* Estimates that are too low or too high are corrected towards the run times
    measured for the queue.  */
 static void
@@ -597,6 +626,7 @@
   CU_add_test (s, "a long run with progress is not stopped", test_long_run);
   CU_add_test (s, "a task larger than every target is refused",
                test_too_large);
+  CU_add_test (s, "evacuated targets get no starts", test_evacuated);
   CU_add_test (s, "estimates follow measured run times", test_estimate);
   CU_add_test (s, "routing counts the jobs already sent", test_router);
   CU_add_test (s, "no job goes to a dispatcher without usable cores",
