--- a/tests/unit/test_deployment.c
+++ b/tests/unit/test_deployment.c
@@ -11,6 +11,7 @@
 #include "controller/routed_job.h"
 #include "tests/unit/deployment.h"
 #include "tests/unit/event_lines.h"
+#include "tests/unit/fake_clock.h"
 #include "tests/unit/fake_port.h"
 #include "tests/unit/suites.h"
 
@@ -27,6 +28,10 @@
      its expected time.  */
   LONG_TASK_MS = 4000,
 
+  /* After so many steps each entry has a new report of the others' capacity.
+   */
+  REPORT_STEPS = 20,
+
   /* Upper bound for the peer messages of three idle keepers in IDLE_MS: 2
      appends and their replies every 80 ms, 6 heartbeats every 250 ms, and a
      margin.  */
@@ -34,6 +39,45 @@
   IDLE_FRAMES = 60
 };
 
+/* Whether a test runs on a stopped clock, so that its result does not depend
+   on the load of the machine.  */
+static bool simulated;
+
+static void
+run_step (struct deployment *d)
+{
+  if (simulated)
+    deployment_run_simulated_step (d);
+  else
+    deployment_run_step (d);
+}
+
+static void
+begin_simulated (struct deployment *d)
+{
+  deployment_init (d);
+  fake_clock_stop ();
+  simulated = true;
+}
+
+static void
+end_simulated (struct deployment *d)
+{
+  deployment_done (d);
+  fake_clock_resume ();
+  simulated = false;
+}
+
+static void
+run_until_leader (struct deployment *d)
+{
+  int64_t end = now_ms () + WAIT_MS;
+
+  while (deployment_leader (d) == NULL && now_ms () < end)
+    run_step (d);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (deployment_leader (d));
+}
+
 /* The result of a call that stores or reads the configuration.  */
 struct config_reply
 {
@@ -63,11 +107,11 @@
   do
     {
       memset (reply, 0, sizeof *reply);
-      deployment_run_until_leader (d);
+      run_until_leader (d);
       quorum_keeper_put_config (deployment_leader (d), now_ms (), version,
                                 text, on_config_reply, reply);
       while (!reply->done && now_ms () < end)
-        deployment_run_step (d);
+        run_step (d);
     }
   while (reply->result != CONFIG_COMMITTED && now_ms () < end);
   CU_ASSERT_EQUAL (reply->result, CONFIG_COMMITTED);
@@ -83,11 +127,11 @@
   do
     {
       memset (reply, 0, sizeof *reply);
-      deployment_run_until_leader (d);
+      run_until_leader (d);
       quorum_keeper_get_config (deployment_leader (d), now_ms (),
                                 on_config_reply, reply);
       while (!reply->done && now_ms () < end)
-        deployment_run_step (d);
+        run_step (d);
     }
   while (reply->result != CONFIG_READ && now_ms () < end);
   CU_ASSERT_EQUAL (reply->result, CONFIG_READ);
@@ -316,9 +360,9 @@
   while ((d->entries[0]->target_count != 2 || d->entries[1]->target_count != 2
           || d->entries[0]->dispatcher_count != 2)
          && now_ms () < end)
-    deployment_run_step (d);
+    run_step (d);
   for (int i = 0; i < 20; i++)
-    deployment_run_step (d);
+    run_step (d);
   snprintf (spec.key, sizeof spec.key, "0123456789abcdef");
   snprintf (spec.queue, sizeof spec.queue, "q");
   snprintf (spec.service, sizeof spec.service, "svc");
@@ -330,7 +374,7 @@
   j = job_entry_submit (d->entries[0], now_ms (), now_ms (), &spec,
                         on_answered, c);
   while (fake_port_starts () < DELEGATED_JOB_TASKS && now_ms () < end)
-    deployment_run_step (d);
+    run_step (d);
   CU_ASSERT_EQUAL (fake_port_starts (), DELEGATED_JOB_TASKS);
   return j;
 }
@@ -565,11 +609,11 @@
   do
     {
       memset (&reply, 0, sizeof reply);
-      deployment_run_until_leader (d);
+      run_until_leader (d);
       evacuation_control_order (deployment_leader (d), now_ms (), domain,
                                 active, on_evacuation_reply, &reply);
       while (!reply.done && now_ms () < end)
-        deployment_run_step (d);
+        run_step (d);
     }
   while (reply.result != EVACUATION_DONE && now_ms () < end);
   CU_ASSERT_TRUE (reply.done);
@@ -586,11 +630,11 @@
   do
     {
       memset (&reply, 0, sizeof reply);
-      deployment_run_until_leader (d);
+      run_until_leader (d);
       evacuation_control_read (deployment_leader (d), now_ms (),
                                on_evacuation_reply, &reply);
       while (!reply.done && now_ms () < end)
-        deployment_run_step (d);
+        run_step (d);
     }
   while (reply.result != EVACUATION_READ && now_ms () < end);
   CU_ASSERT_EQUAL (reply.result, EVACUATION_READ);
@@ -617,7 +661,7 @@
   struct evacuation_set first;
   struct evacuation_set set;
 
-  deployment_init (&d);
+  begin_simulated (&d);
   for (int i = 0; i < SEEDS; i++)
     deployment_start_keeper (&d, i);
   order_evacuation (&d, "shop", true);
@@ -640,7 +684,7 @@
   read_evacuations (&d, &set);
   CU_ASSERT_EQUAL (set.count, 0);
   CU_ASSERT (set.version > first.version);
-  deployment_done (&d);
+  end_simulated (&d);
 }
 
 /* A leader that is lost between an order and its acknowledgement must answer
@@ -653,7 +697,7 @@
   struct evacuation_reply reply = { 0 };
   struct evacuation_set set;
 
-  deployment_init (&d);
+  begin_simulated (&d);
   for (int i = 0; i < SEEDS; i++)
     deployment_start_keeper (&d, i);
   read_evacuations (&d, &set);
@@ -667,7 +711,7 @@
   order_evacuation (&d, "shop", true);
   read_evacuations (&d, &set);
   CU_ASSERT_PTR_NOT_NULL (evacuation_set_find (&set, "shop"));
-  deployment_done (&d);
+  end_simulated (&d);
 }
 
 /* Without a majority of the keepers an order must not be acknowledged, and the
@@ -680,10 +724,10 @@
   int leader;
   int64_t start;
 
-  deployment_init (&d);
+  begin_simulated (&d);
   for (int i = 0; i < SEEDS; i++)
     deployment_start_keeper (&d, i);
-  deployment_run_until_leader (&d);
+  run_until_leader (&d);
   leader = leader_index (&d);
   for (int i = 0; i < SEEDS; i++)
     if (i != leader)
@@ -692,10 +736,10 @@
   evacuation_control_order (d.keepers[leader], start, "shop", true,
                             on_evacuation_reply, &reply);
   while (!reply.done && now_ms () - start < WAIT_MS)
-    deployment_run_step (&d);
+    run_step (&d);
   CU_ASSERT_TRUE (reply.done);
   CU_ASSERT_EQUAL (reply.result, EVACUATION_UNCONFIRMED);
-  deployment_done (&d);
+  end_simulated (&d);
 }
 
 /* Starts keepers, and two entries that own the targets of their own failure
@@ -703,9 +747,10 @@
 static void
 start_two_domains (struct deployment *d)
 {
-  int64_t end = now_ms () + WAIT_MS;
+  int64_t end;
 
-  deployment_init (d);
+  begin_simulated (d);
+  end = now_ms () + WAIT_MS;
   d->two_domains = true;
   snprintf (d->entry_settings[1].peer.domain, NAME_BYTES, "oven");
   for (int i = 0; i < SEEDS; i++)
@@ -715,7 +760,7 @@
   while ((d->entries[0]->target_count != 2 || d->entries[1]->target_count != 2
           || d->entries[0]->dispatcher_count != 2)
          && now_ms () < end)
-    deployment_run_step (d);
+    run_step (d);
   CU_ASSERT_EQUAL (d->entries[0]->target_count, 2);
 }
 
@@ -744,7 +789,7 @@
   int64_t end = now_ms () + WAIT_MS;
 
   while (!evacuations_are_everywhere (d) && now_ms () < end)
-    deployment_run_step (d);
+    run_step (d);
   CU_ASSERT_TRUE (evacuations_are_everywhere (d));
 }
 
@@ -791,21 +836,21 @@
   order_evacuation (&d, "shop", true);
   run_until_evacuations_everywhere (&d);
   for (int i = 0; i < 20; i++)
-    deployment_run_step (&d);
+    run_step (&d);
   submit_tasks (&d, "0123456789abcdef", 4, &c);
   for (end = now_ms () + WAIT_MS; fake_port_starts () < 4 && now_ms () < end;)
-    deployment_run_step (&d);
+    run_step (&d);
   CU_ASSERT_EQUAL (fake_port_starts (), 4);
   CU_ASSERT_EQUAL (starts_in_shop (), 0);
   order_evacuation (&d, "shop", false);
   run_until_evacuations_everywhere (&d);
   for (int i = 0; i < 20; i++)
-    deployment_run_step (&d);
+    run_step (&d);
   submit_tasks (&d, "0123456789abcdee", 4, &c);
   for (end = now_ms () + WAIT_MS; fake_port_starts () < 8 && now_ms () < end;)
-    deployment_run_step (&d);
+    run_step (&d);
   CU_ASSERT_EQUAL (starts_in_shop (), 4);
-  deployment_done (&d);
+  end_simulated (&d);
 }
 
 /* What runs in a domain when it is evacuated, delegated tasks too, is neither
@@ -819,20 +864,23 @@
     {
       struct deployment d;
       struct caller c;
-      int64_t end = now_ms () + LONG_WAIT_MS;
+      int64_t end;
 
+      fake_clock_stop ();
+      simulated = true;
+      end = now_ms () + LONG_WAIT_MS;
       start_delegation_of (&d, &c, LONG_TASK_MS);
       order_evacuation (&d, domains[i], true);
       run_until_evacuations_everywhere (&d);
       for (int n = 0; n < 10; n++)
-        deployment_run_step (&d);
+        run_step (&d);
       CU_ASSERT_EQUAL (count_running (), DELEGATED_JOB_TASKS);
       end_delegated_job ();
       while (c.answers == 0 && now_ms () < end)
-        deployment_run_step (&d);
+        run_step (&d);
       CU_ASSERT_EQUAL (c.answer.result, JOB_DONE);
       CU_ASSERT_EQUAL (fake_port_starts (), DELEGATED_JOB_TASKS);
-      deployment_done (&d);
+      end_simulated (&d);
     }
 }
 
@@ -843,16 +891,17 @@
 {
   struct deployment d;
   bool always = true;
-  int64_t end = now_ms () + WAIT_MS;
+  int64_t end;
 
   start_two_domains (&d);
+  end = now_ms () + LONG_WAIT_MS;
   order_evacuation (&d, "shop", true);
   deployment_stop_entry (&d, 0);
   deployment_stop_keeper (&d, leader_index (&d));
   deployment_start_entry (&d, 0);
   while (d.entries[0]->target_count != 2 && now_ms () < end)
     {
-      deployment_run_step (&d);
+      run_step (&d);
       if (d.entries[0]->target_count != 0)
         always = always
                  && evacuation_set_find (&d.entries[0]->dispatcher.evacuations,
@@ -864,7 +913,7 @@
   for (uint32_t i = 0; i < d.entries[0]->dispatcher.scheduler.target_count;
        i++)
     CU_ASSERT_TRUE (d.entries[0]->dispatcher.scheduler.targets[i]->evacuated);
-  deployment_done (&d);
+  end_simulated (&d);
 }
 
 /* When all domains are evacuated callers are refused at once, and the entries
@@ -882,21 +931,21 @@
   put_config (&d, 1, first_text, &reply);
   for (end = now_ms () + WAIT_MS;
        !job_entry_is_ready (d.entries[0]) && now_ms () < end;)
-    deployment_run_step (&d);
+    run_step (&d);
   order_evacuation (&d, "shop", true);
   order_evacuation (&d, "oven", true);
   run_until_evacuations_everywhere (&d);
   for (int i = 0; i < 30; i++)
     {
-      deployment_run_step (&d);
+      run_step (&d);
       CU_ASSERT_TRUE (job_entry_is_ready (d.entries[0]));
     }
   submit_tasks (&d, "0123456789abcdef", 1, &c);
   for (end = now_ms () + WAIT_MS; c.answers == 0 && now_ms () < end;)
-    deployment_run_step (&d);
+    run_step (&d);
   CU_ASSERT_EQUAL (c.answer.result, JOB_REFUSED);
   CU_ASSERT_EQUAL (fake_port_starts (), 0);
-  deployment_done (&d);
+  end_simulated (&d);
 }
 
 /* A job that waits at a dispatcher when its domain is evacuated is tried at
@@ -908,26 +957,31 @@
   struct deployment d;
   struct caller first;
   struct caller second;
-  int64_t end = now_ms () + WAIT_MS;
+  int64_t end;
 
   start_two_domains (&d);
+  end = now_ms () + WAIT_MS;
+  for (int i = 0; i < REPORT_STEPS; i++)
+    run_step (&d);
   submit_tasks (&d, "0123456789abcdef", 16, &first);
   while (fake_port_starts () < 16 && now_ms () < end)
-    deployment_run_step (&d);
+    run_step (&d);
   CU_ASSERT_EQUAL (fake_port_starts (), 16);
+  for (int i = 0; i < REPORT_STEPS; i++)
+    run_step (&d);
   submit_tasks (&d, waiting, 2, &second);
   for (int i = 0; i < 10; i++)
-    deployment_run_step (&d);
+    run_step (&d);
   CU_ASSERT_EQUAL (job_entry_waiting (d.entries[0], waiting), 1);
   order_evacuation (&d, "shop", true);
   run_until_evacuations_everywhere (&d);
   CU_ASSERT_EQUAL (job_entry_waiting (d.entries[0], waiting), 0);
   for (int i = 0; i < 10; i++)
-    deployment_run_step (&d);
+    run_step (&d);
   CU_ASSERT (second.answer.result == JOB_REFUSED
              || job_entry_waiting (d.entries[1], waiting) == 1);
   CU_ASSERT_EQUAL (starts_in_shop (), 8);
-  deployment_done (&d);
+  end_simulated (&d);
 }
 
 void
--- a/tests/unit/test_scheduler.c
+++ b/tests/unit/test_scheduler.c
@@ -496,7 +496,7 @@
 
   init_scheduler (&s, 3);
   s.targets[2]->evacuated = true;
-  CU_ASSERT_EQUAL (run_scheduler_backlog (&s, "svc", 0).cpu_milli, 2 * CPU);
+  CU_ASSERT_EQUAL (run_scheduler_backlog (&s, "svc", 0).cpu_milli, TWICE_CPU);
   CU_ASSERT_PTR_NOT_NULL (submit (&s, 0, &job));
   run_scheduler_pass (&s, 0);
   CU_ASSERT_EQUAL (seen.starts, 2);
