--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -88,6 +88,8 @@
 on_start (void *arg, struct run_target *t, struct run_job *j, uint32_t task)
 {
   (void)arg;
+  if (run_target_spec_is_cold (&t->spec, now_ms ()))
+    counters_add (COUNTER_COLD_STARTS, 1);
   target_runner_start (t->user_data, now_ms (), j, task);
 }
 
@@ -324,6 +326,7 @@
           continue;
         }
       r->target->spec.draining = owned->spec.draining;
+      r->target->spec.cold_until_ms = owned->spec.cold_until_ms;
       r->target->releasing = owned->release;
       i++;
     }
@@ -529,7 +532,9 @@
       if (capacity == NULL)
         continue;
       capacity->cpu_milli += t->spec.cpu_milli;
-      if (t->spec.cpu_milli > t->cpu_used)
+      /* Free cores of a cold target would draw jobs away from warm ones.  */
+      if (t->spec.cpu_milli > t->cpu_used
+          && !run_target_spec_is_cold (&t->spec, now_ms ()))
         add_free_cores (capacity, t->spec.cpu_milli - t->cpu_used);
     }
   for (uint32_t i = 0; i < count; i++)
--- a/src/controller/entry_assignment.c
+++ b/src/controller/entry_assignment.c
@@ -197,6 +197,7 @@
       continue;
     t->fencing_token = (uint64_t)json_get_integer (o, "fence", 0);
     t->release = json_get_boolean (o, "release", false);
+    run_target_cold_from_json (&t->spec, o, now);
     n->target_count++;
   }
   dispatcher_set_targets (&n->dispatcher, now, n->targets, n->target_count);
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -228,6 +228,7 @@
       if (strcmp (t->owner, vm) != 0)
         continue;
       o = run_target_spec_to_json (&t->spec);
+      run_target_cold_to_json (o, &t->spec, now_ms ());
       json_object_set_new (o, "fence",
                            json_integer ((json_int_t)t->fencing_token));
       json_object_set_new (o, "release", json_boolean (t->release_requested));
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -342,10 +342,33 @@
   event_active (k->pass, EV_TIMEOUT, 0);
 }
 
+/* Has the owner of the target told, with its next assignment, that it is cold.
+   A target that is new in the plan is described there in full.  */
+static void
+note_cold (struct quorum_keeper *k, const struct run_target_spec *spec)
+{
+  struct plan_target *t = owner_plan_target (&k->plan, spec->id);
+  int64_t now = now_ms ();
+  struct plan_entry *owner;
+
+  if (t == NULL || !run_target_spec_same_incarnation (&t->spec, spec)
+      || !run_target_spec_became_cold (&t->spec, spec, now))
+    return;
+  t->spec.cold_until_ms = spec->cold_until_ms;
+  event_ring_add (EVENT_TARGET_COLD, spec->id,
+                  "domain=%s remaining_ms=%" PRId64 " owner=%s", spec->domain,
+                  spec->cold_until_ms - now, t->owner);
+  owner = owner_plan_entry (&k->plan, t->owner);
+  if (owner != NULL)
+    owner->dirty = true;
+  schedule_pass (k);
+}
+
 void
 quorum_keeper_update_target (struct quorum_keeper *k, int64_t received_ms,
                              const struct run_target_spec *spec)
 {
+  note_cold (k, spec);
   if (!owner_plan_update_target (&k->plan, received_ms, spec))
     return;
   event_ring_add (
--- a/src/controller/target_relay.c
+++ b/src/controller/target_relay.c
@@ -110,9 +110,12 @@
           void *arg)
 {
   struct relay_call *c;
+  json_t *o = leaves ? NULL : run_target_spec_to_json (spec);
   json_t *body = leaves ? json_build ("{s:[s]}", "left", spec->id)
-                        : json_build ("{s:[o]}", "whole",
-                                      run_target_spec_to_json (spec));
+                        : json_build ("{s:[O]}", "whole", o);
+
+  run_target_cold_to_json (o, spec, now_ms ());
+  json_decref (o);
 
   if (body == NULL)
     {
@@ -227,6 +230,7 @@
       if (b->count == BATCH_MAX_SPECS)
         return;
       o = run_target_spec_to_json (&t->spec);
+      run_target_cold_to_json (o, &t->spec, now);
       json_object_set_new (o, "age", json_integer (now - t->last_seen_ms));
       json_array_append_new (full_specs, o);
       b->specs[b->count++] = t->spec;
@@ -308,8 +312,11 @@
 
   json_array_foreach (json_object_get (body, "whole"), i,
                       o) if (run_target_spec_from_json (&spec, o))
-      quorum_keeper_update_target (k, now - json_get_integer (o, "age", 0),
-                                   &spec);
+  {
+    run_target_cold_from_json (&spec, o, now);
+    quorum_keeper_update_target (k, now - json_get_integer (o, "age", 0),
+                                 &spec);
+  }
   json_array_foreach (json_object_get (body, "left"), i,
                       o) if (json_is_string (o))
       quorum_keeper_remove_target (k, json_string_value (o));
--- a/src/coord/run_placement.c
+++ b/src/coord/run_placement.c
@@ -24,22 +24,56 @@
              : (int64_t)((double)local_ms * s->remote_factor);
 }
 
-/* Whether to start TASK on T, which may be remote from its data or slow,
-   rather than let it wait: it still ends on time there, or is late already. */
+/* How many times the expected run time a task takes on T.  */
+static double
+slowness_of (const struct run_target *t, int64_t now)
+{
+  double slowness = target_health_slowness (&t->health, now);
+
+  if (slowness < slowness_threshold)
+    slowness = 1;
+  if (run_target_spec_is_cold (&t->spec, now) && slowness < RUN_COLD_FACTOR)
+    slowness = RUN_COLD_FACTOR;
+  return slowness;
+}
+
+/* Whether S has a target for STEP of J that is neither cold nor evacuated, so
+   that it may be worth to wait for it.  */
+static bool
+has_warm_target (const struct run_scheduler *s, const struct run_job *j,
+                 const struct job_step *step, int64_t now)
+{
+  for (uint32_t i = 0; i < s->target_count; i++)
+    {
+      const struct run_target *t = s->targets[i];
+
+      if (!run_target_spec_is_cold (&t->spec, now) && !t->evacuated
+          && !t->spec.draining
+          && strcmp (t->spec.service, j->spec.service) == 0
+          && run_target_could_run (t, step))
+        return true;
+    }
+  return false;
+}
+
+/* Whether to start TASK on T, which may be remote from its data, slow or cold,
+   rather than let it wait: it still ends on time there, is late already, or
+   all targets are cold.  */
 static bool
 is_acceptable (const struct run_scheduler *s, const struct run_job *j,
                uint32_t task, const struct run_target *t, int64_t now)
 {
   int64_t local = j->tasks[task].local_ms;
   int64_t due = j->times.start_by_ms + local;
-  double slowness = target_health_slowness (&t->health, now);
+  double slowness = slowness_of (t, now);
   int64_t expected
       = run_placement_expected_ms (s, t, run_job_step (j, task), local);
 
-  if (slowness < slowness_threshold)
-    slowness = 1;
-  return now > j->times.start_by_ms
-         || now + (int64_t)((double)expected * slowness) <= due;
+  if (now > j->times.start_by_ms
+      || now + (int64_t)((double)expected * slowness) <= due)
+    return true;
+  return run_target_spec_is_cold (&t->spec, now)
+         && !has_warm_target (s, j, run_job_step (j, task), now);
 }
 
 struct run_target *
--- a/src/coord/run_placement.h
+++ b/src/coord/run_placement.h
@@ -2,14 +2,23 @@
 
    Load pattern: targets of two sizes that hold two or three tasks, some of
    them slow or with recent faults, and jobs that all prefer the rack of their
-   data.  Targets on that rack come first.  A remote or slow target is chosen
-   only if the task still ends on time there, or is late already.  Among equal
-   candidates the one with the lowest run_target_cost is chosen.  */
+   data.  Targets on that rack come first, and cold ones last.  A remote or
+   slow target is chosen only if the task still ends on time there, or is late
+   already.  Among equal candidates the one with the lowest run_target_cost is
+   chosen.  */
 #ifndef COORD_RUN_PLACEMENT_H
 #define COORD_RUN_PLACEMENT_H
 
 #include "coord/run_scheduler.h"
 
+enum
+{
+  /* The assumed run time on a cold target, as a multiple of the usual one.
+     Targets report how long they are cold, but not how slow that makes
+     them.  */
+  RUN_COLD_FACTOR = 2
+};
+
 /* The target on which to start TASK of J now, or NULL if the task must
    wait.  */
 struct run_target *run_placement_choose (const struct run_scheduler *s,
--- a/src/coord/run_scheduler.c
+++ b/src/coord/run_scheduler.c
@@ -243,6 +243,9 @@
   k->progressed_ms = now;
   k->expected_ms
       = run_placement_expected_ms (s, t, run_job_step (j, task), k->local_ms);
+  /* Else the run would be taken for a slow one and restarted.  */
+  if (run_target_spec_is_cold (&t->spec, now))
+    k->expected_ms *= RUN_COLD_FACTOR;
   k->percent = 0;
   k->answered_ms = 0;
   k->stop_answered_ms = 0;
--- a/src/coord/run_target.c
+++ b/src/coord/run_target.c
@@ -11,6 +11,17 @@
 /* Cost of a target with faults since its last success, in the same unit.  */
 static const double fault_cost = 0.5;
 
+/* Cost of a cold target: above the sum of the others, so that it is chosen
+   only where no other target has free capacity.  */
+static const double cold_cost = 10;
+
+enum
+{
+  /* Reports of the same cold state differ by the delays on their way; one that
+     does not count down is reported in steps of a quarter of what is left.  */
+  COLD_CHANGE_MS = 1000
+};
+
 bool
 run_target_spec_same_incarnation (const struct run_target_spec *one,
                                   const struct run_target_spec *other)
@@ -20,6 +31,23 @@
          && strcmp (one->address, other->address) == 0;
 }
 
+bool
+run_target_spec_is_cold (const struct run_target_spec *s, int64_t now)
+{
+  return now < s->cold_until_ms;
+}
+
+bool
+run_target_spec_became_cold (const struct run_target_spec *known,
+                             const struct run_target_spec *spec, int64_t now)
+{
+  int64_t left = spec->cold_until_ms - now;
+
+  return left > 0
+         && spec->cold_until_ms
+                > known->cold_until_ms + COLD_CHANGE_MS + left / 4;
+}
+
 bool
 run_target_has_label (const struct run_target *t, const char *label)
 {
@@ -97,6 +125,8 @@
 
   if (t->health.fault_streak != 0)
     cost += fault_cost;
+  if (run_target_spec_is_cold (&t->spec, now))
+    cost += cold_cost;
   return cost;
 }
 
--- a/src/coord/run_target.h
+++ b/src/coord/run_target.h
@@ -13,7 +13,11 @@
 {
   RUN_TARGET_ID_BYTES = 64,
   TARGET_LABEL_LIMIT = 8,
-  TARGET_RUN_LIMIT = 64
+  TARGET_RUN_LIMIT = 64,
+
+  /* A target that reports to be cold for longer counts as warm: no target
+     takes a day to warm up.  */
+  RUN_TARGET_COLD_LIMIT_MS = 24 * 3600 * 1000
 };
 
 /* What a target reports about itself in its heartbeats.  */
@@ -32,6 +36,7 @@
   char labels[TARGET_LABEL_LIMIT][LABEL_BYTES];
   uint32_t label_count;
   bool draining;
+  int64_t cold_until_ms; /* on this VM's clock: it runs slowly until then */
 };
 
 enum target_phase
@@ -74,6 +79,15 @@
 bool run_target_spec_same_incarnation (const struct run_target_spec *one,
                                        const struct run_target_spec *other);
 
+/* Whether the target is cold at NOW_MS.  */
+bool run_target_spec_is_cold (const struct run_target_spec *s, int64_t now_ms);
+
+/* Whether SPEC, a later report than KNOWN, says that the target stays cold for
+   longer, by more than reports of the same state differ.  */
+bool run_target_spec_became_cold (const struct run_target_spec *known,
+                                  const struct run_target_spec *spec,
+                                  int64_t now_ms);
+
 /* Whether T has LABEL; true if LABEL is empty.  */
 bool run_target_has_label (const struct run_target *t, const char *label);
 
@@ -97,8 +111,8 @@
                            int64_t now_ms);
 
 /* The cost of placing a task of STEP on T: the share of T's cores that would
-   be left free (best fit), plus penalties for a slow target and for recent
-   faults.  The target with the lowest cost is preferred.  */
+   be left free (best fit), plus penalties for a slow or cold target and for
+   recent faults.  The target with the lowest cost is preferred.  */
 double run_target_cost (const struct run_target *t,
                         const struct job_step *step, int64_t now_ms);
 
--- a/src/coord/run_target_json.c
+++ b/src/coord/run_target_json.c
@@ -52,3 +52,21 @@
   }
   return t->id[0] != '\0' && t->address[0] != '\0';
 }
+
+void
+run_target_cold_to_json (json_t *o, const struct run_target_spec *t,
+                         int64_t now)
+{
+  if (run_target_spec_is_cold (t, now))
+    json_object_set_new (o, "cold", json_integer (t->cold_until_ms - now));
+}
+
+void
+run_target_cold_from_json (struct run_target_spec *t, const json_t *o,
+                           int64_t now)
+{
+  int64_t left = json_get_integer (o, "cold", 0);
+
+  t->cold_until_ms
+      = left > 0 && left <= RUN_TARGET_COLD_LIMIT_MS ? now + left : 0;
+}
--- a/src/coord/run_target_json.h
+++ b/src/coord/run_target_json.h
@@ -13,4 +13,12 @@
 /* Returns false if O lacks an id or an address, or has invalid labels.  */
 bool run_target_spec_from_json (struct run_target_spec *t, const json_t *o);
 
+/* Adds to O, the description of T, how much longer it is cold at NOW_MS, or
+   reads that into T.  A description of an earlier program has no such
+   member.  */
+void run_target_cold_to_json (json_t *o, const struct run_target_spec *t,
+                              int64_t now_ms);
+void run_target_cold_from_json (struct run_target_spec *t, const json_t *o,
+                                int64_t now_ms);
+
 #endif
--- a/src/coord/target_reports.c
+++ b/src/coord/target_reports.c
@@ -78,7 +78,8 @@
     t = add (r, spec);
   else if (is_older (spec, &t->spec))
     return true;
-  if (!is_unchanged (spec, &t->spec))
+  if (!is_unchanged (spec, &t->spec)
+      || run_target_spec_became_cold (&t->spec, spec, now))
     t->acked_term = 0;
   t->spec = *spec;
   t->last_seen_ms = now;
--- a/tests/unit/deployment.c
+++ b/tests/unit/deployment.c
@@ -185,6 +185,7 @@
       t.slots = 8;
       t.sequence = d->sequence;
       t.draining = d->targets_draining;
+      t.cold_until_ms = d->cold_ms == 0 ? 0 : now_ms () + d->cold_ms;
       target_relay_handle_heartbeat (&k->relay, now_ms (), &t,
                                      on_heartbeat_done, d);
     }
--- a/tests/unit/deployment.h
+++ b/tests/unit/deployment.h
@@ -28,6 +28,7 @@
   bool heartbeats_to_follower; /* sent to a follower, not to the leader */
   bool targets_draining;       /* targets report that they are draining */
   uint32_t heartbeats_acked;   /* by the keeper, for all targets together */
+  int64_t cold_ms;             /* targets report to be cold for so long */
   uint64_t sequence;           /* number in the last heartbeats */
   bool heartbeats_paused;      /* targets send no heartbeats */
   bool two_domains; /* every second target is in domain "oven"; the test must
--- a/tests/unit/test_deployment.c
+++ b/tests/unit/test_deployment.c
@@ -28,6 +28,8 @@
      its expected time.  */
   LONG_TASK_MS = 4000,
 
+  COLD_MS = 3000,
+
   /* After so many steps each entry has a new report of the others' capacity.
    */
   REPORT_STEPS = 20,
@@ -984,6 +986,46 @@
   end_simulated (&d);
 }
 
+/* The number of targets at their owners that are cold.  */
+static uint32_t
+count_cold (const struct deployment *d)
+{
+  uint32_t n = 0;
+
+  for (int i = 0; i < ENTRIES; i++)
+    for (uint32_t t = 0; t < d->entries[i]->dispatcher.scheduler.target_count;
+         t++)
+      n += run_target_spec_is_cold (
+          &d->entries[i]->dispatcher.scheduler.targets[t]->spec, now_ms ());
+  return n;
+}
+
+/* A target that becomes cold is known as cold at its owner, whichever keeper
+   gets its heartbeats, until its time is over.  */
+static void
+test_cold_targets (void)
+{
+  for (int follower = 0; follower < 2; follower++)
+    {
+      struct deployment d;
+      int64_t end;
+
+      start_two_domains (&d);
+      d.heartbeats_to_follower = follower == 1;
+      CU_ASSERT_EQUAL (count_cold (&d), 0);
+      d.cold_ms = COLD_MS;
+      end = now_ms () + COLD_MS / 2;
+      while (count_cold (&d) != TARGETS && now_ms () < end)
+        run_step (&d);
+      CU_ASSERT_EQUAL (count_cold (&d), TARGETS);
+      d.cold_ms = 0;
+      for (end = now_ms () + COLD_MS + COLD_MS; now_ms () < end;)
+        run_step (&d);
+      CU_ASSERT_EQUAL (count_cold (&d), 0);
+      end_simulated (&d);
+    }
+}
+
 void
 suite_deployment (void)
 {
@@ -1021,6 +1063,7 @@
   CU_add_test (s, "an entry restarts during an evacuation",
                test_evacuation_entry_restart);
   CU_add_test (s, "all domains are evacuated", test_evacuation_of_all);
+  CU_add_test (s, "targets become cold", test_cold_targets);
   CU_add_test (s, "a job waits where its domain is evacuated",
                test_evacuation_waiting_job);
   CU_add_test (s, "no evacuation is acknowledged without a majority",
--- a/tests/unit/test_scheduler.c
+++ b/tests/unit/test_scheduler.c
@@ -513,6 +513,36 @@
   run_scheduler_done (&s);
 }
 
+/* A cold target is chosen last; where a warm one is busy, only if the task
+   still ends on time there or is late already, or if all targets are cold.  */
+static void
+test_cold (void)
+{
+  struct run_scheduler s;
+  struct job_spec one = make_job ("a", 1, CPU, 100);
+  struct job_spec two = make_job ("b", 1, CPU, 1000);
+
+  init_scheduler (&s, 2);
+  s.targets[0]->spec.cold_until_ms = 100000;
+  CU_ASSERT_PTR_NOT_NULL (submit (&s, 0, &one));
+  run_scheduler_pass (&s, 0);
+  CU_ASSERT_EQUAL (s.targets[1]->run_count, 1);
+  /* Twice 1000 ms is later than 1.6 times that plus 60 ms.  */
+  CU_ASSERT_PTR_NOT_NULL (submit (&s, 0, &two));
+  run_scheduler_pass (&s, 0);
+  CU_ASSERT_EQUAL (s.targets[0]->run_count, 0);
+  run_scheduler_pass (&s, 700);
+  CU_ASSERT_EQUAL (s.targets[0]->run_count, 1);
+  run_scheduler_done (&s);
+  init_scheduler (&s, 2);
+  s.targets[0]->spec.cold_until_ms = 100000;
+  s.targets[1]->spec.cold_until_ms = 100000;
+  CU_ASSERT_PTR_NOT_NULL (submit (&s, 0, &two));
+  run_scheduler_pass (&s, 0);
+  CU_ASSERT_EQUAL (seen.starts, 1);
+  run_scheduler_done (&s);
+}
+
 /* Estimates that are too low or too high are corrected towards the run times
    measured for the queue.  */
 static void
@@ -627,6 +657,7 @@
   CU_add_test (s, "a task larger than every target is refused",
                test_too_large);
   CU_add_test (s, "evacuated targets get no starts", test_evacuated);
+  CU_add_test (s, "cold targets are used last", test_cold);
   CU_add_test (s, "estimates follow measured run times", test_estimate);
   CU_add_test (s, "routing counts the jobs already sent", test_router);
   CU_add_test (s, "no job goes to a dispatcher without usable cores",
