--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,7 @@
 	@SOAK_OPTIONS="$(SOAK_OPTIONS)" \
 	  sh tests/node_soak.sh $(BUILD) $(SOAK_SECONDS) $(SOAK_SEEDS)
 	@sh tests/full_disks.sh $(BUILD) $(DISK_SECONDS) $(DISK_SEEDS)
+	@python3 tests/evacuation.py $(BUILD)
 
 demo: setup
 	@$(MAKE) --no-print-directory -j$$(nproc) all
--- a/src/tool/http_client.c
+++ b/src/tool/http_client.c
@@ -15,12 +15,21 @@
   struct http_response *response;
 };
 
+static void
+copy_header (const struct evkeyvalq *headers, const char *name, char *value,
+             size_t size)
+{
+  const char *found = evhttp_find_header (headers, name);
+
+  snprintf (value, size, "%s", found == NULL ? "" : found);
+}
+
 static void
 on_response (struct evhttp_request *request, void *arg)
 {
   struct pending_call *c = arg;
   struct evbuffer *in;
-  const char *prefix;
+  struct evkeyvalq *headers;
   size_t n;
 
   event_base_loopbreak (c->base);
@@ -36,10 +45,11 @@
   c->response->body
       = json_loadb (n == 0 ? "" : (const char *)evbuffer_pullup (in, -1), n,
                     JSON_DECODE_ANY, NULL);
-  prefix = evhttp_find_header (evhttp_request_get_input_headers (request),
-                               "Ragwort-Key-Prefix");
-  snprintf (c->response->key_prefix, sizeof c->response->key_prefix, "%s",
-            prefix == NULL ? "" : prefix);
+  headers = evhttp_request_get_input_headers (request);
+  copy_header (headers, "Ragwort-Key-Prefix", c->response->key_prefix,
+               sizeof c->response->key_prefix);
+  copy_header (headers, "Location", c->response->location,
+               sizeof c->response->location);
 }
 
 static enum evhttp_cmd_type
@@ -47,6 +57,8 @@
 {
   if (strcmp (method, "POST") == 0)
     return EVHTTP_REQ_POST;
+  if (strcmp (method, "PUT") == 0)
+    return EVHTTP_REQ_PUT;
   if (strcmp (method, "DELETE") == 0)
     return EVHTTP_REQ_DELETE;
   return EVHTTP_REQ_GET;
