--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -99,7 +99,11 @@
   ROW (SPEED_CHANGES, "speed_changes")                                        \
   ROW (SHORT_OF_CPU, "short_of_cpu")                                          \
   ROW (JOBS_SHED, "jobs_shed")                                                \
-  ROW (JOBS_DISPLACED, "jobs_displaced")
+  ROW (JOBS_DISPLACED, "jobs_displaced")                                      \
+  ROW (EVACUATION_ORDERS, "evacuation_orders")                                \
+  ROW (EVACUATION_REFUSALS, "evacuation_refusals")                            \
+  ROW (EVACUATION_SENDS, "evacuation_sends")                                  \
+  ROW (COLD_STARTS, "cold_starts")
 
 #define COUNTER_ENUM(id, name) COUNTER_##id,
 enum counter
--- a/src/base/node_settings.c
+++ b/src/base/node_settings.c
@@ -79,6 +79,7 @@
   { "cpu_milli", RULE_INTEGER, false, 1, CPU_MILLI_MAXIMUM, NULL, NULL },
   { "cpu_share", RULE_REAL, false, 0.001, 1024, NULL, NULL },
   { "cores", RULE_REAL, false, 0.001, 1024, NULL, NULL },
+  { "domains", RULE_ANY, false, 0, 0, NULL, NULL },
   { NULL, RULE_END, false, 0, 0, NULL, NULL },
 };
 
@@ -146,6 +147,44 @@
   }
 }
 
+/* Reads the names of the failure domains, the members of "domains"; their
+   values, the regions, are not used.  */
+static void
+read_domains (struct node_settings *s, const json_t *root,
+              struct json_report *r)
+{
+  json_t *domains = json_object_get (root, "domains");
+  const char *name;
+  json_t *region;
+
+  if (domains == NULL || json_is_null (domains))
+    return;
+  if (!json_is_object (domains)
+      || json_object_size (domains) > KNOWN_DOMAIN_LIMIT)
+    {
+      json_report_add (r, "domains", "is not an object of at most %d domains",
+                       KNOWN_DOMAIN_LIMIT);
+      return;
+    }
+  json_object_foreach (domains, name, region)
+  {
+    if (name[0] == '\0' || strlen (name) >= NAME_BYTES)
+      json_report_add (r, "domains", "has a name of no or too many bytes: %s",
+                       name);
+    else
+      snprintf (s->domains[s->domain_count++], NAME_BYTES, "%s", name);
+  }
+}
+
+bool
+node_settings_knows_domain (const struct node_settings *s, const char *domain)
+{
+  for (uint32_t i = 0; i < s->domain_count; i++)
+    if (strcmp (s->domains[i], domain) == 0)
+      return true;
+  return s->domain_count == 0;
+}
+
 static void
 read_peer (struct node_settings *s, const json_t *root, struct json_report *r)
 {
@@ -292,6 +331,7 @@
   memcpy (s->metrics.address, s->peer.address, sizeof s->metrics.address);
   s->metrics.port = (uint16_t)json_get_integer (root, "metrics_port", 0);
   read_seeds (s, root, r);
+  read_domains (s, root, r);
   s->first_start = json_get_boolean (root, "first_start", false);
   s->lost_keepers = (uint32_t)json_get_integer (root, "lost_keepers", 1);
   s->catch_up_ms
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -392,7 +392,8 @@
 {
   return !n->leaving && n->config.version != 0
          && vm_load_is_ready (&n->load, now_ms ())
-         && entry_dispatchers_any_usable (n);
+         && (entry_dispatchers_any_usable (n)
+             || entry_dispatchers_all_evacuated (n));
 }
 
 static struct routed_job *
@@ -441,6 +442,8 @@
         entry_withdrawal_handle_call (n, now, from, &m->u.call);
       else if (m->u.call.method == METHOD_WITHDRAWN)
         entry_withdrawn_handle_call (n, now, from, &m->u.call);
+      else if (m->u.call.method == METHOD_EVACUATIONS)
+        entry_assignment_receive_evacuations (n, now, from, &m->u.call);
       break;
     case PEER_JOB_END:
       receive_end (n, now, from->vm, &m->u.job_end);
--- a/src/controller/quorum_keeper.c
+++ b/src/controller/quorum_keeper.c
@@ -13,6 +13,7 @@
 #include "base/json_text.h"
 #include "base/now.h"
 #include "controller/entry_links.h"
+#include "controller/evacuation_sender.h"
 #include "controller/job_withdrawal.h"
 #include "controller/keeper_state.h"
 #include "controller/keeper_withdrawn.h"
@@ -197,7 +198,8 @@
         keeper_withdrawn_handle_call (k, now_ms (), from, &m->u.call);
       return;
     case PEER_REPLY:
-      if (keeper_withdrawn_handle_reply (k, now_ms (), from, &m->u.reply))
+      if (evacuation_sender_handle_reply (k, from, &m->u.reply)
+          || keeper_withdrawn_handle_reply (k, now_ms (), from, &m->u.reply))
         return;
       job_withdrawal_handle_reply (k, now_ms (), from, &m->u.reply);
       return;
@@ -290,23 +292,14 @@
 }
 
 void
-quorum_keeper_put_config (struct quorum_keeper *k, int64_t now,
-                          uint64_t version, const char *text, config_done done,
-                          void *arg)
+quorum_keeper_commit (struct quorum_keeper *k, int64_t now, json_t *command,
+                      config_done done, void *arg)
 {
   struct keeper_call *c;
-  json_t *command;
 
-  if (!quorum_keeper_leads (k))
-    {
-      done (arg, CONFIG_UNCONFIRMED, NULL);
-      return;
-    }
-  command = json_build ("{s:s s:I s:s}", "type", "document", "version",
-                        (json_int_t)version, "text",
-                        version <= k->config_version ? "" : text);
-  if (command == NULL)
+  if (command == NULL || !quorum_keeper_leads (k))
     {
+      json_decref (command);
       done (arg, CONFIG_UNCONFIRMED, NULL);
       return;
     }
@@ -317,6 +310,18 @@
   quorum_keeper_propose (k, command, now, &(uint64_t){ 0 });
 }
 
+void
+quorum_keeper_put_config (struct quorum_keeper *k, int64_t now,
+                          uint64_t version, const char *text, config_done done,
+                          void *arg)
+{
+  quorum_keeper_commit (k, now,
+                        json_build ("{s:s s:I s:s}", "type", "document",
+                                    "version", (json_int_t)version, "text",
+                                    version <= k->config_version ? "" : text),
+                        done, arg);
+}
+
 void
 quorum_keeper_get_config (struct quorum_keeper *k, int64_t now,
                           config_done done, void *arg)
@@ -350,10 +355,33 @@
   event_active (k->pass, EV_TIMEOUT, 0);
 }
 
+/* Has the owner of the target told, with its next assignment, that it is cold.
+   A target that is new in the plan is described there in full.  */
+static void
+note_cold (struct quorum_keeper *k, const struct run_target_spec *spec)
+{
+  struct plan_target *t = owner_plan_target (&k->plan, spec->id);
+  int64_t now = now_ms ();
+  struct plan_entry *owner;
+
+  if (t == NULL || !run_target_spec_same_incarnation (&t->spec, spec)
+      || !run_target_spec_became_cold (&t->spec, spec, now))
+    return;
+  t->spec.cold_until_ms = spec->cold_until_ms;
+  event_ring_add (EVENT_TARGET_COLD, spec->id,
+                  "domain=%s remaining_ms=%" PRId64 " owner=%s", spec->domain,
+                  spec->cold_until_ms - now, t->owner);
+  owner = owner_plan_entry (&k->plan, t->owner);
+  if (owner != NULL)
+    owner->dirty = true;
+  schedule_pass (k);
+}
+
 void
 quorum_keeper_update_target (struct quorum_keeper *k, int64_t received_ms,
                              const struct run_target_spec *spec)
 {
+  note_cold (k, spec);
   if (!owner_plan_update_target (&k->plan, received_ms, spec))
     return;
   event_ring_add (
--- a/src/controller/quorum_keeper.h
+++ b/src/controller/quorum_keeper.h
@@ -18,6 +18,7 @@
 #include "controller/log_journal.h"
 #include "controller/target_relay.h"
 #include "controller/withdrawn_record.h"
+#include "coord/evacuation.h"
 #include "coord/owner_plan.h"
 #include "coord/quorum_plan.h"
 #include "coord/replicated_log.h"
@@ -70,6 +71,9 @@
   struct withdrawn_feed withdrawn;
   uint64_t withdrawn_call; /* the id of its latest call */
   int64_t withdrawn_sent_ms;
+  uint64_t evacuations_version; /* of the evacuations that the entry has */
+  uint64_t evacuations_sent;    /* version last sent to it */
+  int64_t evacuations_sent_ms;
 };
 
 struct quorum_keeper
@@ -100,6 +104,7 @@
   json_t *applied_voters;
   json_t *applied_targets;  /* the targets in the log, by id */
   json_t *applied_departed; /* those that have departed, by id */
+  struct evacuation_set evacuations;
 
   /* only while leader */
   struct owner_plan plan;
@@ -173,6 +178,12 @@
                                uint64_t version, const char *text,
                                config_done done, void *arg);
 
+/* Commits COMMAND, which is released, through the log.  DONE as above, with
+   CONFIG_COMMITTED as soon as this keeper has applied it, or
+   CONFIG_UNCONFIRMED.  */
+void quorum_keeper_commit (struct quorum_keeper *k, int64_t now_ms,
+                           json_t *command, config_done done, void *arg);
+
 /* Reads the newest configuration, after a majority has confirmed that this
    keeper is still the leader.  DONE as above.  */
 void quorum_keeper_get_config (struct quorum_keeper *k, int64_t now_ms,
--- a/src/coord/dispatch_stop.c
+++ b/src/coord/dispatch_stop.c
@@ -19,7 +19,7 @@
 {
   for (uint32_t i = 0; i < s->target_count; i++)
     if (!s->targets[i]->releasing && !s->targets[i]->spec.draining
-        && s->targets[i]->phase == TARGET_READY)
+        && !s->targets[i]->evacuated && s->targets[i]->phase == TARGET_READY)
       return true;
   return false;
 }
--- a/src/coord/run_backlog.c
+++ b/src/coord/run_backlog.c
@@ -11,7 +11,7 @@
 run_scheduler_may_use (const struct run_target *t)
 {
   return t->phase == TARGET_READY && !t->spec.draining && !t->releasing
-         && !t->health.ejected;
+         && !t->evacuated && !t->health.ejected;
 }
 
 struct job_backlog
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -115,6 +115,7 @@
   suite_intake ();
   if (argc > 1)
     select_suites (argv + 1, argc - 1);
+  suite_evacuation ();
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   failed = CU_get_number_of_tests_failed ();
