--- a/bench/replay_model.c
+++ b/bench/replay_model.c
@@ -556,6 +556,7 @@
         add_free_capacity (r, s->targets[i]);
       }
   r->work_ahead = run_scheduler_backlog (s, "svc", INT64_MAX).work_ahead;
+  r->ranked = run_scheduler_ranked_work (s, "svc");
   d->capacity_count = 1;
   d->reachable = true;
   d->echo.confirmed = (struct lease_stamp){ m->now, m->now };
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -527,9 +527,14 @@
         add_free_cores (capacity, t->spec.cpu_milli - t->cpu_used);
     }
   for (uint32_t i = 0; i < count; i++)
-    capacities[i].work_ahead
-        = run_scheduler_backlog (&d->scheduler, capacities[i].service,
-                                 INT64_MAX)
-              .work_ahead;
+    {
+      const char *service = capacities[i].service;
+
+      capacities[i].work_ahead
+          = run_scheduler_backlog (&d->scheduler, service, INT64_MAX)
+                .work_ahead;
+      capacities[i].ranked
+          = run_scheduler_ranked_work (&d->scheduler, service);
+    }
   return d->leaving ? 0 : count;
 }
--- a/src/controller/entry_dispatchers.c
+++ b/src/controller/entry_dispatchers.c
@@ -43,6 +43,7 @@
       r->free_cpu_milli = capacities[i].free_cpu_milli;
       r->free_by_target = capacities[i].free_by_target;
       r->work_ahead = capacities[i].work_ahead;
+      r->ranked = capacities[i].ranked;
     }
 }
 
--- a/src/coord/job_router.c
+++ b/src/coord/job_router.c
@@ -50,6 +50,7 @@
   uint64_t usable;
   uint64_t free_cpu;
   uint64_t need;
+  uint64_t ahead;
   int64_t wait;
 
   if (!d->reachable || r == NULL || now - d->reported_ms > CAPACITY_MAX_AGE_MS)
@@ -62,7 +63,10 @@
     return -1;
   free_cpu = r->free_cpu_milli * USABLE_CPU_PERCENT / 100;
   need = r->sent_cpu_milli + job_cpu (spec);
-  wait = (int64_t)(r->work_ahead / usable);
+  ahead = r->ranked.count == 0
+              ? r->work_ahead
+              : ranked_work_ahead (&r->ranked, spec->priority);
+  wait = (int64_t)(ahead / usable);
   if (need > free_cpu)
     wait += (int64_t)((need - free_cpu) * TURNOVER_MS / usable);
   return wait;
--- a/src/coord/job_router.h
+++ b/src/coord/job_router.h
@@ -16,6 +16,7 @@
 #include "coord/job_spec.h"
 #include "coord/free_capacity.h"
 #include "coord/job_lease.h"
+#include "coord/ranked_work.h"
 #include "coord/service_priorities.h"
 
 enum
@@ -40,6 +41,7 @@
   uint64_t free_cpu_milli;
   struct free_capacity free_by_target; /* less the tasks delegated since */
   uint64_t work_ahead;                 /* thousandths of a core times ms */
+  struct ranked_work ranked;           /* the same by rank, if by priority */
   uint64_t sent_cpu_milli;
   uint64_t sent_work;
 };
--- a/src/coord/run_backlog.c
+++ b/src/coord/run_backlog.c
@@ -51,6 +51,21 @@
   return b;
 }
 
+struct ranked_work
+run_scheduler_ranked_work (const struct run_scheduler *s, const char *service)
+{
+  struct ranked_work w = { .count = 0 };
+  const struct run_job *j;
+
+  if (service_priorities_find (&s->priorities, service) == NULL)
+    return w;
+  DL_FOREACH (s->waiting, j)
+  if (strcmp (j->spec.service, service) == 0 && j->waiting_count != 0)
+    ranked_work_add (&w, j->first_start_ms >= 0 ? 0 : j->rank,
+                     j->work * j->waiting_count / j->task_count);
+  return w;
+}
+
 uint32_t
 run_scheduler_waiting_jobs (const struct run_scheduler *s, const char *queue)
 {
--- a/src/coord/run_scheduler.h
+++ b/src/coord/run_scheduler.h
@@ -18,6 +18,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include "coord/queue_share.h"
+#include "coord/ranked_work.h"
 #include "coord/run_job.h"
 #include "coord/service_priorities.h"
 #include "coord/work_estimate.h"
@@ -187,6 +188,11 @@
 struct job_backlog run_scheduler_backlog_of (const struct run_scheduler *s,
                                              const struct run_job *j);
 
+/* The waiting work of SERVICE by rank; empty if it does not shed load by
+   priority.  Started jobs precede all others.  */
+struct ranked_work run_scheduler_ranked_work (const struct run_scheduler *s,
+                                              const char *service);
+
 /* Whether T gets starts in general, free or not at present.  */
 bool run_scheduler_may_use (const struct run_target *t);
 
--- a/tests/unit/test_overload.c
+++ b/tests/unit/test_overload.c
@@ -2,6 +2,7 @@
    where a refused job is tried next, without a network.  */
 #include <stdio.h>
 #include <string.h>
+#include "controller/dispatch_capacity.h"
 #include "coord/job_router.h"
 #include "coord/overload_policy.h"
 #include "coord/run_scheduler.h"
@@ -283,6 +284,89 @@
   service_priorities_done (&p);
 }
 
+/* More ranks than a report holds: the most urgent ones stay apart.  Guards
+   against a report that grows with the number of queues.  */
+static void
+test_ranked_work (void)
+{
+  struct ranked_work w = { .count = 0 };
+
+  for (uint32_t rank = 9; rank-- > 0;)
+    ranked_work_add (&w, rank, 10);
+  ranked_work_add (&w, 1, 5);
+  ranked_work_add (&w, 20, 7);
+  CU_ASSERT_EQUAL (w.count, RANKED_WORK_LIMIT);
+  CU_ASSERT_EQUAL (ranked_work_ahead (&w, 0), 10);
+  CU_ASSERT_EQUAL (ranked_work_ahead (&w, 1), 25);
+  CU_ASSERT_EQUAL (ranked_work_ahead (&w, UINT32_MAX), 102);
+}
+
+/* The work by rank of the second of two services passes through a report.  A
+   report of the earlier form is the beginning of it, so that earlier programs
+   read both capacities and stop there.  */
+static void
+test_ranked_report (void)
+{
+  struct dispatch_capacity sent[2] = { { .service = "x", .cpu_milli = 1 },
+                                       { .service = "svc", .cpu_milli = 2 } };
+  struct dispatch_capacity read[2];
+  msgpack_sbuffer earlier;
+  msgpack_sbuffer packed;
+
+  msgpack_sbuffer_init (&earlier);
+  msgpack_sbuffer_init (&packed);
+  dispatch_capacity_pack (sent, 2, &earlier);
+  ranked_work_add (&sent[1].ranked, 0, 100);
+  ranked_work_add (&sent[1].ranked, 2, 300);
+  dispatch_capacity_pack (sent, 2, &packed);
+  CU_ASSERT (packed.size > earlier.size);
+  CU_ASSERT_EQUAL (memcmp (packed.data, earlier.data, earlier.size), 0);
+  memset (read, 0xff, sizeof read);
+  CU_ASSERT_EQUAL (
+      dispatch_capacity_unpack (
+          read, 2, (struct slice){ packed.data, (uint32_t)packed.size }),
+      2);
+  CU_ASSERT_EQUAL (read[1].cpu_milli, 2);
+  CU_ASSERT_EQUAL (read[0].ranked.count, 0);
+  CU_ASSERT_EQUAL (ranked_work_ahead (&read[1].ranked, 1), 100);
+  CU_ASSERT_EQUAL (ranked_work_ahead (&read[1].ranked, 2), 400);
+  /* A report that is cut within an item is refused as a whole.  */
+  for (uint32_t cut = (uint32_t)earlier.size; cut < packed.size; cut++)
+    {
+      uint32_t n = dispatch_capacity_unpack (
+          read, 2, (struct slice){ packed.data, cut });
+
+      CU_ASSERT (n == 0 || n == 2);
+      CU_ASSERT (n == 0 || read[1].ranked.count <= 2);
+    }
+  msgpack_sbuffer_destroy (&earlier);
+  msgpack_sbuffer_destroy (&packed);
+}
+
+/* A dispatcher with much less urgent work and one with some urgent work, both
+   without free cores.  Guards against an urgent job that avoids a dispatcher
+   because of work that it would go before.  */
+static void
+test_route_by_rank (void)
+{
+  struct route_dispatcher d[DISPATCHERS];
+  struct job_spec job = make_job ("a", 0, 2, 200);
+
+  make_dispatchers (d);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      d[i].capacities[0].free_cpu_milli = 0;
+      d[i].capacities[0].work_ahead = i == 0 ? 90000000 : 40000000;
+      ranked_work_add (&d[i].capacities[0].ranked, i == 0 ? 2 : 0,
+                       d[i].capacities[0].work_ahead);
+    }
+  CU_ASSERT_PTR_EQUAL (
+      job_router_choose (d, 2, "d0", &job, NULL, 0, REPORTED_MS), &d[0]);
+  job.priority = 2;
+  CU_ASSERT_PTR_EQUAL (
+      job_router_choose (d, 2, "d0", &job, NULL, 0, REPORTED_MS), &d[1]);
+}
+
 void
 suite_overload (void)
 {
@@ -294,6 +378,10 @@
   CU_add_test (s, "a refused job goes where it fits", test_route_to_room);
   CU_add_test (s, "routing by equal priorities is as before",
                test_route_equal_priorities);
+  CU_add_test (s, "the work by rank is bounded", test_ranked_work);
+  CU_add_test (s, "reports of work by rank", test_ranked_report);
+  CU_add_test (s, "an urgent job is routed by the work before it",
+               test_route_by_rank);
   CU_add_test (s, "services whose queues differ in priority",
                test_priorities_of_services);
 }
