--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -621,11 +621,16 @@
         add_free_cores (capacity, t->spec.cpu_milli - t->cpu_used);
     }
   for (uint32_t i = 0; i < count; i++)
-    capacities[i].work_ahead
-        = run_scheduler_backlog (&d->scheduler, capacities[i].service,
-                                 INT64_MAX)
-              .work_ahead
-          + capacities[i].cpu_milli * USABLE_CPU_PERCENT / 100
-                * (uint64_t)d->delay_ms;
+    {
+      const char *service = capacities[i].service;
+
+      capacities[i].work_ahead
+          = run_scheduler_backlog (&d->scheduler, service, INT64_MAX)
+                .work_ahead
+            + capacities[i].cpu_milli * USABLE_CPU_PERCENT / 100
+                  * (uint64_t)d->delay_ms;
+      capacities[i].ranked
+          = run_scheduler_ranked_work (&d->scheduler, service);
+    }
   return dispatch_stop_accepts (&d->stop, &d->scheduler, 0, now) ? count : 0;
 }
