--- a/tests/unit/test_vm_load.c
+++ b/tests/unit/test_vm_load.c
@@ -6,6 +6,7 @@
 #include "coord/run_target_json.h"
 #include "coord/vm_load.h"
 #include "tests/unit/deployment.h"
+#include "tests/unit/fake_port.h"
 #include "tests/unit/suites.h"
 
 enum
@@ -238,6 +239,77 @@
   CU_ASSERT_EQUAL (cpu_of_settings (",\"cpu_milli\":0"), -1);
 }
 
+static void
+on_answered (void *arg, const struct job_answer *a)
+{
+  *(struct job_answer *)arg = *a;
+}
+
+/* Submits a job of one task at N, whose answer is stored in A.  */
+static void
+submit (struct job_entry *n, const char *key, struct job_answer *a)
+{
+  struct job_spec spec = { .attempts = 3,
+                           .stretch_milli = 1600,
+                           .floor_ms = 5000,
+                           .deadline_ms = WAIT_MS,
+                           .step_count = 1 };
+
+  *a = (struct job_answer){ JOB_UNKNOWN, REFUSAL_NONE, -1 };
+  snprintf (spec.key, sizeof spec.key, "%s", key);
+  snprintf (spec.queue, sizeof spec.queue, "q");
+  snprintf (spec.service, sizeof spec.service, "svc");
+  spec.steps[0]
+      = (struct job_step){ .count = 1, .cpu_milli = 1000, .estimate_ms = 200 };
+  spec.payload = slice_of ("");
+  job_entry_submit (n, now_ms (), now_ms (), &spec, on_answered, a);
+}
+
+/* Guards against a short entry that gives up jobs which it holds, or says "not
+   run" of a job that it has sent on: the job that it refuses is never started,
+   and the one before it is answered.  */
+static void
+test_held_jobs (void)
+{
+  int64_t end = now_ms () + LONG_WAIT_MS;
+  struct job_answer refused;
+  struct job_answer held;
+  struct deployment d;
+
+  deployment_init (&d);
+  for (int i = 0; i < SEEDS; i++)
+    deployment_start_keeper (&d, i);
+  deployment_start_entry (&d, 0);
+  deployment_run_until_owned (&d);
+  for (int i = 0; i < 20; i++)
+    deployment_run_step (&d);
+  submit (d.entries[0], "00000000000000aa", &held);
+  while (fake_port_starts () == 0 && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (fake_port_starts (), 1);
+  d.entries[0]->load.shed_percent = 80;
+  d.entries[0]->load.shed_credit = 20;
+  submit (d.entries[0], "00000000000000bb", &refused);
+  while (refused.retry_ms < 0 && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (refused.result, JOB_REFUSED);
+  CU_ASSERT_EQUAL (refused.reason, REFUSAL_OVERLOAD);
+  CU_ASSERT (refused.retry_ms >= 1000);
+  for (int t = 0; t < TARGETS; t++)
+    {
+      char id[8];
+
+      snprintf (id, sizeof id, "t%d", t);
+      fake_port_end_run (fake_port_target (id), "00000000000000aa.0.0.0",
+                         RUN_END_DONE);
+    }
+  while (held.retry_ms < 0 && now_ms () < end)
+    deployment_run_step (&d);
+  CU_ASSERT_EQUAL (held.result, JOB_DONE);
+  CU_ASSERT_EQUAL (fake_port_starts (), 1);
+  deployment_done (&d);
+}
+
 void
 suite_vm_load (void)
 {
@@ -251,4 +323,6 @@
   CU_add_test (s, "the earlier program skips the report of a processor",
                test_report_skipped);
   CU_add_test (s, "the settings name the processor", test_settings);
+  CU_add_test (s, "a short entry answers the jobs that it holds",
+               test_held_jobs);
 }
