--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -401,26 +401,41 @@
     bufferevent_write (c->conn->bev, text, sizeof text - 1);
 }
 
-/* Takes bytes of INPUT up to the next point where something is to be done.  */
+/* Notes that a request has begun with what was taken.  */
+static void
+note_begin (struct intake_client *c)
+{
+  if (c->request.phase != CLIENT_IDLE || !http_framing_has_begun (&c->framing))
+    return;
+  c->request.phase = CLIENT_HEAD;
+  c->request.began_ms = now_ms ();
+}
+
+/* Takes the bytes of INPUT that lie in one piece, up to the next point where
+   something is to be done.  */
 static enum framing_result
 take_piece (struct intake_client *c, struct evbuffer *input)
 {
   struct evbuffer_iovec piece = { NULL, 0 };
   struct framing_step step;
   enum framing_result r;
+  const char *data;
+  size_t taken = 0;
 
   evbuffer_peek (input, -1, NULL, &piece, 1);
-  r = http_framing_take (&c->framing, &c->intake->limits.framing,
-                         piece.iov_base, piece.iov_len, &step);
-  if (c->request.phase == CLIENT_IDLE && http_framing_has_begun (&c->framing))
+  data = piece.iov_base != NULL ? piece.iov_base : "";
+  do
     {
-      c->request.phase = CLIENT_HEAD;
-      c->request.began_ms = now_ms ();
+      r = http_framing_take (&c->framing, &c->intake->limits.framing,
+                             data + taken, piece.iov_len - taken, &step);
+      taken += step.taken;
+      note_begin (c);
+      if ((r == FRAMING_MORE || r == FRAMING_HEAD_DONE || r == FRAMING_DONE)
+          && add_head (c, &step))
+        add_body (c, &step);
     }
-  if ((r == FRAMING_MORE || r == FRAMING_HEAD_DONE || r == FRAMING_DONE)
-      && add_head (c, &step))
-    add_body (c, &step);
-  evbuffer_drain (input, step.taken);
+  while (r == FRAMING_MORE && taken < piece.iov_len && !c->closing);
+  evbuffer_drain (input, taken);
   return r;
 }
 
