--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -113,9 +113,9 @@
   suite_framing ();
   suite_client_budget ();
   suite_intake ();
+  suite_evacuation ();
   if (argc > 1)
     select_suites (argv + 1, argc - 1);
-  suite_evacuation ();
   CU_basic_set_mode (CU_BRM_NORMAL);
   CU_basic_run_tests ();
   failed = CU_get_number_of_tests_failed ();
