--- a/src/coord/job_spec.h
+++ b/src/coord/job_spec.h
@@ -43,7 +43,7 @@
   REFUSAL_FULL,      /* no free capacity for tasks that must not wait */
   REFUSAL_LEASE,     /* its lease was not renewed (coord/job_lease) */
   REFUSAL_WITHDRAWN, /* cancelled by its caller; only at its entry */
-  REFUSAL_DISPLACED, /* gave way to jobs of higher priority */
+  REFUSAL_DISPLACED, /* refused in favour of higher priorities */
   REFUSAL_COUNT
 };
 
--- a/src/coord/overload_policy.c
+++ b/src/coord/overload_policy.c
@@ -16,9 +16,8 @@
      replay of customer 1 when another queue had 8 times its load.  */
   FLOOR_PERCENT = 50,
 
-  /* With fewer targets the runs that end in time are too few to tell: with 16,
-     jobs of many tasks that others would have helped out with were refused on
-     calm days.  */
+  /* With fewer targets too few runs end within a job's slack: with 16, jobs of
+     many tasks, which are partly delegated, were refused on calm days.  */
   DECISIVE_TARGETS = 20
 };
 
--- a/tests/unit/test_overload.c
+++ b/tests/unit/test_overload.c
@@ -205,7 +205,7 @@
 
 /* The same at a dispatcher with one target less: the work ahead admits the
    job.  Guards against refusals on calm days at small dispatchers, whose jobs
-   of many tasks others help out with: on a quiet day of ktpc, with 16 targets
+   of many tasks are partly delegated: on a quiet day of ktpc, with 16 targets
    a dispatcher, the worst class fell to 0.93.  */
 static void
 test_few_targets (void)
