--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -1,17 +1,12 @@
 #include "net/http_intake.h"
 
 #include <evhtp.h>
-#include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <event2/buffer.h>
 #include <utlist.h>
-#include "base/counters.h"
-#include "base/event_ring.h"
 #include "base/now.h"
-#include "net/http_server.h"
 
 enum
 {
@@ -27,7 +22,6 @@
   BODY_BYTES_AT_ONCE = 16384, /* of an announced length */
 
   SWEEP_MS = 250,
-  LOG_MS = 1000,
 
   /* How long and how much is still read after a refusal.  Closing with unread
      bytes would reset the connection, and the answer could be lost.  */
@@ -35,49 +29,7 @@
 
   /* The rest of a refused body of an announced length is read up to this many
      times the limit: many clients read no answer before they have sent all. */
-  DISCARD_FACTOR = 8,
-
-  HEAD_TEXT_BYTES = 256
-};
-
-/* How a fault is answered and recorded.  */
-struct fault_row
-{
-  int status; /* 0: closed without an answer */
-  const char *reason;
-  const char *code;
-  const char *message;
-  enum counter counter;
-  enum event_number event;
-};
-
-static const struct fault_row faults[INTAKE_FAULTS] = {
-  [INTAKE_INVALID]
-  = { 400, "Bad Request", "bad_framing", "the request's framing is not valid",
-      COUNTER_CLIENTS_BAD_FRAMING, EVENT_CLIENT_BAD_FRAMING },
-  [INTAKE_HEAD] = { 431, "Request Header Fields Too Large", "head_too_large",
-                    "the head is over its limits",
-                    COUNTER_CLIENTS_HEAD_REFUSED, EVENT_CLIENT_HEAD_REFUSED },
-  [INTAKE_BODY]
-  = { 413, "Content Too Large", "body_too_large", "the body is over its limit",
-      COUNTER_CLIENTS_BODY_REFUSED, EVENT_CLIENT_BODY_REFUSED },
-  [INTAKE_OVERHEAD]
-  = { 413, "Content Too Large", "chunk_overhead",
-      "the chunks' coding is out of proportion to the body",
-      COUNTER_CLIENTS_BODY_REFUSED, EVENT_CLIENT_BODY_REFUSED },
-  [INTAKE_HEAD_TIME]
-  = { 408, "Request Timeout", "head_too_slow", "the head was not sent in time",
-      COUNTER_CLIENTS_TIMED_OUT, EVENT_CLIENT_TIMED_OUT },
-  [INTAKE_BODY_TIME]
-  = { 408, "Request Timeout", "body_too_slow", "the body was not sent in time",
-      COUNTER_CLIENTS_TIMED_OUT, EVENT_CLIENT_TIMED_OUT },
-  [INTAKE_BUDGET]
-  = { 503, "Service Unavailable", "clients_memory",
-      "no memory is left for requests", COUNTER_CLIENTS_BUDGET_REFUSED,
-      EVENT_CLIENT_BUDGET_REFUSED },
-  [INTAKE_CONNECTIONS]
-  = { 0, "", "clients_connections", "", COUNTER_CLIENTS_CONNECTIONS_CLOSED,
-      EVENT_CLIENT_CONNECTION_CLOSED },
+  DISCARD_FACTOR = 8
 };
 
 void
@@ -99,26 +51,13 @@
   return bufferevent_get_input (c->conn->bev);
 }
 
-/* Counts a fault, and logs one of its kind a second.  */
 static void
-record (struct http_intake *n, enum intake_fault fault)
+record (struct http_intake *n, enum client_fault fault)
 {
-  const struct fault_row *row = &faults[fault];
-  int64_t now = now_ms ();
+  const struct client_port_state state
+      = { n->port, n->count, n->used_bytes, n->limits.budget_bytes };
 
-  counters_add (row->counter, 1);
-  if (n->logged_ms[fault] != 0 && now - n->logged_ms[fault] < LOG_MS)
-    {
-      n->unlogged[fault]++;
-      return;
-    }
-  event_ring_add (row->event, "",
-                  "port=%u why=%s since_last=%u connections=%u "
-                  "held_bytes=%" PRIu64 " budget_bytes=%" PRIu64,
-                  n->port, row->code, n->unlogged[fault] + 1, n->count,
-                  n->used_bytes, n->limits.budget_bytes);
-  n->logged_ms[fault] = now;
-  n->unlogged[fault] = 0;
+  client_fault_record (&n->fault_log, fault, &state, now_ms ());
 }
 
 static void
@@ -195,16 +134,9 @@
 /* Refuses C's incomplete request and closes its connection when the answer is
    sent.  C stays valid.  */
 static void
-refuse (struct intake_client *c, enum intake_fault fault)
+refuse (struct intake_client *c, enum client_fault fault)
 {
-  const struct fault_row *row = &faults[fault];
-  char head[HEAD_TEXT_BYTES];
-  char *text = http_error_text (row->code, "not_run", row->message);
-  int n = snprintf (head, sizeof head,
-                    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-                    "Content-Length: %zu\r\nConnection: close\r\n%s\r\n",
-                    row->status, row->reason, strlen (text),
-                    fault == INTAKE_BUDGET ? "Retry-After: 1\r\n" : "");
+  char *answer = client_fault_answer (fault);
 
   record (c->intake, fault);
   c->discard_bytes = rest_of_body (c);
@@ -212,9 +144,8 @@
   c->closing = true;
   c->closing_ms = now_ms ();
   charge_again (c);
-  bufferevent_write (c->conn->bev, head, (size_t)n);
-  bufferevent_write (c->conn->bev, text, strlen (text));
-  free (text);
+  bufferevent_write (c->conn->bev, answer, strlen (answer));
+  free (answer);
 }
 
 /* The incomplete request to refuse first, or C if there is no worse one.  */
@@ -243,7 +174,7 @@
     {
       struct intake_client *worst = find_worst (c);
 
-      refuse (worst, INTAKE_BUDGET);
+      refuse (worst, CLIENT_FAULT_BUDGET);
       if (worst == c)
         return false;
     }
@@ -352,7 +283,7 @@
   if (freed || c->given)
     return !freed;
   /* The library waits for more, although the head is whole.  */
-  record (c->intake, INTAKE_INVALID);
+  record (c->intake, CLIENT_FAULT_FRAMING);
   evhtp_connection_free (c->conn);
   return false;
 }
@@ -373,19 +304,19 @@
   return give_head (c);
 }
 
-static enum intake_fault
+static enum client_fault
 fault_of (enum framing_result r)
 {
   switch (r)
     {
     case FRAMING_HEAD_TOO_LONG:
-      return INTAKE_HEAD;
+      return CLIENT_FAULT_HEAD;
     case FRAMING_BODY_TOO_LONG:
-      return INTAKE_BODY;
+      return CLIENT_FAULT_BODY;
     case FRAMING_OVERHEAD:
-      return INTAKE_OVERHEAD;
+      return CLIENT_FAULT_OVERHEAD;
     default:
-      return INTAKE_INVALID;
+      return CLIENT_FAULT_FRAMING;
     }
 }
 
@@ -539,10 +470,10 @@
       evhtp_connection_free (c->conn);
       break;
     case CLIENT_HEAD_TOO_SLOW:
-      refuse (c, INTAKE_HEAD_TIME);
+      refuse (c, CLIENT_FAULT_HEAD_TIME);
       break;
     case CLIENT_BODY_TOO_SLOW:
-      refuse (c, INTAKE_BODY_TIME);
+      refuse (c, CLIENT_FAULT_BODY_TIME);
       break;
     }
 }
@@ -607,7 +538,7 @@
 
   if (n->count < n->limits.connections)
     return true;
-  record (n, INTAKE_CONNECTIONS);
+  record (n, CLIENT_FAULT_CONNECTIONS);
   DL_FOREACH (n->clients, c)
   {
     may_take (c);
--- a/src/net/http_intake.h
+++ b/src/net/http_intake.h
@@ -19,6 +19,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include "net/client_budget.h"
+#include "net/client_fault.h"
 #include "net/http_framing.h"
 
 enum
@@ -26,19 +27,6 @@
   INTAKE_WAITING_BYTES = 16384
 };
 
-enum intake_fault
-{
-  INTAKE_INVALID,
-  INTAKE_HEAD,
-  INTAKE_BODY,
-  INTAKE_OVERHEAD,
-  INTAKE_HEAD_TIME,
-  INTAKE_BODY_TIME,
-  INTAKE_BUDGET,
-  INTAKE_CONNECTIONS,
-  INTAKE_FAULTS
-};
-
 struct evhtp_connection;
 struct http_intake;
 
@@ -90,8 +78,7 @@
   uint32_t count;
   struct intake_client *clients;
   struct event *sweep;
-  int64_t logged_ms[INTAKE_FAULTS];
-  uint32_t unlogged[INTAKE_FAULTS];
+  struct client_fault_log fault_log;
 };
 
 /* Limits without a setting: no client inside the platform's limits reaches
