net, settings: what lies unread in the kernel bounds the connections

Cause: the number of connections followed from 12 kB each, the kernel held up to what it likes for each.

The listener asks for small kernel buffers (16 kB on Linux). The users' platform accepts that without effect: a trial there had 81,920 bytes unread at a socket with and without it. So the number of connections follows from 81,920 bytes each and 6 kB of our own, with those that wait to be accepted: 12/32 of the memory at the callers' or control port, 1/32 each at readiness and metrics.

--- a/src/base/node_settings.c
+++ b/src/base/node_settings.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "base/connection_memory.h"
 #include "base/json_check.h"
 
 enum
@@ -22,18 +23,26 @@
   IDLE_TIMEOUT_MS = 60000,
 
   /* Of the memory, the part for what clients of the main port send, and for
-     those of each small port.  The rest is for the process's own state, and
-     for what is made of a request while it is answered.  */
+     those of each small port.  */
   MAIN_PORT_MEMORY_PART = 4,
   SMALL_PORT_MEMORY_PART = 32,
   MB_BYTES = 1 << 20,
 
-  /* An idle connection takes about 6 kB (net/client_budget): idle ones may
-     take half as much again as the main port's part.  */
-  CONNECTION_MEMORY_BYTES = 12288,
-
-  /* A small port has one of so many of the connections, and at most
-     SMALL_PORT_CONNECTIONS.  */
+  /* And the part in 32nds for the connections of each, with those that are not
+     yet accepted: what each takes by itself and what the kernel holds of it
+     unread.  The rest is for the process's own state, and for what is made of
+     a request while it is answered (docs/design/09).  */
+  MAIN_PORT_CONNECTION_PARTS = 12,
+  SMALL_PORT_CONNECTION_PARTS = 1,
+  CONNECTION_PARTS = 32,
+  CONNECTION_MEMORY_BYTES = CONNECTION_BYTES + CONNECTION_UNREAD_BYTES,
+
+  /* Of a port's connections, the part that may wait to be accepted.  */
+  BACKLOG_PART = 4,
+  BACKLOG_MAXIMUM = 256,
+
+  /* A small port has one of so many of the descriptors for connections, and at
+     most SMALL_PORT_CONNECTIONS.  */
   SMALL_PORT_CONNECTIONS_PART = 8,
   SMALL_PORT_CONNECTIONS = 64,
   SMALL_PORTS = 2,
@@ -291,13 +300,30 @@
   return part < SMALL_PORT_CONNECTIONS ? part : SMALL_PORT_CONNECTIONS;
 }
 
+/* Limits the connections of OWN, a port that has PARTS of MEMORY for them.  */
+static void
+limit_connections (struct settings *own, uint64_t memory, uint32_t parts)
+{
+  uint64_t fitting
+      = memory / CONNECTION_PARTS * parts / CONNECTION_MEMORY_BYTES;
+  uint32_t backlog;
+
+  own->backlog = BACKLOG_MAXIMUM;
+  if (memory == 0)
+    return;
+  backlog = (uint32_t)(fitting / BACKLOG_PART);
+  if (backlog < own->backlog)
+    own->backlog = backlog;
+  if (fitting - own->backlog < own->connections)
+    own->connections = (uint32_t)(fitting - own->backlog);
+}
+
 void
 node_settings_port (const struct node_settings *s, const struct endpoint *a,
                     enum node_port kind, struct settings *own)
 {
   uint64_t memory = (uint64_t)s->memory_mb * MB_BYTES;
   uint32_t small = small_connections (&s->peer);
-  uint64_t fitting;
 
   *own = s->peer;
   memcpy (own->address, a->address, sizeof own->address);
@@ -307,13 +333,12 @@
       own->connections = small;
       own->body_bytes = SMALL_PORT_BODY_BYTES;
       own->client_bytes = memory / SMALL_PORT_MEMORY_PART;
+      limit_connections (own, memory, SMALL_PORT_CONNECTION_PARTS);
       return;
     }
   own->connections -= SMALL_PORTS * small;
   own->client_bytes = memory / MAIN_PORT_MEMORY_PART;
-  fitting = own->client_bytes / CONNECTION_MEMORY_BYTES;
-  if (memory != 0 && own->connections > fitting)
-    own->connections = (uint32_t)fitting;
+  limit_connections (own, memory, MAIN_PORT_CONNECTION_PARTS);
 }
 
 static void
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -77,6 +77,7 @@
   /* limits */
   uint32_t body_bytes;
   uint32_t connections;
+  uint32_t backlog; /* connections not yet accepted; 0: the default */
   int64_t idle_timeout_ms;
 
   /* limits of clients; 0: the defaults of net/http_intake */
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -17,6 +18,7 @@
 #include "base/now.h"
 #include "base/utf8.h"
 #include "net/http_intake.h"
+#include "net/http_listener.h"
 
 enum
 {
@@ -262,13 +264,26 @@
   return l;
 }
 
+static bool
+listen_at (struct http_server *s, const struct settings *settings)
+{
+  int fd = http_listener_open (settings->address, settings->http_port);
+  uint32_t backlog = settings->backlog != 0 ? settings->backlog : BACKLOG;
+
+  if (fd < 0)
+    return false;
+  if (evhtp_accept_socket (s->htp, fd, (int)backlog) == 0)
+    return true;
+  close (fd);
+  return false;
+}
+
 struct http_server *
 http_server_new (struct event_base *base, const struct settings *settings,
                  http_handler handler, void *arg, struct error *e)
 {
   struct http_server *s = calloc (1, sizeof *s);
   struct client_limits limits = limits_of (settings);
-  char address[ADDRESS_BYTES + 8];
 
   s->handler = handler;
   s->arg = arg;
@@ -278,14 +293,11 @@
   evhtp_set_gencb (s->htp, on_request, s);
   evhtp_set_post_accept_cb (s->htp, on_accept, s);
   evhtp_set_timeouts (s->htp, &s->idle, &s->idle);
-  snprintf (address, sizeof address, "%s%s",
-            strchr (settings->address, ':') != NULL ? "ipv6:" : "",
-            settings->address);
-  if (evhtp_bind_socket (s->htp, address, settings->http_port, BACKLOG) != 0)
+  if (!listen_at (s, settings))
     {
       error_set (e, HTTP_SERVER_ADDRESS_IN_USE,
-                 "cannot listen on %s port %u for HTTP", settings->address,
-                 settings->http_port);
+                 "cannot listen on %s port %u for HTTP: %s", settings->address,
+                 settings->http_port, strerror (errno));
       evhtp_free (s->htp);
       free (s);
       return NULL;
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -7,9 +7,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <linux/sockios.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include "base/now.h"
+#include "net/http_listener.h"
 #include "net/http_server.h"
 #include "tests/unit/suites.h"
 
@@ -20,6 +24,7 @@
   TEXT_BYTES = 65536,
   BODY_BYTES = 20000,
   HEAD_BYTES = 2000,
+  STUCK_PASSES = 50,
   CLIENTS = 8
 };
 
@@ -33,6 +38,7 @@
   bool hold;
   struct http_call *held;
   uint32_t calls;
+  uint32_t disconnected;
   int64_t sent_after_ms;
 };
 
@@ -45,6 +51,15 @@
   bool ended;
 };
 
+static void
+on_disconnected (void *arg, struct http_call *c)
+{
+  struct fixture *f = arg;
+
+  f->disconnected++;
+  http_call_release (c);
+}
+
 static void
 on_request (void *arg, struct http_call *c)
 {
@@ -56,6 +71,8 @@
   if (f->hold)
     {
       f->held = http_call_hold (c);
+      c->disconnected = on_disconnected;
+      c->disconnected_arg = f;
       return;
     }
   snprintf (answer, sizeof answer, "{\"path\":\"%.8s\",\"length\":%zu}",
@@ -445,6 +462,61 @@
   finish (&f);
 }
 
+/* Sends REQUEST on C again and again, reads nothing, and ends once nothing
+   more is taken or the connection has ended.  Returns the bytes that the
+   server's side has taken.  */
+static size_t
+send_ahead (struct client *c, struct fixture *f, const char *request)
+{
+  size_t length = strlen (request);
+  size_t sent = 0;
+  int waiting = 0;
+  int passes = 0;
+
+  while (passes < STUCK_PASSES)
+    {
+      ssize_t n = send (c->fd, request + sent % length, length - sent % length,
+                        MSG_NOSIGNAL);
+
+      if (n > 0)
+        {
+          sent += (size_t)n;
+          passes = 0;
+          continue;
+        }
+      if (errno != EAGAIN)
+        {
+          c->ended = true;
+          break;
+        }
+      run_for (f, 1);
+      passes++;
+    }
+  if (ioctl (c->fd, SIOCOUTQ, &waiting) != 0)
+    waiting = 0;
+  return sent - (size_t)waiting;
+}
+
+/* Guards against bytes that wait unread in the kernel without a limit of
+   ours, for each of many connections.  */
+static void
+test_unread_bytes (void)
+{
+  static struct client c;
+  struct fixture f;
+
+  start (&f);
+  f.hold = true;
+  client_connect (&c, &f);
+  client_send (&c, &f, "GET /1 HTTP/1.1\r\n\r\n");
+  CU_ASSERT (send_ahead (&c, &f, "GET /2 HTTP/1.1\r\n\r\n")
+             <= INTAKE_WAITING_BYTES + LISTENER_UNREAD_BYTES);
+  CU_ASSERT_EQUAL (f.calls, 1);
+  close (c.fd);
+  finish (&f);
+  CU_ASSERT_EQUAL (f.disconnected, 1);
+}
+
 void
 suite_intake (void)
 {
@@ -458,6 +530,7 @@
                test_refused_body_is_read);
   CU_add_test (s, "the budget of clients", test_budget);
   CU_add_test (s, "too many connections", test_connections);
+  CU_add_test (s, "bytes that are not read", test_unread_bytes);
   CU_add_test (s, "when a request read in parts was sent", test_sent_after);
   CU_add_test (s, "a request read in part is not idle", test_close_idle);
 }
