net: what is sent ahead and not read gives way and has a time limit

Cause: no time limit applied while a request was answered, no connection with a complete request was closed for a new one, and what it held beyond its request (up to 16 kB sent ahead, and the answer) was charged to the port without anyone giving way: so ordinary requests were refused instead.

A request whose answer is not yet taken has a phase of its own. When the budget is used up, the costliest gives way as before, and a complete request's connection is closed if it holds what no ordinary client does. When there are too many connections, one whose answer was not taken for 100 ms goes first. answer_timeout_ms (30 s) closes the rest. A connection that waits for its answer and sent nothing else is never closed. Connections are closed at the end of the pass, since an answer can be written while the library is in another one's callback.

Unit tests: "answers that are not read", "requests sent ahead" (intake), "what is sent ahead and not read", "answers that are not read", "time limits" (client budget); without the change they do not compile or fail.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -27,7 +27,8 @@
    WITHDRAWN_REPEATED requests of cancelled jobs answered without a run
    HEARTBEATS_STALE   heartbeats ignored: older than their target's departure
    TARGETS_DEPARTED   departed targets remembered now by this keeper
-   CLIENTS_...        requests refused by the limits of clients, by kind
+   CLIENTS_...        requests refused, and connections closed, by the limits
+                      of clients, by kind
    SPEED_CHANGES      times that learnt speeds came into or out of effect
    SHORT_OF_CPU       times that this VM became short of processor time
    JOBS_SHED          jobs that this entry refused while it was
@@ -96,6 +97,8 @@
   ROW (CLIENTS_BUDGET_REFUSED, "clients_budget_refused")                      \
   ROW (CLIENTS_CONNECTIONS_CLOSED, "clients_connections_closed")              \
   ROW (CLIENTS_BAD_FRAMING, "clients_bad_framing")                            \
+  ROW (CLIENTS_EXCESS_CLOSED, "clients_excess_closed")                        \
+  ROW (CLIENTS_ANSWERS_NOT_READ, "clients_answers_not_read")                  \
   ROW (SPEED_CHANGES, "speed_changes")                                        \
   ROW (SHORT_OF_CPU, "short_of_cpu")                                          \
   ROW (JOBS_SHED, "jobs_shed")                                                \
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -214,6 +214,13 @@
        "find out who connects; see operate/client-limits.md")                 \
   ROW (705, CLIENT_BAD_FRAMING, WARN,                                         \
        "client's request with an invalid framing refused",                    \
+       "find out who sends; see operate/client-limits.md")                    \
+  ROW (706, CLIENT_EXCESS_CLOSED, WARN,                                       \
+       "client's connection closed: no memory is left for what it sent ahead" \
+       " or does not read",                                                   \
+       "find out who sends; see operate/client-limits.md")                    \
+  ROW (707, CLIENT_ANSWER_NOT_READ, WARN,                                     \
+       "client's connection closed: its answer was not read in time",         \
        "find out who sends; see operate/client-limits.md")
 
 #endif
--- a/src/base/node_settings.c
+++ b/src/base/node_settings.c
@@ -98,6 +98,7 @@
   { "body_bytes", RULE_INTEGER, false, 1024, 64 << 20, NULL, NULL },
   { "header_timeout_ms", RULE_INTEGER, false, 100, 600000, NULL, NULL },
   { "body_timeout_ms", RULE_INTEGER, false, 100, 600000, NULL, NULL },
+  { "answer_timeout_ms", RULE_INTEGER, false, 100, 600000, NULL, NULL },
   { "idle_timeout_ms", RULE_INTEGER, false, 100, 3600000, NULL, NULL },
   { NULL, RULE_END, false, 0, 0, NULL, NULL },
 };
@@ -287,6 +288,7 @@
       = (uint32_t)json_get_integer (clients, "body_bytes", p->body_bytes);
   p->head_timeout_ms = json_get_integer (clients, "header_timeout_ms", 0);
   p->body_timeout_ms = json_get_integer (clients, "body_timeout_ms", 0);
+  p->answer_timeout_ms = json_get_integer (clients, "answer_timeout_ms", 0);
   p->idle_timeout_ms
       = json_get_integer (clients, "idle_timeout_ms", p->idle_timeout_ms);
 }
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -84,6 +84,7 @@
   uint32_t head_bytes;
   int64_t head_timeout_ms;
   int64_t body_timeout_ms;
+  int64_t answer_timeout_ms;
   uint64_t client_bytes; /* for all that is sent and not yet answered */
 
   /* Whether VMs that are not listed in VMS may connect.  */
--- a/src/net/client_budget.c
+++ b/src/net/client_budget.c
@@ -4,9 +4,8 @@
 
 enum
 {
-  /* What the library allocates for a request, and for each of its fields: a
-     list entry, a name and a value, each an allocation of its own.  */
-  REQUEST_BYTES = 4096,
+  /* What the library allocates for each field: a list entry, a name and a
+     value, each an allocation of its own.  */
   FIELD_BYTES = 160
 };
 
@@ -25,6 +24,9 @@
     case CLIENT_BODY:
       return now - r->head_ended_ms >= l->body_ms ? CLIENT_BODY_TOO_SLOW
                                                   : CLIENT_GOES_ON;
+    case CLIENT_ANSWERED:
+      return now - r->began_ms >= l->answer_ms ? CLIENT_ANSWER_NOT_READ
+                                               : CLIENT_GOES_ON;
     default:
       return CLIENT_GOES_ON;
     }
@@ -38,7 +40,7 @@
 
   /* The library parses a head only once it is whole, and keeps a copy.  */
   if (r->phase == CLIENT_PENDING)
-    cost += REQUEST_BYTES + head + (uint64_t)fields * FIELD_BYTES;
+    cost += CLIENT_REQUEST_BYTES + head + (uint64_t)fields * FIELD_BYTES;
   return cost;
 }
 
@@ -48,34 +50,83 @@
   return r->phase == CLIENT_HEAD || r->phase == CLIENT_BODY;
 }
 
-/* Byte milliseconds that R has held.  */
+bool
+client_budget_may_yield (const struct client_request *r)
+{
+  return client_budget_may_refuse (r) || r->excess_bytes != 0;
+}
+
+/* Byte milliseconds that R has held and need not have.  */
 static uint64_t
 weight_of (const struct client_request *r, int64_t now)
 {
   int64_t age = now - r->began_ms;
+  uint64_t bytes
+      = client_budget_may_refuse (r) ? r->charged_bytes : r->excess_bytes;
 
-  return r->charged_bytes * (uint64_t)(age < 0 ? 1 : age + 1);
+  return bytes * (uint64_t)(age < 0 ? 1 : age + 1);
 }
 
 bool
 client_budget_is_worse (const struct client_request *a,
                         const struct client_request *b, int64_t now)
 {
-  if (!client_budget_may_refuse (a))
+  if (!client_budget_may_yield (a))
     return false;
-  return !client_budget_may_refuse (b)
+  return !client_budget_may_yield (b)
          || weight_of (a, now) > weight_of (b, now);
 }
 
+/* Whether R's answer waits for a client that does not read it.  */
+static bool
+is_unread (const struct client_request *r, int64_t now)
+{
+  return r->phase == CLIENT_ANSWERED
+         && now - r->began_ms >= CLIENT_ANSWER_GRACE_MS;
+}
+
+/* The order in which connections are closed for new ones.  */
+enum close_rank
+{
+  CLOSE_UNREAD,
+  CLOSE_IDLE,
+  CLOSE_INCOMPLETE,
+  CLOSE_SENT_AHEAD,
+  CLOSE_ANSWERED,
+  CLOSE_NEVER
+};
+
+static enum close_rank
+rank_of (const struct client_request *r, int64_t now)
+{
+  switch (r->phase)
+    {
+    case CLIENT_IDLE:
+      return CLOSE_IDLE;
+    case CLIENT_HEAD:
+    case CLIENT_BODY:
+      return CLOSE_INCOMPLETE;
+    case CLIENT_PENDING:
+      return r->excess_bytes != 0 ? CLOSE_SENT_AHEAD : CLOSE_NEVER;
+    default:
+      return is_unread (r, now) ? CLOSE_UNREAD : CLOSE_ANSWERED;
+    }
+}
+
+bool
+client_budget_may_close (const struct client_request *r, int64_t now)
+{
+  return rank_of (r, now) != CLOSE_NEVER;
+}
+
 bool
 client_budget_close_first (const struct client_request *a,
                            const struct client_request *b, int64_t now)
 {
-  if (a->phase == CLIENT_PENDING)
-    return false;
-  if (b->phase == CLIENT_PENDING)
-    return true;
-  if ((a->phase == CLIENT_IDLE) != (b->phase == CLIENT_IDLE))
-    return a->phase == CLIENT_IDLE;
+  enum close_rank ra = rank_of (a, now);
+  enum close_rank rb = rank_of (b, now);
+
+  if (ra != rb || ra == CLOSE_NEVER)
+    return ra < rb;
   return now - a->began_ms > now - b->began_ms;
 }
--- a/src/net/client_fault.c
+++ b/src/net/client_fault.c
@@ -49,6 +49,12 @@
   = { 503, "Service Unavailable", "clients_memory",
       "no memory is left for requests", COUNTER_CLIENTS_BUDGET_REFUSED,
       EVENT_CLIENT_BUDGET_REFUSED },
+  [CLIENT_FAULT_EXCESS]
+  = { 0, "", "clients_excess", "", COUNTER_CLIENTS_EXCESS_CLOSED,
+      EVENT_CLIENT_EXCESS_CLOSED },
+  [CLIENT_FAULT_ANSWER_TIME]
+  = { 0, "", "answer_not_read", "", COUNTER_CLIENTS_ANSWERS_NOT_READ,
+      EVENT_CLIENT_ANSWER_NOT_READ },
   [CLIENT_FAULT_CONNECTIONS]
   = { 0, "", "clients_connections", "", COUNTER_CLIENTS_CONNECTIONS_CLOSED,
       EVENT_CLIENT_CONNECTION_CLOSED },
--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -15,6 +15,7 @@
   DEFAULT_EMPTY_LINES = 8,
   DEFAULT_HEAD_MS = 30000,
   DEFAULT_BODY_MS = 60000,
+  DEFAULT_ANSWER_MS = 30000,
   DEFAULT_BUDGET_BYTES = 64 << 20,
 
   HEAD_BYTES_FIRST = 1024,
@@ -41,6 +42,7 @@
                  .empty_lines = DEFAULT_EMPTY_LINES },
     .head_ms = DEFAULT_HEAD_MS,
     .body_ms = DEFAULT_BODY_MS,
+    .answer_ms = DEFAULT_ANSWER_MS,
     .budget_bytes = DEFAULT_BUDGET_BYTES,
   };
 }
@@ -67,22 +69,22 @@
   c->request.charged_bytes = bytes;
 }
 
+/* Whether C's request is complete.  */
+static bool
+is_complete (const struct intake_client *c)
+{
+  return c->request.phase == CLIENT_PENDING
+         || c->request.phase == CLIENT_ANSWERED;
+}
+
 /* What C costs with a head of HEAD and a body of BODY bytes allocated.  */
 static uint64_t
 cost_of (const struct intake_client *c, uint64_t head, uint64_t body)
 {
-  uint64_t waiting = c->answer_bytes + c->pending_bytes;
-
-  if (c->request.phase == CLIENT_PENDING)
-    return body + waiting + evbuffer_get_length (input_of (c));
+  if (is_complete (c))
+    return body + c->pending_bytes + c->request.excess_bytes;
   return client_budget_cost (&c->request, head, c->framing.field_count, body,
-                             waiting);
-}
-
-static void
-charge_again (struct intake_client *c)
-{
-  charge (c, c->closing ? 0 : cost_of (c, c->head_size, c->body_size));
+                             0);
 }
 
 static void
@@ -94,6 +96,7 @@
   c->head_length = c->head_size = 0;
   c->body_length = c->body_size = 0;
   c->pending_bytes = c->answer_bytes = 0;
+  c->request.excess_bytes = 0;
   http_framing_init (&c->framing);
   c->request.phase = CLIENT_IDLE;
   c->request.began_ms = now_ms ();
@@ -143,42 +146,75 @@
   drop_request (c);
   c->closing = true;
   c->closing_ms = now_ms ();
-  charge_again (c);
+  charge (c, 0);
   bufferevent_write (c->conn->bev, answer, strlen (answer));
   free (answer);
 }
 
-/* The incomplete request to refuse first, or C if there is no worse one.  */
+/* Closes C's connection once the callbacks that may use it have returned.  */
+static void
+drop (struct intake_client *c, enum client_fault fault)
+{
+  record (c->intake, fault);
+  c->dropped = true;
+  charge (c, 0);
+  event_active (c->intake->drop, EV_TIMEOUT, 0);
+}
+
+/* The request to give way first, or NULL if none may.  */
 static struct intake_client *
-find_worst (struct intake_client *c)
+find_worst (const struct http_intake *n)
 {
   int64_t now = now_ms ();
-  struct intake_client *worst = c;
-  struct intake_client *other;
+  struct intake_client *worst = n->clients;
+  struct intake_client *c;
 
-  DL_FOREACH (c->intake->clients, other)
-  if (client_budget_is_worse (&other->request, &worst->request, now))
-    worst = other;
-  return worst;
+  DL_FOREACH (n->clients, c)
+  if (client_budget_is_worse (&c->request, &worst->request, now))
+    worst = c;
+  return worst != NULL && client_budget_may_yield (&worst->request) ? worst
+                                                                    : NULL;
 }
 
-/* Charges C with COST in all, if need be by refusing other requests.  Refuses
-   C and returns false if its own request is the one to refuse.  */
-static bool
-reserve (struct intake_client *c, uint64_t cost)
+/* Refuses requests and closes connections until the others fit into the
+   budget, or none may give way.  */
+static void
+keep_budget (struct http_intake *n)
 {
-  struct http_intake *n = c->intake;
-
-  charge (c, cost);
   while (n->used_bytes > n->limits.budget_bytes)
     {
-      struct intake_client *worst = find_worst (c);
+      struct intake_client *worst = find_worst (n);
 
-      refuse (worst, CLIENT_FAULT_BUDGET);
-      if (worst == c)
-        return false;
+      if (worst == NULL)
+        return;
+      if (client_budget_may_refuse (&worst->request))
+        refuse (worst, CLIENT_FAULT_BUDGET);
+      else
+        drop (worst, CLIENT_FAULT_EXCESS);
     }
-  return true;
+}
+
+/* Charges C, whose request is incomplete, with COST in all, if need be by
+   refusing others.  Returns false if its own request was refused.  */
+static bool
+reserve (struct intake_client *c, uint64_t cost)
+{
+  charge (c, cost);
+  keep_budget (c->intake);
+  return !c->closing;
+}
+
+/* Charges C with what it holds now.  */
+static void
+charge_again (struct intake_client *c)
+{
+  if (c->closing || c->dropped)
+    return;
+  if (is_complete (c))
+    c->request.excess_bytes
+        = c->answer_bytes + evbuffer_get_length (input_of (c));
+  charge (c, cost_of (c, c->head_size, c->body_size));
+  keep_budget (c->intake);
 }
 
 static size_t
@@ -370,15 +406,23 @@
   return r;
 }
 
-/* Whether C's next bytes may be taken.  */
+/* Notes the end of C's request if its answer was sent.  */
+static void
+end_answered (struct intake_client *c)
+{
+  if (!c->closing && !c->dropped && is_complete (c)
+      && c->conn->request == NULL)
+    {
+      drop_request (c);
+      charge (c, 0);
+    }
+}
+
+/* Whether bytes of C belong to a request that is being read.  */
 static bool
-may_take (struct intake_client *c)
+is_parsing (const struct intake_client *c)
 {
-  if (c->closing || c->conn->request != NULL)
-    return false;
-  if (c->request.phase == CLIENT_PENDING)
-    drop_request (c); /* answered */
-  return true;
+  return !c->closing && !c->dropped && c->conn->request == NULL;
 }
 
 /* Takes what was read from C.  C may be freed by it.  */
@@ -388,7 +432,8 @@
   struct evbuffer *input = input_of (c);
   enum framing_result r = FRAMING_MORE;
 
-  while (may_take (c)
+  end_answered (c);
+  while (is_parsing (c)
          && (evbuffer_get_length (input) != 0 || r == FRAMING_HEAD_DONE))
     {
       r = take_piece (c, input);
@@ -400,6 +445,7 @@
         return;
       else if (r != FRAMING_MORE && r != FRAMING_DONE)
         refuse (c, fault_of (r));
+      end_answered (c);
     }
   if (c->closing)
     discard (c);
@@ -454,6 +500,8 @@
 static void
 check_time (struct intake_client *c, int64_t now)
 {
+  if (c->dropped)
+    return;
   if (c->closing)
     {
       if (now - c->closing_ms
@@ -461,7 +509,7 @@
         evhtp_connection_free (c->conn);
       return;
     }
-  may_take (c); /* notes the end of an answer */
+  end_answered (c);
   switch (client_budget_check_time (&c->intake->limits, &c->request, now))
     {
     case CLIENT_GOES_ON:
@@ -475,6 +523,9 @@
     case CLIENT_BODY_TOO_SLOW:
       refuse (c, CLIENT_FAULT_BODY_TIME);
       break;
+    case CLIENT_ANSWER_NOT_READ:
+      drop (c, CLIENT_FAULT_ANSWER_TIME);
+      break;
     }
 }
 
@@ -486,6 +537,20 @@
     n->source (n->source_arg, &n->limits);
 }
 
+static void
+on_drop (evutil_socket_t fd, short what, void *arg)
+{
+  struct http_intake *n = arg;
+  struct intake_client *c;
+  struct intake_client *next;
+
+  (void)fd;
+  (void)what;
+  DL_FOREACH_SAFE (n->clients, c, next)
+  if (c->dropped)
+    evhtp_connection_free (c->conn);
+}
+
 static void
 on_sweep (evutil_socket_t fd, short what, void *arg)
 {
@@ -510,6 +575,7 @@
   memset (n, 0, sizeof *n);
   n->own = n->limits = *limits;
   n->port = port;
+  n->drop = event_new (base, -1, 0, on_drop, n);
   n->sweep = event_new (base, -1, EV_PERSIST, on_sweep, n);
   event_add (n->sweep, &period);
 }
@@ -518,6 +584,7 @@
 http_intake_done (struct http_intake *n)
 {
   event_free (n->sweep);
+  event_free (n->drop);
 }
 
 void
@@ -541,11 +608,11 @@
   record (n, CLIENT_FAULT_CONNECTIONS);
   DL_FOREACH (n->clients, c)
   {
-    may_take (c);
+    end_answered (c);
     if (client_budget_close_first (&c->request, &first->request, now))
       first = c;
   }
-  if (first == NULL || first->request.phase == CLIENT_PENDING)
+  if (first == NULL || !client_budget_may_close (&first->request, now))
     return false;
   evhtp_connection_free (first->conn);
   return true;
@@ -600,13 +667,13 @@
 http_intake_add_answer (struct intake_client *c, size_t bytes)
 {
   c->answer_bytes += bytes;
+  c->request.phase = CLIENT_ANSWERED;
+  c->request.began_ms = now_ms ();
   charge_again (c);
 }
 
 bool
 http_intake_is_empty (const struct intake_client *c)
 {
-  return !c->closing
-         && (c->request.phase == CLIENT_IDLE
-             || c->request.phase == CLIENT_PENDING);
+  return !c->closing && (c->request.phase == CLIENT_IDLE || is_complete (c));
 }
--- a/src/net/http_intake.h
+++ b/src/net/http_intake.h
@@ -9,7 +9,8 @@
    handler.
 
    While a request is answered, at most INTAKE_WAITING_BYTES of the next are
-   read; the kernel's window then stops the sender.  */
+   read; the kernel's window then stops the sender.  Nothing more is taken
+   before the client's kernel has all of the answer.  */
 #ifndef NET_HTTP_INTAKE_H
 #define NET_HTTP_INTAKE_H
 
@@ -55,6 +56,7 @@
   bool given;  /* the library has passed on the request */
   bool *freed; /* set when the client is removed */
 
+  bool dropped; /* the connection is closed at the end of this pass */
   bool closing; /* refused: the connection is closed after the answer */
   int64_t closing_ms;
   uint64_t discard_bytes; /* of a refused body, still to be read */
@@ -78,6 +80,7 @@
   uint32_t count;
   struct intake_client *clients;
   struct event *sweep;
+  struct event *drop; /* closes the connections that are dropped */
   struct client_fault_log fault_log;
 };
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -259,6 +259,8 @@
     l.head_ms = settings->head_timeout_ms;
   if (settings->body_timeout_ms != 0)
     l.body_ms = settings->body_timeout_ms;
+  if (settings->answer_timeout_ms != 0)
+    l.answer_ms = settings->answer_timeout_ms;
   if (settings->client_bytes != 0)
     l.budget_bytes = settings->client_bytes;
   return l;
--- a/tests/unit/test_client_budget.c
+++ b/tests/unit/test_client_budget.c
@@ -11,9 +11,11 @@
   UNREAD_BYTES = 81920
 };
 
-static const struct client_limits limits = {
-  .head_ms = 3000, .body_ms = 5000, .idle_ms = 15000, .budget_bytes = 1 << 20
-};
+static const struct client_limits limits = { .head_ms = 3000,
+                                             .body_ms = 5000,
+                                             .answer_ms = 2000,
+                                             .idle_ms = 15000,
+                                             .budget_bytes = 1 << 20 };
 
 static struct client_request
 request (enum client_phase phase, int64_t began_ms, uint64_t bytes)
@@ -47,6 +49,32 @@
   CU_ASSERT (!client_budget_may_refuse (&idle));
 }
 
+/* Guards against memory that is held by what no ordinary client does: requests
+   sent ahead, and answers that are not read.  */
+static void
+test_excess_yields (void)
+{
+  struct client_request ahead = request (CLIENT_PENDING, 0, 20000);
+  struct client_request waiting = request (CLIENT_PENDING, 0, 20000);
+  struct client_request unread = request (CLIENT_ANSWERED, 0, 300);
+  struct client_request answered = request (CLIENT_ANSWERED, 9999, 10000);
+  struct client_request quick = request (CLIENT_HEAD, 9999, 10000);
+  struct client_request body = request (CLIENT_BODY, 0, 1000);
+
+  ahead.excess_bytes = 16000;
+  unread.excess_bytes = 300;
+  answered.excess_bytes = 300;
+  CU_ASSERT (client_budget_may_yield (&ahead));
+  CU_ASSERT (client_budget_may_yield (&unread));
+  CU_ASSERT (!client_budget_may_yield (&waiting));
+  CU_ASSERT (!client_budget_may_refuse (&ahead));
+  CU_ASSERT (client_budget_is_worse (&ahead, &body, 10000));
+  CU_ASSERT (client_budget_is_worse (&body, &unread, 10000));
+  CU_ASSERT (client_budget_is_worse (&unread, &waiting, 10000));
+  CU_ASSERT (client_budget_is_worse (&unread, &answered, 10000));
+  CU_ASSERT (client_budget_is_worse (&quick, &answered, 10000));
+}
+
 /* Guards against a connection that is closed while its job runs.  */
 static void
 test_closed_first (void)
@@ -61,6 +89,26 @@
   CU_ASSERT (client_budget_close_first (&old_idle, &idle, 1000));
   CU_ASSERT (client_budget_close_first (&idle, &body, 1000));
   CU_ASSERT (client_budget_close_first (&body, &pending, 1000));
+  CU_ASSERT (!client_budget_may_close (&pending, 1000));
+}
+
+/* Guards against places that are held by answers which are not read.  */
+static void
+test_unread_closed_first (void)
+{
+  struct client_request unread = request (CLIENT_ANSWERED, 500, 300);
+  struct client_request older = request (CLIENT_ANSWERED, 400, 300);
+  struct client_request answered = request (CLIENT_ANSWERED, 999, 300);
+  struct client_request idle = request (CLIENT_IDLE, 0, 0);
+  struct client_request ahead = request (CLIENT_PENDING, 0, 20000);
+
+  ahead.excess_bytes = 16000;
+  CU_ASSERT (client_budget_close_first (&unread, &idle, 1000));
+  CU_ASSERT (client_budget_close_first (&older, &unread, 1000));
+  CU_ASSERT (client_budget_close_first (&idle, &answered, 1000));
+  CU_ASSERT (client_budget_close_first (&idle, &ahead, 1000));
+  CU_ASSERT (client_budget_close_first (&ahead, &answered, 1000));
+  CU_ASSERT (client_budget_may_close (&ahead, 1000));
 }
 
 static void
@@ -84,6 +132,11 @@
   r.phase = CLIENT_PENDING;
   CU_ASSERT_EQUAL (client_budget_check_time (&limits, &r, 1 << 30),
                    CLIENT_GOES_ON);
+  r.phase = CLIENT_ANSWERED;
+  CU_ASSERT_EQUAL (client_budget_check_time (&limits, &r, 2999),
+                   CLIENT_GOES_ON);
+  CU_ASSERT_EQUAL (client_budget_check_time (&limits, &r, 3000),
+                   CLIENT_ANSWER_NOT_READ);
 }
 
 /* Guards against a cost that counts only the bytes sent: the library keeps
@@ -170,7 +223,9 @@
   CU_pSuite s = CU_add_suite ("client budget", NULL, NULL);
 
   CU_add_test (s, "which request is refused first", test_refused_first);
+  CU_add_test (s, "what is sent ahead and not read", test_excess_yields);
   CU_add_test (s, "which connection is closed first", test_closed_first);
+  CU_add_test (s, "answers that are not read", test_unread_closed_first);
   CU_add_test (s, "time limits", test_time_limits);
   CU_add_test (s, "what a request costs", test_cost);
   CU_add_test (s, "the ports' shares of a VM", test_ports);
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -96,6 +96,7 @@
   f->settings.head_bytes = HEAD_BYTES;
   f->settings.head_timeout_ms = 300;
   f->settings.body_timeout_ms = 300;
+  f->settings.answer_timeout_ms = 120;
   f->settings.client_bytes = 60000;
   f->server = http_server_new (f->base, &f->settings, on_request, f, &e);
   CU_ASSERT_PTR_NOT_NULL_FATAL (f->server);
@@ -497,6 +498,18 @@
   return sent - (size_t)waiting;
 }
 
+/* Waits until C, which reads nothing, is closed by the server.  */
+static bool
+is_closed (const struct client *c, struct fixture *f)
+{
+  int64_t end = now_ms () + WAIT_MS;
+  struct pollfd fd = { .fd = c->fd };
+
+  while (poll (&fd, 1, 0) == 0 && now_ms () < end)
+    run_for (f, 5);
+  return fd.revents != 0;
+}
+
 /* Guards against bytes that wait unread in the kernel without a limit of
    ours, for each of many connections.  */
 static void
@@ -517,6 +530,64 @@
   CU_ASSERT_EQUAL (f.disconnected, 1);
 }
 
+/* Guards against places that clients hold without end by reading no answer:
+   others are still served, and the connections are closed in time.  */
+static void
+test_answers_not_read (void)
+{
+  static struct client clients[CLIENTS];
+  struct fixture f;
+
+  start (&f);
+  for (int i = 0; i < CLIENTS; i++)
+    {
+      client_connect (&clients[i], &f);
+      setsockopt (clients[i].fd, SOL_SOCKET, SO_RCVBUF, &(int){ 1024 },
+                  sizeof (int));
+      send_ahead (&clients[i], &f, "GET /1 HTTP/1.1\r\n\r\n");
+    }
+  CU_ASSERT (is_served (&f, "GET /a HTTP/1.1\r\n\r\n", "/a"));
+  for (int i = 0; i < CLIENTS; i++)
+    {
+      CU_ASSERT (is_closed (&clients[i], &f));
+      close (clients[i].fd);
+    }
+  finish (&f);
+}
+
+/* Guards against memory that is held by what is sent ahead of an answer: the
+   budget is kept by closing such connections, and no other call ends.  */
+static void
+test_sent_ahead (void)
+{
+  static struct client clients[CLIENTS];
+  static char text[INTAKE_WAITING_BYTES];
+  struct fixture f;
+  struct http_call *first;
+
+  start (&f);
+  f.hold = true;
+  client_connect (&clients[0], &f);
+  client_send (&clients[0], &f, "GET /1 HTTP/1.1\r\n\r\n");
+  first = f.held;
+  snprintf (text, sizeof text, "GET /2 HTTP/1.1\r\n\r\nGET /%0*d", 12000, 0);
+  for (int i = 1; i < CLIENTS; i++)
+    {
+      client_connect (&clients[i], &f);
+      client_send (&clients[i], &f, text);
+    }
+  run_for (&f, 20);
+  CU_ASSERT (f.disconnected >= 3);
+  CU_ASSERT (f.disconnected < CLIENTS - 1);
+  CU_ASSERT (ends (&clients[1], &f));
+  http_call_answer (first, 200, "{}");
+  http_call_release (first);
+  CU_ASSERT (receives (&clients[0], &f, "200 OK"));
+  finish (&f);
+  for (int i = 0; i < CLIENTS; i++)
+    close (clients[i].fd);
+}
+
 void
 suite_intake (void)
 {
@@ -531,6 +602,8 @@
   CU_add_test (s, "the budget of clients", test_budget);
   CU_add_test (s, "too many connections", test_connections);
   CU_add_test (s, "bytes that are not read", test_unread_bytes);
+  CU_add_test (s, "answers that are not read", test_answers_not_read);
+  CU_add_test (s, "requests sent ahead", test_sent_ahead);
   CU_add_test (s, "when a request read in parts was sent", test_sent_after);
   CU_add_test (s, "a request read in part is not idle", test_close_idle);
 }
