--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -501,24 +501,53 @@
   evhtp_request_set_keepalive (c->request, 0);
 }
 
-void
-http_call_answer (struct http_call *c, int status, const char *json)
+/* Sends the answer of C, whose body is in the request's output.  OWN_BYTES of
+   it are held for C alone.  */
+static void
+send_answer (struct http_call *c, int status, size_t own_bytes)
 {
   evhtp_request_t *request = c->request;
 
-  if (request == NULL)
-    return;
-  http_intake_add_answer (&c->connection->client, strlen (json));
+  http_intake_add_answer (&c->connection->client, own_bytes);
   detach (c);
   evhtp_headers_add_header (
       request->headers_out,
       evhtp_header_new ("Content-Type", "application/json", 0, 0));
-  evbuffer_add (request->buffer_out, json, strlen (json));
   bufferevent_set_timeouts (request->conn->bev, &c->server->idle,
                             &c->server->idle);
   evhtp_send_reply (request, (evhtp_res)status);
 }
 
+void
+http_call_answer (struct http_call *c, int status, const char *json)
+{
+  size_t length = strlen (json);
+
+  if (c->request == NULL)
+    return;
+  evbuffer_add (c->request->buffer_out, json, length);
+  send_answer (c, status, length);
+}
+
+static void
+release_shared (const void *data, size_t length, void *arg)
+{
+  (void)data;
+  (void)length;
+  shared_text_release (arg);
+}
+
+void
+http_call_answer_shared (struct http_call *c, int status,
+                         struct shared_text *t)
+{
+  if (c->request == NULL)
+    return;
+  evbuffer_add_reference (c->request->buffer_out, t->data, t->length,
+                          release_shared, shared_text_hold (t));
+  send_answer (c, status, 0);
+}
+
 void
 http_call_answer_json (struct http_call *c, int status, json_t *value)
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -16,6 +16,7 @@
 #include <jansson.h>
 #include "base/error.h"
 #include "base/settings.h"
+#include "base/shared_text.h"
 #include "net/http_intake.h"
 
 enum http_server_error
@@ -119,6 +120,10 @@
 /* Answers with STATUS and the text JSON.  */
 void http_call_answer (struct http_call *c, int status, const char *json);
 
+/* Answers with STATUS and the JSON text T, of which no copy is made.  */
+void http_call_answer_shared (struct http_call *c, int status,
+                              struct shared_text *t);
+
 /* Answers with STATUS and VALUE, and drops the caller's reference to VALUE.  A
    VALUE of NULL, which could not be built, is answered with status 500.  */
 void http_call_answer_json (struct http_call *c, int status, json_t *value);
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -40,6 +40,7 @@
   uint32_t calls;
   uint32_t disconnected;
   int64_t sent_after_ms;
+  struct shared_text *shared; /* the answer, if not NULL */
 };
 
 /* A client's socket and what was received on it.  */
@@ -75,6 +76,11 @@
       c->disconnected_arg = f;
       return;
     }
+  if (f->shared != NULL)
+    {
+      http_call_answer_shared (c, 200, f->shared);
+      return;
+    }
   snprintf (answer, sizeof answer, "{\"path\":\"%.8s\",\"length\":%zu}",
             c->path, c->body_length);
   http_call_answer (c, 200, answer);
@@ -588,6 +594,27 @@
     close (clients[i].fd);
 }
 
+/* An answer with several owners is sent whole, and is freed with the last.  */
+static void
+test_shared_answer (void)
+{
+  static char text[TEXT_BYTES];
+  static struct client c;
+  struct fixture f;
+
+  start (&f);
+  snprintf (text, sizeof text, "{\"text\":\"%0*d\"}", TEXT_BYTES / 2, 0);
+  f.shared = shared_text_new (text);
+  client_connect (&c, &f);
+  client_send (&c, &f, "GET /a HTTP/1.1\r\n\r\n");
+  CU_ASSERT (receives (&c, &f, text));
+  run_for (&f, 5);
+  CU_ASSERT_EQUAL (f.shared->references, 1);
+  shared_text_release (f.shared);
+  close (c.fd);
+  finish (&f);
+}
+
 void
 suite_intake (void)
 {
@@ -604,6 +631,7 @@
   CU_add_test (s, "bytes that are not read", test_unread_bytes);
   CU_add_test (s, "answers that are not read", test_answers_not_read);
   CU_add_test (s, "requests sent ahead", test_sent_ahead);
+  CU_add_test (s, "an answer with several owners", test_shared_answer);
   CU_add_test (s, "when a request read in parts was sent", test_sent_after);
   CU_add_test (s, "a request read in part is not idle", test_close_idle);
 }
