net: the library is not given a request's query

Cause: libevhtp keeps each part of a query as a list entry with two allocations until the answer is sent. The budget counted fields only.

The query is moved out of the head before the library sees it, and kept as text. Unit test: "queries".

--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -91,8 +91,9 @@
 drop_request (struct intake_client *c)
 {
   free (c->head);
+  free (c->query);
   free (c->body);
-  c->head = c->body = NULL;
+  c->head = c->query = c->body = NULL;
   c->head_length = c->head_size = 0;
   c->body_length = c->body_size = 0;
   c->pending_bytes = c->answer_bytes = 0;
@@ -288,6 +289,33 @@
     *outer = true;
 }
 
+/* The length of the request line in C's head.  */
+static size_t
+line_length (const struct intake_client *c)
+{
+  const char *end = memchr (c->head, '\r', c->head_length);
+
+  return (size_t)(end - c->head);
+}
+
+/* Moves the query of C's request line out of its head.  */
+static void
+take_query (struct intake_client *c)
+{
+  size_t line = line_length (c);
+  char *query = memchr (c->head, '?', line);
+  char *end;
+
+  if (query == NULL)
+    return;
+  end = memchr (query, ' ', line - (size_t)(query - c->head));
+  if (end == NULL)
+    return;
+  c->query = strndup (query + 1, (size_t)(end - query - 1));
+  memmove (query, end, c->head_length - (size_t)(end - c->head));
+  c->head_length -= (uint32_t)(end - query);
+}
+
 /* Gives the library the head of C's request, which is complete, and nothing of
    what follows it.  Returns false if the connection is freed.  */
 static bool
@@ -335,6 +363,7 @@
 
   if (!reserve (c, head + c->body_size))
     return true;
+  take_query (c);
   c->pending_bytes = head;
   c->request.phase = CLIENT_PENDING;
   return give_head (c);
@@ -639,6 +668,7 @@
 {
   charge (c, 0);
   free (c->head);
+  free (c->query);
   free (c->body);
   DL_DELETE (c->intake->clients, c);
   c->intake->count--;
@@ -656,6 +686,12 @@
   c->given = true;
 }
 
+const char *
+http_intake_query (const struct intake_client *c)
+{
+  return c->query != NULL ? c->query : "";
+}
+
 void
 http_intake_body_freed (struct intake_client *c)
 {
--- a/src/net/http_intake.h
+++ b/src/net/http_intake.h
@@ -4,9 +4,10 @@
    clients with short fields or with chunks of one byte took more than 300 MB.
    So the callbacks of an accepted connection are wrapped: heads and bodies are
    collected here within the limits of a port, and the library is given a whole
-   head without a body, once the whole request is there.  The body is handed to
-   the call by the server.  A request that is refused here was never seen by a
-   handler.
+   head without a body, once the whole request is there.  The query is left out
+   as well: the library would keep each of its parts in a list, some hundred
+   times its bytes.  Body and query are handed to the call by the server.  A
+   request that is refused here was never seen by a handler.
 
    While a request is answered, at most INTAKE_WAITING_BYTES of the next are
    read; the kernel's window then stops the sender.  Nothing more is taken
@@ -48,7 +49,8 @@
   char *head;
   uint32_t head_length;
   uint32_t head_size;
-  char *body; /* followed by a zero */
+  char *query; /* of the request that was passed on, or NULL */
+  char *body;  /* followed by a zero */
   size_t body_length;
   size_t body_size;
   uint64_t pending_bytes; /* cost of the head while its request is pending */
@@ -112,6 +114,9 @@
                             size_t *length);
 void http_intake_body_freed (struct intake_client *c);
 
+/* The query of C's request, "" if there is none.  Valid until the answer.  */
+const char *http_intake_query (const struct intake_client *c);
+
 /* BYTES of an answer wait to be sent to C.  */
 void http_intake_add_answer (struct intake_client *c, size_t bytes);
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -178,9 +178,7 @@
   connection->call = c;
   c->method = method_of (request);
   c->path = request->uri->path->full;
-  c->query = request->uri->query_raw == NULL
-                 ? ""
-                 : (const char *)request->uri->query_raw;
+  c->query = http_intake_query (&connection->client);
   http_intake_take_body (&connection->client, &c->body, &c->body_length);
   s->open_calls++;
   counters_add (COUNTER_HTTP_REQUESTS, 1);
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -40,6 +40,7 @@
   uint32_t calls;
   uint32_t disconnected;
   int64_t sent_after_ms;
+  char query[32];
   struct shared_text *shared; /* the answer, if not NULL */
 };
 
@@ -69,6 +70,7 @@
 
   f->calls++;
   f->sent_after_ms = c->sent_after_ms;
+  snprintf (f->query, sizeof f->query, "%s", c->query);
   if (f->hold)
     {
       f->held = http_call_hold (c);
@@ -594,6 +596,25 @@
     close (clients[i].fd);
 }
 
+/* Guards against a query that is lost, since the library does not see it.  */
+static void
+test_query (void)
+{
+  struct fixture f;
+
+  start (&f);
+  CU_ASSERT (is_served (&f, "GET /a?b=c&d HTTP/1.1\r\n\r\n",
+                        "{\"path\":\"/a\",\"length\":0}"));
+  CU_ASSERT_STRING_EQUAL (f.query, "b=c&d");
+  CU_ASSERT (is_served (&f, "GET /a? HTTP/1.1\r\n\r\n",
+                        "{\"path\":\"/a\",\"length\":0}"));
+  CU_ASSERT_STRING_EQUAL (f.query, "");
+  CU_ASSERT (is_served (&f, "GET /a HTTP/1.1\r\nB: c?d\r\n\r\n",
+                        "{\"path\":\"/a\",\"length\":0}"));
+  CU_ASSERT_STRING_EQUAL (f.query, "");
+  finish (&f);
+}
+
 /* An answer with several owners is sent whole, and is freed with the last.  */
 static void
 test_shared_answer (void)
@@ -631,6 +652,7 @@
   CU_add_test (s, "bytes that are not read", test_unread_bytes);
   CU_add_test (s, "answers that are not read", test_answers_not_read);
   CU_add_test (s, "requests sent ahead", test_sent_ahead);
+  CU_add_test (s, "queries", test_query);
   CU_add_test (s, "an answer with several owners", test_shared_answer);
   CU_add_test (s, "when a request read in parts was sent", test_sent_after);
   CU_add_test (s, "a request read in part is not idle", test_close_idle);
