net: the header of a submitted job is freed

Cause: the library keeps a request's fields until the answer, and the budget charges them, up to 33 kB and 160 bytes a field. The fields are freed with the body once the job is submitted; 4 kB stay charged.

--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -693,9 +693,12 @@
 }
 
 void
-http_intake_body_freed (struct intake_client *c)
+http_intake_request_dropped (struct intake_client *c)
 {
+  free (c->query);
+  c->query = NULL;
   c->body_size = 0;
+  c->pending_bytes = CLIENT_REQUEST_BYTES;
   charge_again (c);
 }
 
--- a/src/net/http_intake.h
+++ b/src/net/http_intake.h
@@ -109,14 +109,17 @@
 void http_intake_remove (struct intake_client *c);
 
 /* Moves the body of C's request, which the library has passed on, to BODY.  It
-   stays charged until the answer or http_intake_body_freed.  */
+   stays charged until the answer or http_intake_request_dropped.  */
 void http_intake_take_body (struct intake_client *c, char **body,
                             size_t *length);
-void http_intake_body_freed (struct intake_client *c);
 
-/* The query of C's request, "" if there is none.  Valid until the answer.  */
+/* The query of C's request, "" if there is none.  Valid until the answer or
+   http_intake_request_dropped.  */
 const char *http_intake_query (const struct intake_client *c);
 
+/* The body and the header of C's request were freed.  */
+void http_intake_request_dropped (struct intake_client *c);
+
 /* BYTES of an answer wait to be sent to C.  */
 void http_intake_add_answer (struct intake_client *c, size_t bytes);
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -473,13 +473,19 @@
 }
 
 void
-http_call_drop_body (struct http_call *c)
+http_call_drop_request (struct http_call *c)
 {
+  evhtp_header_t *h;
+
   free (c->body);
   c->body = NULL;
   c->body_length = 0;
-  if (c->connection != NULL)
-    http_intake_body_freed (&c->connection->client);
+  if (c->request == NULL)
+    return;
+  c->query = "";
+  while ((h = TAILQ_FIRST (c->request->headers_in)) != NULL)
+    evhtp_header_rm_and_free (c->request->headers_in, h);
+  http_intake_request_dropped (&c->connection->client);
 }
 
 void
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -107,8 +107,9 @@
 bool http_call_query (const struct http_call *c, const char *name, char *value,
                       size_t size);
 
-/* Frees the body of C, once the handler has decoded it.  */
-void http_call_drop_body (struct http_call *c);
+/* Frees the body and the header of C, once the handler has read them and holds
+   the call.  */
+void http_call_drop_request (struct http_call *c);
 
 /* Adds a header to the answer.  No effect once answered.  */
 void http_call_set_header (struct http_call *c, const char *name,
