net: a long field is left out, a long path refused with 431

Cause: libevhtp's parser takes no token of more than 8,191 bytes. A field that long is not passed on, none that is read here can be so long; a path that long is refused with 431, which says that it has not run.

Unit test: "long fields and paths".

--- a/src/net/http_framing.c
+++ b/src/net/http_framing.c
@@ -246,6 +246,14 @@
   return n;
 }
 
+/* Whether the field that has ended is left out of the head.  */
+static bool
+is_left_out (const struct http_framing *f)
+{
+  return f->field != FRAMING_FIELD_OTHER
+         || f->kept_bytes - f->field_at > FRAMING_TOKEN_BYTES;
+}
+
 static enum framing_result
 take_head (struct http_framing *f, const struct framing_limits *limits,
            const char *data, size_t length, struct framing_step *step)
@@ -278,7 +286,7 @@
           step->taken = step->head_length = i + 1;
           return end_head (f, limits);
         }
-      if (before == FRAMING_FIELD_LF && f->field != FRAMING_FIELD_OTHER)
+      if (before == FRAMING_FIELD_LF && is_left_out (f))
         {
           step->taken = step->head_length = i + 1;
           step->drop_from = f->kept_bytes = f->field_at;
--- a/src/net/http_framing.h
+++ b/src/net/http_framing.h
@@ -16,7 +16,10 @@
 
 enum
 {
-  FRAMING_NAME_BYTES = 20 /* longer than any field name that matters here */
+  FRAMING_NAME_BYTES = 20, /* longer than any field name that matters here */
+
+  /* The library's parser ends a connection at a longer field or path.  */
+  FRAMING_TOKEN_BYTES = 8187
 };
 
 struct framing_limits
@@ -104,8 +107,9 @@
   size_t taken; /* the caller passes the rest in its next call */
 
   /* Of these, what belongs to the head without the fields that tell of the
-     body's framing, which are decided here.  A field of these that is already
-     in the caller's head is to be cut off: DROP_FROM, or UINT32_MAX.  */
+     body's framing, which are decided here, and without those of more than
+     FRAMING_TOKEN_BYTES.  A field of these that is already in the caller's
+     head is to be cut off: DROP_FROM, or UINT32_MAX.  */
   const char *head;
   size_t head_length;
   uint32_t drop_from;
--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -298,6 +298,22 @@
   return (size_t)(end - c->head);
 }
 
+/* The length of the path in C's head, or of what stands in its place.  */
+static size_t
+path_length (const struct intake_client *c)
+{
+  size_t line = line_length (c);
+  const char *path = memchr (c->head, ' ', line);
+  const char *end;
+
+  if (path == NULL)
+    return line;
+  path++;
+  line -= (size_t)(path - c->head);
+  end = memchr (path, ' ', line);
+  return end == NULL ? line : (size_t)(end - path);
+}
+
 /* Moves the query of C's request line out of its head.  */
 static void
 take_query (struct intake_client *c)
@@ -364,6 +380,11 @@
   if (!reserve (c, head + c->body_size))
     return true;
   take_query (c);
+  if (path_length (c) > FRAMING_TOKEN_BYTES)
+    {
+      refuse (c, CLIENT_FAULT_HEAD);
+      return true;
+    }
   c->pending_bytes = head;
   c->request.phase = CLIENT_PENDING;
   return give_head (c);
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -615,6 +615,31 @@
   finish (&f);
 }
 
+/* Guards against a head inside the limits that the library does not take: a
+   long field is left out, a long path is refused.  */
+static void
+test_long_parts (void)
+{
+  static char text[TEXT_BYTES];
+  struct fixture f;
+
+  start (&f);
+  http_server_free (f.server);
+  f.settings.head_bytes = 16384;
+  f.server = http_server_new (f.base, &f.settings, on_request, &f,
+                              &(struct error){ 0 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f.server);
+  snprintf (text, sizeof text,
+            "GET /a HTTP/1.1\r\nHost: b\r\nLong: %0*d\r\nC: d\r\n\r\n", 12000,
+            0);
+  CU_ASSERT (is_served (&f, text, "{\"path\":\"/a\",\"length\":0}"));
+  snprintf (text, sizeof text, "GET /a?%0*d HTTP/1.1\r\n\r\n", 12000, 0);
+  CU_ASSERT (is_served (&f, text, "{\"path\":\"/a\",\"length\":0}"));
+  snprintf (text, sizeof text, "GET /%0*d HTTP/1.1\r\n\r\n", 12000, 0);
+  CU_ASSERT (is_refused (&f, text, "HTTP/1.1 431 "));
+  finish (&f);
+}
+
 /* An answer with several owners is sent whole, and is freed with the last.  */
 static void
 test_shared_answer (void)
@@ -653,6 +678,7 @@
   CU_add_test (s, "answers that are not read", test_answers_not_read);
   CU_add_test (s, "requests sent ahead", test_sent_ahead);
   CU_add_test (s, "queries", test_query);
+  CU_add_test (s, "long fields and paths", test_long_parts);
   CU_add_test (s, "an answer with several owners", test_shared_answer);
   CU_add_test (s, "when a request read in parts was sent", test_sent_after);
   CU_add_test (s, "a request read in part is not idle", test_close_idle);
