tests: every kind of client at every port, by what a machine's memory is charged for

Cause: the test looked at the process's peak alone and at no client that sends requests ahead; in the users' trial such clients ended a process. The sum is now what is resident and what lies unread at the process's address; the answers that the kernel holds are bounded as well. 106 kinds, each alone and beside ordinary callers: those of before, with pieces sent slowly, and requests sent ahead whose answers are not read, read a byte a second or read, on machines of 32 MB with 64 and 400 clients and on the smallest VM of the pages with 2,500. The bounds are the memory of the machines; those of the kinds of before are unchanged, and so are their crowds. The largest legal jobs must meet no limit of clients.

--- a/tests/client_limits.py
+++ b/tests/client_limits.py
@@ -1,8 +1,13 @@
 #!/usr/bin/env python3
-"""Clients that send heads, bodies and chunks without end, or stop short of their
-end, at each port of ragwort-node: the process lives, its peak memory and its open
-descriptors stay under a bound, and ordinary requests are answered while the crowd
-is still connected.  Guards against a process that clients drive out of memory.
+"""Clients that don't behave, at each port of ragwort-node that a client can reach:
+heads, empty lines, bodies and chunks without end or short of their end, and requests
+sent ahead whose answers are not read.  The process lives; what its machine's memory is
+charged for (what is resident, and the bytes that have arrived and were not read) and
+its open descriptors stay under a bound, and so do the answers that the kernel holds; ordinary requests are answered while the crowd
+is still connected, and after it.  Guards against a process that clients drive out of
+memory, and against places that they hold without end.
+
+Each kind is played alone and beside ordinary callers.
 
 usage: tests/client_limits.py BUILD [NAME...]
 
@@ -10,276 +15,282 @@
 failed".  Kinds that KNOWN-RED.txt names are printed and not played, unless they
 are named as arguments."""
 import os
-import select
-import socket
 import sys
 import threading
 import time
+from dataclasses import dataclass, replace
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "spoilt"))
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [HERE, os.path.join(HERE, "spoilt")]
 import processes
+from clients import kinds
+from clients.crowd import Crowd
+from clients.kinds import ALL, HOST, SLOWLY, Kind
+from clients.target import HoldingTarget
+from clients.watch import STOP_MB, Watch
 from processes import CALLERS, CONTROL, METRICS, READY
 
 NET = "127.65.%d" % (os.getpid() % 200 + 1)
-HOST = b"jobs.example"
 START_WAIT_S = 60.0
 SERVE_WAIT_S = 30.0
-SEND_S = 8.0
+SEND_S = 4.0
 HEARTBEAT_S = 0.4
-
-# The memory of the machines of this test, and the bounds.  The smallest entry has
-# 120 MB and is sent to by about 1,000 clients; these are scaled by about a quarter.
-ENTRY_MB = 32
-KEEPER_MB = 64
-STOP_MB = 300  # the test kills the process itself beyond that
-
+ROUTES = 350  # as many as the users' pages add to a configuration
+
+
+@dataclass(frozen=True)
+class Machines:
+    """The machines of a deployment, and the settings of clients."""
+    entry_mb: int
+    keeper_mb: int
+    descriptors: int
+    descriptors_maximum: int
+    clients: dict
+
+
+# The smallest entry of the users' pages has 120 MB and 3,075 descriptors, of which 200
+# are not for sockets; these machines are scaled by about a quarter.  1,000 descriptors,
+# the least that the settings allow, leave 200 to clients; an entry has about 60 open
+# with its peers and target.
+SMALL = Machines(32, 64, 1000, 320, {
+    "header_bytes": 16384, "body_bytes": kinds.BODY_BYTES, "header_timeout_ms": 3000,
+    "body_timeout_ms": 5000, "answer_timeout_ms": 3000})
 CROWD = 64
 IDLE_PER_PORT = 120
 
-# 1,000 descriptors, the least that the settings allow, leave 200 to clients; an
-# entry has about 60 open with its peers and target.
-DESCRIPTORS = 1000
-OPEN_MAXIMUM = 320
-
-BODY_BYTES = 262144
-CONTROL_BODY_BYTES = 1 << 20
-SENT_BYTES = 1 << 20
-
-CLIENTS = {"header_bytes": 16384, "body_bytes": BODY_BYTES, "header_timeout_ms": 3000,
-           "body_timeout_ms": 5000}
-CONFIG = {
-    "version": 7,
-    "routes": [{"name": "r", "host": HOST.decode(), "path-prefix": "/sound/",
-                "type": "unsafe", "timeout-ms": 1500, "target-duration-ms": 60,
-                "priority": 0, "service": "sound", "max-attempts": 3, "stretch": 1.6}],
-    "services": [{"name": "sound", "health-path": "/health", "enforces-capacity": True}],
-    "limits": {"max-body-bytes": BODY_BYTES, "max-header-bytes": 16384,
-               "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
-JOB = {"spec": "text", "best-effort": True,
-       "steps": [{"count": 2, "cpu": 500, "mem-mb": 16, "estimate-ms": 10}]}
-
-
-class Deployment(processes.Deployment):
-    ENTRIES = 1
-
-    def settings(self, address):
-        keeper = address in self.keepers
-        return dict(super().settings(address), descriptors=DESCRIPTORS, clients=CLIENTS,
-                    memory_mb=KEEPER_MB if keeper else ENTRY_MB)
-
-
-# What a client sends, in pieces.
-
-LINE = b"POST /sound/00000000000000aa HTTP/1.1\r\nHost: " + HOST + b"\r\n"
-
-
-def endless_fields():
-    return [LINE] + [b"X-%06d: %s\r\n" % (i, b"v" * 1000) for i in range(SENT_BYTES // 1012)]
-
-
-def short_fields():
-    return [LINE] + [b"a: b\r\n" * 1000] * (SENT_BYTES // 6000)
-
-
-def long_line():
-    return [b"GET /"] + [b"a" * 16384] * (SENT_BYTES // 16384)
-
-
-def empty_lines():
-    return [b"\r\n" * 8192] * (SENT_BYTES // 16384)
-
-
-def body(length, sent, piece):
-    head = LINE + b"Content-Length: %d\r\n\r\n" % length
-    return [head] + [b"x" * min(piece, sent - at) for at in range(0, sent, piece)]
-
-
-def whole_bodies():
-    return body(BODY_BYTES, BODY_BYTES, BODY_BYTES)
-
-
-def short_bodies():
-    return body(BODY_BYTES, BODY_BYTES - 8192, BODY_BYTES)
-
-
-def piecewise_bodies():
-    return body(BODY_BYTES, BODY_BYTES - 8192, 4096)
-
-
-def control_bodies():
-    return body(CONTROL_BODY_BYTES, CONTROL_BODY_BYTES - 8192, 16384)
-
-
-def small_values(line, length):
-    """A whole body of values that take 79 times their bytes when decoded."""
-    text = (b'{"routes":[' + b"{}," * (length // 3))[:length - 4] + b"{}]}"
-    return [line + b"Host: " + HOST + b"\r\nContent-Length: %d\r\n\r\n" % len(text), text]
-
-
-def small_job_values():
-    return small_values(b"POST /sound/00000000000000aa HTTP/1.1\r\n", BODY_BYTES)
-
-
-def small_config_values():
-    return small_values(b"PUT /v1/config HTTP/1.1\r\n", CONTROL_BODY_BYTES)
-
-
-def small_heartbeat_values():
-    return small_values(b"PUT /v1/instances/i-2 HTTP/1.1\r\n", CONTROL_BODY_BYTES)
-
-
-def huge_length():
-    return body(1 << 40, SENT_BYTES, 65536)
-
+# The same memory with descriptors for 600 clients: what each has unread counts.
+WIDE = Machines(32, 32, 1600, 1400, SMALL.clients)
+WIDE_CROWD = 400
 
-def chunks(size, count):
-    head = LINE + b"Transfer-Encoding: chunked\r\n\r\n"
-    chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
-    batch = max(1, 16384 // len(chunk))
-    return [head] + [chunk * batch] * (count // batch)
+# The smallest entry itself, and as many clients as its descriptors allow.  Keepers of
+# the pages have twice this memory.
+WHOLE = Machines(120, 120, 3075, 2875, {})
+WHOLE_CROWD = 2500
+WHOLE_CONTROL_CROWD = 1500
 
+# "sound" runs each task at once, "hold" until it is stopped.
+SERVICES = ["sound", "hold"]
 
-def large_chunks():
-    return chunks(16384, (BODY_BYTES - 16384) // 16384)
 
+def route(path, service):
+    return {"name": path, "host": HOST.decode(), "path-prefix": "/%s/" % path,
+            "type": "unsafe", "timeout-ms": 1500, "target-duration-ms": 60, "priority": 0,
+            "service": service, "max-attempts": 3, "stretch": 1.6}
 
-def tiny_chunks():
-    return chunks(1, BODY_BYTES // 2)
 
+CONFIG = {
+    "version": 7,
+    "routes": [route(name, name) for name in SERVICES]
+              + [route("sound%d" % i, "sound") for i in range(ROUTES)],
+    "services": [{"name": name, "health-path": "/health", "enforces-capacity": True}
+                 for name in SERVICES],
+    "limits": {"max-body-bytes": kinds.BODY_BYTES, "max-header-bytes": kinds.HEAD_BYTES,
+               "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
+# The largest job that a caller may send, and many callers with one each.
+LARGEST = "ordinary: the largest legal jobs"
+LARGEST_STEPS, LARGEST_TASKS = 16, 512
+LARGEST_CALLERS = 24
+LARGEST_WAIT_S = 60.0
 
-def long_chunked():
-    return chunks(16384, SENT_BYTES // 16384)
-
+JOB = {"spec": "text", "best-effort": True,
+       "steps": [{"count": 2, "cpu": 500, "mem-mb": 16, "estimate-ms": 10}]}
 
-def incomplete_head():
-    return [LINE + b"X-Rest: "]
 
+@dataclass(frozen=True)
+class Row:
+    """A crowd of COUNT clients of a KIND at each of PORTS."""
+    name: str
+    ports: tuple
+    kind: Kind
+    count: int = CROWD
+    machines: Machines = SMALL
+
+
+def rows_of(prefix, port, table):
+    return [Row("%s: %s" % (prefix, name), (port,), Kind(kind(), **how))
+            for name, kind, how in table]
+
+
+# Kinds that the callers' port shares with the others are played at each.
+HEADS = [
+    ("many short fields", kinds.short_fields, {}),
+    ("many short fields, dripped", kinds.short_fields, {"drip_bytes": 600}),
+    ("empty lines", kinds.empty_lines, {}),
+    ("empty lines, dripped", kinds.empty_lines, {"drip_bytes": 2}),
+    ("incomplete head", kinds.incomplete_head, {}),
+]
+CHUNKS = [
+    ("chunks of one byte", kinds.tiny_chunks, {}),
+    ("chunks of one byte, dripped", kinds.tiny_chunks, {"drip_bytes": 600}),
+    ("large chunks that stop short", kinds.large_chunks, {}),
+]
+
+CALLERS_ROWS = HEADS + CHUNKS + [
+    ("endless fields", kinds.endless_fields, {}),
+    ("endless fields, dripped", kinds.endless_fields, {"drip_bytes": 1012}),
+    ("one field without end", kinds.long_field, {}),
+    ("long request line", kinds.long_line, {}),
+    ("a head just short of its end", kinds.long_incomplete_head, {}),
+    ("whole bodies", kinds.whole_bodies, {}),
+    ("bodies that stop short", kinds.short_bodies, {}),
+    ("bodies in pieces that stop short", kinds.piecewise_bodies, {}),
+    ("bodies that stop short, dripped", kinds.piecewise_bodies, {"drip_bytes": 4096}),
+    ("bodies that wait to be asked for", kinds.expecting_head, {}),
+    ("huge length", kinds.huge_length, {}),
+    ("large chunks that stop short, dripped", kinds.large_chunks, {"drip_bytes": 4096}),
+    ("one large chunk that stops short", kinds.one_large_chunk, {}),
+    ("chunks without their last line", kinds.unended_chunked, {}),
+    ("chunked body without end", kinds.long_chunked, {}),
+    ("long extensions of chunks", kinds.long_extensions, {}),
+    ("long trailers", kinds.long_trailers, {}),
+    ("bodies of small values", kinds.small_job_values, {}),
+]
+CALLERS_AHEAD_ROWS = [
+    ("readiness sent ahead, unread", kinds.ready_ahead, {"repeats": True}),
+    ("readiness sent ahead, a byte a second read", kinds.ready_ahead,
+     {"repeats": True, "reads": SLOWLY}),
+    ("readiness sent ahead, read", kinds.ready_ahead, {"repeats": True, "reads": ALL}),
+    ("queues sent ahead, unread", kinds.queue_ahead, {"repeats": True}),
+    ("long heads sent ahead, unread", kinds.long_heads_ahead, {"repeats": True}),
+    ("jobs sent ahead, unread", kinds.jobs_ahead, {"repeats": True}),
+    ("jobs sent ahead, dripped, unread", kinds.jobs_ahead,
+     {"repeats": True, "drip_bytes": 16384}),
+    ("jobs sent ahead, then the end", kinds.jobs_ahead, {"ends_sending": True}),
+    ("long queries sent ahead, unread", kinds.long_queries_ahead, {"repeats": True}),
+    ("jobs that wait", kinds.waiting_job, {}),
+    ("jobs that wait, with long queries", kinds.waiting_job_with_long_query, {}),
+    ("largest jobs that wait", kinds.largest_waiting_job, {}),
+]
+READY_ROWS = HEADS + CHUNKS + [
+    ("bodies that stop short", kinds.short_bodies, {}),
+    ("requests sent ahead, unread", kinds.ready_ahead, {"repeats": True}),
+    ("requests sent ahead, dripped, unread", kinds.ready_ahead,
+     {"repeats": True, "drip_bytes": 4096}),
+    ("requests sent ahead, a byte a second read", kinds.ready_ahead,
+     {"repeats": True, "reads": SLOWLY}),
+    ("requests sent ahead, read", kinds.ready_ahead, {"repeats": True, "reads": ALL}),
+    ("requests sent ahead, closed and back", kinds.ready_ahead,
+     {"repeats": True, "returns": True}),
+    ("requests sent ahead, then the end", kinds.ready_ahead, {"ends_sending": True}),
+    ("unknown paths sent ahead, unread", kinds.unknown_ahead, {"repeats": True}),
+    ("long heads sent ahead, unread", kinds.long_heads_ahead, {"repeats": True}),
+    ("long queries sent ahead, unread", kinds.long_queries_ahead, {"repeats": True}),
+]
+CONTROL_ROWS = HEADS + CHUNKS + [
+    ("bodies that stop short", kinds.control_bodies, {}),
+    ("bodies that stop short, dripped", kinds.control_bodies, {"drip_bytes": 16384}),
+    ("many chunks of one byte", kinds.tiny_control_chunks, {}),
+    ("configurations of small values", kinds.small_config_values, {}),
+    ("heartbeats of small values", kinds.small_heartbeat_values, {}),
+]
+CONTROL_AHEAD_ROWS = [
+    ("configurations asked for ahead, unread", kinds.config_ahead, {"repeats": True}),
+    ("configurations asked for ahead, dripped, unread", kinds.config_ahead,
+     {"repeats": True, "drip_bytes": 1024}),
+    ("configurations asked for ahead, a byte a second read", kinds.config_ahead,
+     {"repeats": True, "reads": SLOWLY}),
+    ("configurations asked for ahead, read", kinds.config_ahead,
+     {"repeats": True, "reads": ALL}),
+    ("evacuations asked for ahead, unread", kinds.evacuations_ahead, {"repeats": True}),
+    ("heartbeats sent ahead, unread", kinds.heartbeats_ahead, {"repeats": True}),
+    ("unknown paths sent ahead, unread", kinds.unknown_ahead, {"repeats": True}),
+    ("long heads sent ahead, unread", kinds.long_heads_ahead, {"repeats": True}),
+]
+METRICS_ROWS = HEADS + CHUNKS + [
+    ("bodies that stop short", kinds.short_bodies, {}),
+    ("requests sent ahead, unread", kinds.metrics_ahead, {"repeats": True}),
+    ("requests sent ahead, a byte a second read", kinds.metrics_ahead,
+     {"repeats": True, "reads": SLOWLY}),
+    ("requests sent ahead, read", kinds.metrics_ahead, {"repeats": True, "reads": ALL}),
+    ("unknown paths sent ahead, unread", kinds.unknown_ahead, {"repeats": True}),
+]
+WHOLE_ROWS = [
+    ("idle connections", lambda: [], {}),
+    ("a head just short of its end", kinds.long_incomplete_head, {}),
+    ("bodies that stop short", kinds.short_bodies, {}),
+    ("chunks of one byte", kinds.tiny_chunks, {}),
+    ("readiness sent ahead, unread", kinds.ready_ahead, {"repeats": True}),
+    ("long heads sent ahead, unread", kinds.long_heads_ahead, {"repeats": True}),
+    ("jobs sent ahead, unread", kinds.jobs_ahead, {"repeats": True}),
+    ("jobs that wait", kinds.waiting_job, {}),
+    ("largest jobs that wait", kinds.largest_waiting_job, {}),
+]
+WHOLE_CONTROL_ROWS = [
+    ("a head just short of its end", kinds.long_incomplete_head, {}),
+    ("bodies that stop short", kinds.control_bodies, {}),
+    ("chunks of one byte", kinds.tiny_control_chunks, {}),
+    ("configurations asked for ahead, unread", kinds.config_ahead, {"repeats": True}),
+    ("unknown paths sent ahead, unread", kinds.unknown_ahead, {"repeats": True}),
+]
+
+ROWS = rows_of("callers", CALLERS, CALLERS_ROWS)
+ROWS += rows_of("readiness", READY, READY_ROWS)
+ROWS += rows_of("control", CONTROL, CONTROL_ROWS)
+ROWS += rows_of("metrics", METRICS, METRICS_ROWS)
+ROWS += [Row("entry: idle connections at all ports", (CALLERS, READY, METRICS), Kind([]),
+             IDLE_PER_PORT)]
+ROWS += [replace(r, count=WIDE_CROWD, machines=WIDE)
+         for r in rows_of("callers", CALLERS, CALLERS_AHEAD_ROWS)
+         + rows_of("control", CONTROL, CONTROL_AHEAD_ROWS)]
+ROWS += [replace(r, count=WHOLE_CROWD, machines=WHOLE)
+         for r in rows_of("a whole entry", CALLERS, WHOLE_ROWS)]
+ROWS += [Row("a whole entry: requests sent ahead at all ports, unread",
+             (CALLERS, READY, METRICS), Kind(kinds.ready_ahead(), repeats=True),
+             WHOLE_CROWD // 3, WHOLE)]
+ROWS += [replace(r, count=WHOLE_CONTROL_CROWD, machines=WHOLE)
+         for r in rows_of("a whole keeper", CONTROL, WHOLE_CONTROL_ROWS)]
 
-# (name, port, what each client sends).  Kinds on a port that need no body of the
-# callers' port are played there too.
-KINDS = [("callers: " + name, CALLERS, kind) for name, kind in [
-    ("endless fields", endless_fields), ("many short fields", short_fields),
-    ("long request line", long_line), ("empty lines", empty_lines),
-    ("whole bodies", whole_bodies), ("bodies that stop short", short_bodies),
-    ("bodies in pieces that stop short", piecewise_bodies), ("huge length", huge_length),
-    ("large chunks that stop short", large_chunks), ("chunks of one byte", tiny_chunks),
-    ("chunked body without end", long_chunked), ("incomplete head", incomplete_head),
-    ("bodies of small values", small_job_values)]]
-KINDS += [("readiness: " + name, READY, kind) for name, kind in [
-    ("many short fields", short_fields), ("empty lines", empty_lines),
-    ("bodies that stop short", short_bodies), ("chunks of one byte", tiny_chunks)]]
-KINDS += [("control: " + name, CONTROL, kind) for name, kind in [
-    ("many short fields", short_fields), ("empty lines", empty_lines),
-    ("bodies that stop short", control_bodies), ("chunks of one byte", tiny_chunks),
-    ("configurations of small values", small_config_values),
-    ("heartbeats of small values", small_heartbeat_values)]]
-KINDS += [("metrics: " + name, METRICS, kind) for name, kind in [
-    ("many short fields", short_fields), ("empty lines", empty_lines),
-    ("bodies that stop short", short_bodies), ("chunks of one byte", tiny_chunks)]]
-KINDS += [("entry: idle connections at all ports", None, None)]
 
+class Deployment(processes.Deployment):
+    ENTRIES = 1
 
-def memory_mb(process, field):
-    """The figure FIELD of a process's status in MB, 0 if it has ended."""
-    try:
-        with open("/proc/%d/status" % process.process.pid) as f:
-            for line in f:
-                if line.startswith(field + ":"):
-                    return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0
+    def __init__(self, build, net, machines):
+        self.machines = machines
+        super().__init__(build, net)
 
+    def memory_mb(self, address):
+        return (self.machines.keeper_mb if address in self.keepers
+                else self.machines.entry_mb)
 
-def open_descriptors(process):
-    try:
-        return len(os.listdir("/proc/%d/fd" % process.process.pid))
-    except OSError:
-        return 0
+    def settings(self, address):
+        return dict(super().settings(address), memory_mb=self.memory_mb(address),
+                    descriptors=self.machines.descriptors, clients=self.machines.clients)
 
 
-class Watch(threading.Thread):
-    """Follows a process's memory and descriptors, and kills it beyond STOP_MB."""
+class Callers:
+    """Ordinary callers of all kinds, each on a thread of its own, one request after
+    the other."""
+    PAUSE_S = 0.02
 
-    def __init__(self, process):
-        super().__init__(daemon=True)
-        self.process = process
-        self.peak_mb = 0
-        self.descriptors = 0
-        self.killed = False
+    def __init__(self, calls):
         self.stopping = False
+        self.threads = [threading.Thread(target=self.run, args=(call,), daemon=True)
+                        for call in calls]
+        for thread in self.threads:
+            thread.start()
 
-    def look(self):
-        self.peak_mb = max(self.peak_mb, memory_mb(self.process, "VmHWM"))
-        self.descriptors = max(self.descriptors, open_descriptors(self.process))
-        if memory_mb(self.process, "VmRSS") > STOP_MB:
-            self.killed = True
-            self.process.process.kill()
-
-    def run(self):
+    def run(self, call):
         while not self.stopping:
-            self.look()
-            time.sleep(0.01)
+            call()
+            time.sleep(self.PAUSE_S)
 
-    def finish(self):
+    def close(self):
         self.stopping = True
-        self.join()
-        self.look()
-
-
-class Client:
-    """A connection that sends its pieces as far as it is let, and stays open."""
-
-    def __init__(self, address, pieces):
-        self.socket = socket.create_connection(address, 5)
-        self.socket.setblocking(False)
-        self.pieces = pieces
-        self.next = 0
-        self.at = 0
-
-    def step(self):
-        """Sends what is taken now; returns whether more is to be sent."""
-        try:
-            while self.next < len(self.pieces):
-                self.at += self.socket.send(self.pieces[self.next][self.at:])
-                if self.at < len(self.pieces[self.next]):
-                    return True
-                self.next, self.at = self.next + 1, 0
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
-
-
-def connect_crowd(address, pieces, count):
-    crowd = []
-    for _ in range(count):
-        try:
-            crowd.append(Client(address, pieces))
-        except OSError:
-            pass
-    return crowd
-
-
-def send_crowd(crowd, watch):
-    """Sends until all have sent what they have, or nothing more is taken."""
-    sending = list(crowd)
-    end = time.monotonic() + SEND_S
-    while sending and time.monotonic() < end and not watch.killed:
-        _, writable, _ = select.select([], [c.socket for c in sending], [], 0.2)
-        sending = [c for c in sending if c.socket not in writable or c.step()]
+        for thread in self.threads:
+            thread.join()
 
 
 class Run:
     """A deployment of three keepers, an entry and a target."""
 
-    def __init__(self, build):
-        self.deployment = Deployment(build, NET)
+    def __init__(self, build, machines):
+        self.machines = machines
+        self.deployment = Deployment(build, NET, machines)
         self.entry = self.deployment.entries[0]
-        self.target = processes.Target(NET + ".40", 1)
+        self.targets = [processes.Target(NET + ".40", 1), HoldingTarget(NET + ".41", 2)]
         self.stopping = False
         self.job_count = 0
+        self.lock = threading.Lock()
         self.heartbeats = threading.Thread(target=self.send_heartbeats, daemon=True)
         self.heartbeats.start()
 
@@ -287,11 +298,14 @@
         sequence = 0
         while not self.stopping:
             sequence += 1
-            body = {"service": "sound", "address": "%s.40:%d" % (NET, processes.TARGET),
-                    "zone": "shop", "version": "v1", "slots": 8, "state": "ready",
-                    "cold-remaining-ms": 0, "labels": [], "born": 1, "seq": sequence,
-                    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0}, "clock-ms": 1}
-            self.at_keepers(b"PUT", b"/v1/instances/i-1", body)
+            for i, service in enumerate(SERVICES):
+                body = {"service": service,
+                        "address": "%s.%d:%d" % (NET, 40 + i, processes.TARGET),
+                        "zone": "shop", "version": "v1", "slots": 8, "state": "ready",
+                        "cold-remaining-ms": 0, "labels": [], "born": 1, "seq": sequence,
+                        "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
+                        "clock-ms": 1}
+                self.at_keepers(b"PUT", b"/v1/instances/i-%d" % i, body)
             time.sleep(HEARTBEAT_S)
 
     def at_keepers(self, method, path, body=None):
@@ -300,11 +314,14 @@
                 return True
         return False
 
+    def next_path(self):
+        with self.lock:
+            self.job_count += 1
+            return b"/sound/%016x" % (self.job_count + (os.getpid() << 32))
+
     def job_is_done(self):
-        self.job_count += 1
-        path = b"/sound/%016x" % (self.job_count + (os.getpid() << 32))
-        return self.deployment.call(self.entry, CALLERS, b"POST", path, JOB, HOST) == (
-            200, {"state": "done"})
+        return self.deployment.call(self.entry, CALLERS, b"POST", self.next_path(), JOB,
+                                    HOST) == (200, {"state": "done"})
 
     def is_ready(self):
         return self.deployment.call(self.entry, READY, b"GET", b"/v1/ready")[0] == 200
@@ -317,13 +334,27 @@
     def has_config(self):
         """Whether the keeper that the crowd calls answers, itself or by the leader's
         address."""
-        return self.deployment.call(self.deployment.keepers[0], CONTROL, b"GET",
+        return self.deployment.call(self.leader(), CONTROL, b"GET",
                                     b"/v1/config")[0] in (200, 307)
 
+    def leader(self):
+        """The keeper that leads, once this was found; the first one before."""
+        return self.deployment.keepers[0] if self.leading is None else self.leading
+
+    leading = None
+
+    def find_leader(self):
+        for keeper in self.deployment.keepers:
+            if self.deployment.call(keeper, CONTROL, b"GET", b"/v1/config")[0] == 200:
+                self.leading = keeper
+
+    def calls(self):
+        return [("a job", self.job_is_done), ("readiness", self.is_ready),
+                ("metrics", self.has_metrics), ("the configuration", self.has_config)]
+
     def unserved(self, wait_s=SERVE_WAIT_S):
         """The kinds of ordinary requests that are not answered in WAIT_S."""
-        missing = [("a job", self.job_is_done), ("readiness", self.is_ready),
-                   ("metrics", self.has_metrics), ("the configuration", self.has_config)]
+        missing = self.calls()
         end = time.monotonic() + wait_s
         while missing and time.monotonic() < end:
             missing = [m for m in missing if not m[1]()]
@@ -335,30 +366,36 @@
         end = time.monotonic() + START_WAIT_S
         while not self.at_keepers(b"PUT", b"/v1/config", CONFIG) and time.monotonic() < end:
             time.sleep(0.1)
-        return self.unserved(START_WAIT_S)
-
-    def connect(self, port, kind):
-        if port is None:
-            return [c for p in (CALLERS, READY, METRICS)
-                    for c in connect_crowd((self.entry, p), [], IDLE_PER_PORT)]
-        address = self.deployment.keepers[0] if port == CONTROL else self.entry
-        return connect_crowd((address, port), kind(), CROWD)
-
-    def play(self, port, kind):
-        """Plays a kind of client; returns its faults and its figures."""
-        address = self.deployment.keepers[0] if port == CONTROL else self.entry
-        bound_mb = KEEPER_MB if port == CONTROL else ENTRY_MB
+        missing = self.unserved(START_WAIT_S)
+        self.find_leader()
+        return missing
+
+    def address(self, port):
+        return self.leader() if port == CONTROL else self.entry
+
+    def play(self, row, beside):
+        """Plays a row, BESIDE ordinary callers or alone; returns its faults and its
+        figures."""
+        address = self.address(row.ports[0])
         process = self.deployment.processes[address]
-        watch = Watch(process)
+        bound_mb = self.deployment.memory_mb(address)
+        watch = Watch(process, address)
+        callers = Callers([call for _, call in self.calls()] if beside else [])
+        crowds = [Crowd((address, port), row.kind, row.count) for port in row.ports]
         watch.start()
-        crowd = self.connect(port, kind)
-        send_crowd(crowd, watch)
-        time.sleep(0.3)  # what the kernel holds for the process is read by then
+        for crowd in crowds:
+            crowd.start()
+        end = time.monotonic() + SEND_S
+        while (time.monotonic() < end and not watch.killed
+               and not all(crowd.has_settled() for crowd in crowds)):
+            time.sleep(0.02)
+        callers.close()
         faults = []
-        if not watch.killed and not process.ended():
-            faults += ["not answered: " + name for name in self.unserved()]
-        for c in crowd:
-            c.socket.close()
+        for when in ("", " afterwards"):
+            if not watch.killed and not process.ended():
+                faults += ["not answered%s: %s" % (when, name) for name in self.unserved()]
+            for crowd in crowds:
+                crowd.close()
         watch.finish()
         if watch.killed:
             faults.append("killed by this test beyond %d MB" % STOP_MB)
@@ -366,15 +403,60 @@
             faults.append("the process ended")
         if watch.peak_mb > bound_mb:
             faults.append("memory over %d MB" % bound_mb)
-        if watch.descriptors > OPEN_MAXIMUM:
-            faults.append("more than %d descriptors" % OPEN_MAXIMUM)
-        return faults, "%.0f MB, %d descriptors" % (watch.peak_mb, watch.descriptors)
+        if watch.unsent_mb > bound_mb:
+            faults.append("unsent over %d MB" % bound_mb)
+        if watch.descriptors > self.machines.descriptors_maximum:
+            faults.append("more than %d descriptors" % self.machines.descriptors_maximum)
+        return faults, watch.figures()
+
+    def client_counters(self):
+        """What the entry counted of refusals and closings by the limits of clients."""
+        answer = processes.exchange((self.entry, METRICS), processes.request_bytes(
+            b"GET", b"/metrics", [(b"Host", b"h")], b""))
+        if answer is None:
+            return None
+        return [line for line in answer[2].decode().split("\n")
+                if line.startswith("ragwort_clients_")]
+
+    def largest_job_is_done(self, steps, tasks):
+        """Whether a largest job is done in time, if need be at another try: a refusal
+        for lack of targets is no limit of clients."""
+        end = time.monotonic() + LARGEST_WAIT_S
+        while time.monotonic() < end:
+            answer = processes.exchange((self.entry, CALLERS), kinds.largest_legal_job(
+                self.next_path(), steps, tasks), LARGEST_WAIT_S)
+            if answer is None or answer[0] != 503:
+                return answer is not None and answer[0] == 200 and b'"done"' in answer[2]
+            time.sleep(0.2)
+        return False
+
+    def play_largest_jobs(self):
+        """The largest legal jobs, in calm: one, and one of each of many callers."""
+        before = self.client_counters()
+        faults = []
+        if not self.largest_job_is_done(LARGEST_STEPS, LARGEST_TASKS):
+            faults.append("the largest job is not done")
+        done = []
+        callers = [threading.Thread(
+            target=lambda: done.append(self.largest_job_is_done(1, 2)))
+            for _ in range(LARGEST_CALLERS)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        if done.count(True) != LARGEST_CALLERS:
+            faults.append("%d of %d large jobs are done" % (done.count(True),
+                                                            LARGEST_CALLERS))
+        if before is None or self.client_counters() != before:
+            faults.append("limits of clients were met: %s" % self.client_counters())
+        return faults, "%d jobs of %d bytes" % (len(done) + 1, kinds.BODY_BYTES)
 
     def close(self):
         self.stopping = True
         self.heartbeats.join()
-        self.target.shutdown()
-        self.target.server_close()
+        for target in self.targets:
+            target.shutdown()
+            target.server_close()
         self.deployment.close()
 
 
@@ -389,36 +471,57 @@
         return set()
 
 
-def main():
-    build, names = sys.argv[1], sys.argv[2:]
+class Report:
+    def __init__(self):
+        self.passed = self.failed = 0
+
+    def add(self, name, faults, figures):
+        print("%s %s: %s" % ("FAIL" if faults else "ok  ", name,
+                             "; ".join(faults + [figures])), flush=True)
+        self.passed += not faults
+        self.failed += bool(faults)
+
+
+def plays_of(names):
+    """(name, machines, what plays it) of each row that is to be played."""
     red = set() if names else known_red()
-    passed = failed = 0
-    run = None
-    for name, port, kind in KINDS:
+    table = [(row.name, row.machines, [
+        (", alone", lambda run, row=row: run.play(row, False)),
+        (", beside callers", lambda run, row=row: run.play(row, True))]) for row in ROWS]
+    table.append((LARGEST, WHOLE, [("", Run.play_largest_jobs)]))
+    for name, machines, plays in table:
         if names and name not in names:
             continue
         if name in red:
             print("known red, not played: " + name)
             continue
+        for how, play in plays:
+            yield name + how, machines, play
+
+
+def main():
+    build = sys.argv[1]
+    report = Report()
+    run = None
+    for name, machines, play in plays_of(sys.argv[2:]):
+        if run is not None and run.machines is not machines:
+            run.close()
+            run = None
         if run is None:
-            run = Run(build)
+            run = Run(build, machines)
             missing = run.start()
             if missing:
-                print("FAIL start: not answered: %s" % ", ".join(missing))
-                failed += 1
+                report.add("start", ["not answered: " + what for what in missing], "")
                 break
-        faults, figures = run.play(port, kind)
-        print("%s %s: %s" % ("FAIL" if faults else "ok  ", name,
-                             "; ".join(faults + [figures])), flush=True)
-        passed += not faults
-        failed += bool(faults)
+        faults, figures = play(run)
+        report.add(name, faults, figures)
         if faults:  # its memory is of no use for the next kind
             run.close()
             run = None
     if run is not None:
         run.close()
-    print("clients: %d passed, %d failed" % (passed, failed))
-    return 1 if failed else 0
+    print("clients: %d passed, %d failed" % (report.passed, report.failed))
+    return 1 if report.failed else 0
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/clients/target.py
@@ -0,0 +1,26 @@
+"""A target that runs what it is given until it is stopped."""
+import processes
+
+
+class HoldingTarget(processes.Target):
+    def __init__(self, address, identity):
+        self.running = {}
+        super().__init__(address, identity)
+
+    def answer(self, path, body):
+        task = body.get("task")
+        if path == "/v1/run-start":
+            with self.lock:
+                self.running[task] = body["run-id"]
+            return {"clock-ms": self.clock_ms()}
+        if path == "/v1/run-stop":
+            with self.lock:
+                run = self.running.pop(task, None)
+                if run is not None:
+                    self.count += 1
+                    self.ends.append([self.count, task, run, "stopped", ""])
+        reply = super().answer(path, body)
+        if path == "/v1/hold":
+            with self.lock:
+                reply["running-tasks"] = [[t, r, "", 100] for t, r in self.running.items()]
+        return reply
--- a/tests/spoilt/processes.py
+++ b/tests/spoilt/processes.py
@@ -50,8 +50,11 @@
     def handle_error(self, request, client_address):
         pass
 
+    def clock_ms(self):
+        return int((time.monotonic() - self.started) * 1000)
+
     def answer(self, path, body):
-        reply = {"clock-ms": int((time.monotonic() - self.started) * 1000)}
+        reply = {"clock-ms": self.clock_ms()}
         with self.lock:
             if path == "/v1/run-start":
                 self.count += 1
