--- a/src/net/client_budget.c
+++ b/src/net/client_budget.c
@@ -4,11 +4,33 @@
 
 enum
 {
+  DEFAULT_HEAD_BYTES = 65536,
+  DEFAULT_FIELDS = 256,
+  DEFAULT_EMPTY_LINES = 8,
+  DEFAULT_HEAD_MS = 30000,
+  DEFAULT_BODY_MS = 60000,
+  DEFAULT_ANSWER_MS = 30000,
+  DEFAULT_BUDGET_BYTES = 64 << 20,
+
   /* What the library allocates for each field: a list entry, a name and a
      value, each an allocation of its own.  */
   FIELD_BYTES = 160
 };
 
+void
+client_limits_init (struct client_limits *l)
+{
+  *l = (struct client_limits){
+    .framing = { .head_bytes = DEFAULT_HEAD_BYTES,
+                 .fields = DEFAULT_FIELDS,
+                 .empty_lines = DEFAULT_EMPTY_LINES },
+    .head_ms = DEFAULT_HEAD_MS,
+    .body_ms = DEFAULT_BODY_MS,
+    .answer_ms = DEFAULT_ANSWER_MS,
+    .budget_bytes = DEFAULT_BUDGET_BYTES,
+  };
+}
+
 enum client_verdict
 client_budget_check_time (const struct client_limits *l,
                           const struct client_request *r, int64_t now)
--- a/src/net/client_budget.h
+++ b/src/net/client_budget.h
@@ -65,6 +65,10 @@
   CLIENT_ANSWER_NOT_READ
 };
 
+/* Limits without a setting: no client inside the platform's limits reaches
+   them.  */
+void client_limits_init (struct client_limits *l);
+
 /* Whether R has reached a time limit at NOW.  */
 enum client_verdict client_budget_check_time (const struct client_limits *l,
                                               const struct client_request *r,
--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -10,18 +10,6 @@
 
 enum
 {
-  DEFAULT_HEAD_BYTES = 65536,
-  DEFAULT_FIELDS = 256,
-  DEFAULT_EMPTY_LINES = 8,
-  DEFAULT_HEAD_MS = 30000,
-  DEFAULT_BODY_MS = 60000,
-  DEFAULT_ANSWER_MS = 30000,
-  DEFAULT_BUDGET_BYTES = 64 << 20,
-
-  HEAD_BYTES_FIRST = 1024,
-  BODY_BYTES_FIRST = 1024,
-  BODY_BYTES_AT_ONCE = 16384, /* of an announced length */
-
   SWEEP_MS = 250,
 
   /* How long and how much is still read after a refusal.  Closing with unread
@@ -33,20 +21,6 @@
   DISCARD_FACTOR = 8
 };
 
-void
-http_intake_default_limits (struct client_limits *l)
-{
-  *l = (struct client_limits){
-    .framing = { .head_bytes = DEFAULT_HEAD_BYTES,
-                 .fields = DEFAULT_FIELDS,
-                 .empty_lines = DEFAULT_EMPTY_LINES },
-    .head_ms = DEFAULT_HEAD_MS,
-    .body_ms = DEFAULT_BODY_MS,
-    .answer_ms = DEFAULT_ANSWER_MS,
-    .budget_bytes = DEFAULT_BUDGET_BYTES,
-  };
-}
-
 static struct evbuffer *
 input_of (const struct intake_client *c)
 {
@@ -83,22 +57,16 @@
 {
   if (is_complete (c))
     return body + c->pending_bytes + c->request.excess_bytes;
-  return client_budget_cost (&c->request, head, c->framing.field_count, body,
-                             0);
+  return client_budget_cost (&c->request, head,
+                             c->collected.framing.field_count, body, 0);
 }
 
 static void
 drop_request (struct intake_client *c)
 {
-  free (c->head);
-  free (c->query);
-  free (c->body);
-  c->head = c->query = c->body = NULL;
-  c->head_length = c->head_size = 0;
-  c->body_length = c->body_size = 0;
+  collected_request_clear (&c->collected);
   c->pending_bytes = c->answer_bytes = 0;
   c->request.excess_bytes = 0;
-  http_framing_init (&c->framing);
   c->request.phase = CLIENT_IDLE;
   c->request.began_ms = now_ms ();
 }
@@ -107,7 +75,7 @@
 static uint64_t
 rest_of_body (const struct intake_client *c)
 {
-  const struct http_framing *f = &c->framing;
+  const struct http_framing *f = &c->collected.framing;
   uint64_t maximum
       = (uint64_t)c->intake->limits.framing.body_bytes * DISCARD_FACTOR;
 
@@ -214,71 +182,27 @@
   if (is_complete (c))
     c->request.excess_bytes
         = c->answer_bytes + evbuffer_get_length (input_of (c));
-  charge (c, cost_of (c, c->head_size, c->body_size));
+  charge (c, cost_of (c, c->collected.head_size, c->collected.body_size));
   keep_budget (c->intake);
 }
 
-static size_t
-grown (size_t size, size_t needed, size_t first, size_t maximum)
-{
-  if (size < first)
-    size = first;
-  while (size < needed)
-    size *= 2;
-  return size < maximum || maximum < needed ? size : maximum;
-}
-
+/* Adds the bytes of STEP to C's request.  Returns false if it was refused.  */
 static bool
-add_head (struct intake_client *c, const struct framing_step *step)
+add (struct intake_client *c, const struct framing_step *step)
 {
-  size_t needed = c->head_length + step->head_length;
-
-  if (needed > c->head_size)
-    {
-      size_t size = grown (c->head_size, needed, HEAD_BYTES_FIRST,
-                           c->intake->limits.framing.head_bytes);
+  const struct framing_limits *limits = &c->intake->limits.framing;
+  struct collected_request *r = &c->collected;
+  size_t head = collected_request_head_size (r, step, limits);
+  size_t body = collected_request_body_size (r, step, limits);
 
-      if (!reserve (c, cost_of (c, size, c->body_size)))
-        return false;
-      c->head = realloc (c->head, size);
-      c->head_size = (uint32_t)size;
-    }
-  if (step->head_length != 0)
-    memcpy (c->head + c->head_length, step->head, step->head_length);
-  c->head_length = (uint32_t)needed;
-  if (step->drop_from != UINT32_MAX)
-    c->head_length = step->drop_from;
+  if ((head > r->head_size || body > r->body_size)
+      && !reserve (c, cost_of (c, head, body)))
+    return false;
+  collected_request_add_head (r, step, head);
+  collected_request_add_body (r, step, body);
   return true;
 }
 
-static void
-add_body (struct intake_client *c, const struct framing_step *step)
-{
-  size_t needed = c->body_length + step->body_length + 1;
-
-  if (step->body_length == 0)
-    return;
-  if (needed > c->body_size)
-    {
-      size_t maximum = c->framing.chunked
-                           ? c->intake->limits.framing.body_bytes
-                           : (size_t)c->framing.length;
-      size_t size
-          = grown (c->body_size, needed, BODY_BYTES_FIRST, maximum + 1);
-
-      if (!c->framing.chunked && maximum < BODY_BYTES_AT_ONCE)
-        size = maximum + 1;
-
-      if (!reserve (c, cost_of (c, c->head_size, size)))
-        return;
-      c->body = realloc (c->body, size);
-      c->body_size = size;
-    }
-  memcpy (c->body + c->body_length, step->body, step->body_length);
-  c->body_length += step->body_length;
-  c->body[c->body_length] = '\0';
-}
-
 /* Ends a time in which C->freed pointed to FREED: it points to OUTER again. */
 static void
 restore_freed (struct intake_client *c, bool *outer, bool freed)
@@ -289,49 +213,6 @@
     *outer = true;
 }
 
-/* The length of the request line in C's head.  */
-static size_t
-line_length (const struct intake_client *c)
-{
-  const char *end = memchr (c->head, '\r', c->head_length);
-
-  return (size_t)(end - c->head);
-}
-
-/* The length of the path in C's head, or of what stands in its place.  */
-static size_t
-path_length (const struct intake_client *c)
-{
-  size_t line = line_length (c);
-  const char *path = memchr (c->head, ' ', line);
-  const char *end;
-
-  if (path == NULL)
-    return line;
-  path++;
-  line -= (size_t)(path - c->head);
-  end = memchr (path, ' ', line);
-  return end == NULL ? line : (size_t)(end - path);
-}
-
-/* Moves the query of C's request line out of its head.  */
-static void
-take_query (struct intake_client *c)
-{
-  size_t line = line_length (c);
-  char *query = memchr (c->head, '?', line);
-  char *end;
-
-  if (query == NULL)
-    return;
-  end = memchr (query, ' ', line - (size_t)(query - c->head));
-  if (end == NULL)
-    return;
-  c->query = strndup (query + 1, (size_t)(end - query - 1));
-  memmove (query, end, c->head_length - (size_t)(end - c->head));
-  c->head_length -= (uint32_t)(end - query);
-}
-
 /* Gives the library the head of C's request, which is complete, and nothing of
    what follows it.  Returns false if the connection is freed.  */
 static bool
@@ -348,10 +229,8 @@
       rest = evbuffer_new ();
       evbuffer_add_buffer (rest, input);
     }
-  evbuffer_prepend (input, c->head, c->head_length);
-  free (c->head);
-  c->head = NULL;
-  c->head_length = c->head_size = 0;
+  evbuffer_prepend (input, c->collected.head, c->collected.head_length);
+  collected_request_drop_head (&c->collected);
   c->given = false;
   c->freed = &freed;
   c->read (bev, c->library_arg);
@@ -374,13 +253,13 @@
 pass_on (struct intake_client *c)
 {
   struct client_request pending = { .phase = CLIENT_PENDING };
-  uint64_t head = client_budget_cost (&pending, c->head_size,
-                                      c->framing.field_count, 0, 0);
+  uint64_t head = client_budget_cost (&pending, c->collected.head_size,
+                                      c->collected.framing.field_count, 0, 0);
 
-  if (!reserve (c, head + c->body_size))
+  if (!reserve (c, head + c->collected.body_size))
     return true;
-  take_query (c);
-  if (path_length (c) > FRAMING_TOKEN_BYTES)
+  collected_request_take_query (&c->collected);
+  if (collected_request_path_length (&c->collected) > FRAMING_TOKEN_BYTES)
     {
       refuse (c, CLIENT_FAULT_HEAD);
       return true;
@@ -413,8 +292,8 @@
 
   c->request.phase = CLIENT_BODY;
   c->request.head_ended_ms = now_ms ();
-  if (c->framing.expects_continue
-      && (c->framing.chunked || c->framing.length != 0))
+  if (c->collected.framing.expects_continue
+      && (c->collected.framing.chunked || c->collected.framing.length != 0))
     bufferevent_write (c->conn->bev, text, sizeof text - 1);
 }
 
@@ -422,7 +301,8 @@
 static void
 note_begin (struct intake_client *c)
 {
-  if (c->request.phase != CLIENT_IDLE || !http_framing_has_begun (&c->framing))
+  if (c->request.phase != CLIENT_IDLE
+      || !http_framing_has_begun (&c->collected.framing))
     return;
   c->request.phase = CLIENT_HEAD;
   c->request.began_ms = now_ms ();
@@ -443,13 +323,12 @@
   data = piece.iov_base != NULL ? piece.iov_base : "";
   do
     {
-      r = http_framing_take (&c->framing, &c->intake->limits.framing,
+      r = http_framing_take (&c->collected.framing, &c->intake->limits.framing,
                              data + taken, piece.iov_len - taken, &step);
       taken += step.taken;
       note_begin (c);
-      if ((r == FRAMING_MORE || r == FRAMING_HEAD_DONE || r == FRAMING_DONE)
-          && add_head (c, &step))
-        add_body (c, &step);
+      if (r == FRAMING_MORE || r == FRAMING_HEAD_DONE || r == FRAMING_DONE)
+        add (c, &step);
     }
   while (r == FRAMING_MORE && taken < piece.iov_len && !c->closing);
   evbuffer_drain (input, taken);
@@ -688,9 +567,7 @@
 http_intake_remove (struct intake_client *c)
 {
   charge (c, 0);
-  free (c->head);
-  free (c->query);
-  free (c->body);
+  collected_request_clear (&c->collected);
   DL_DELETE (c->intake->clients, c);
   c->intake->count--;
   if (c->freed != NULL)
@@ -700,25 +577,25 @@
 void
 http_intake_take_body (struct intake_client *c, char **body, size_t *length)
 {
-  *body = c->body != NULL ? c->body : calloc (1, 1);
-  *length = c->body_length;
-  c->body = NULL;
-  c->body_length = 0;
+  *body = c->collected.body != NULL ? c->collected.body : calloc (1, 1);
+  *length = c->collected.body_length;
+  c->collected.body = NULL;
+  c->collected.body_length = 0;
   c->given = true;
 }
 
 const char *
 http_intake_query (const struct intake_client *c)
 {
-  return c->query != NULL ? c->query : "";
+  return c->collected.query != NULL ? c->collected.query : "";
 }
 
 void
 http_intake_request_dropped (struct intake_client *c)
 {
-  free (c->query);
-  c->query = NULL;
-  c->body_size = 0;
+  free (c->collected.query);
+  c->collected.query = NULL;
+  c->collected.body_size = 0;
   c->pending_bytes = CLIENT_REQUEST_BYTES;
   charge_again (c);
 }
--- a/src/net/http_intake.h
+++ b/src/net/http_intake.h
@@ -22,7 +22,7 @@
 #include <stdint.h>
 #include "net/client_budget.h"
 #include "net/client_fault.h"
-#include "net/http_framing.h"
+#include "net/collected_request.h"
 
 enum
 {
@@ -44,15 +44,8 @@
   bufferevent_event_cb event;
   void *library_arg;
 
-  struct http_framing framing;
+  struct collected_request collected;
   struct client_request request;
-  char *head;
-  uint32_t head_length;
-  uint32_t head_size;
-  char *query; /* of the request that was passed on, or NULL */
-  char *body;  /* followed by a zero */
-  size_t body_length;
-  size_t body_size;
   uint64_t pending_bytes; /* cost of the head while its request is pending */
   uint64_t answer_bytes;
   bool given;  /* the library has passed on the request */
@@ -86,10 +79,6 @@
   struct client_fault_log fault_log;
 };
 
-/* Limits without a setting: no client inside the platform's limits reaches
-   them.  */
-void http_intake_default_limits (struct client_limits *l);
-
 void http_intake_init (struct http_intake *n, struct event_base *base,
                        const struct client_limits *limits, uint16_t port);
 void http_intake_done (struct http_intake *n);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -247,7 +247,7 @@
 {
   struct client_limits l;
 
-  http_intake_default_limits (&l);
+  client_limits_init (&l);
   l.framing.body_bytes = settings->body_bytes;
   l.connections = settings->connections;
   l.idle_ms = settings->idle_timeout_ms;
