Names of the field: delegated, capacity, contacted, admit

speaks_for_change is indicates_change; tasks are delegated, not lent; what targets and dispatchers have free is capacity, not room; entries that a keeper has contacted lately are called so; http_intake_make_room is http_intake_admit. Event 338 is TASKS_DELEGATED, its counter tasks_delegated; the log fields room and room_age_ms are capacity and capacity_age_ms.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -15,7 +15,7 @@
    STARTS_REFUSED     start calls to targets that failed, also without answer
    TARGET_LOOKS       status polls of targets
    DISPATCH_TAKEN     jobs and delegated parts accepted by this dispatcher
-   TASKS_LENT         tasks delegated to another dispatcher
+   TASKS_DELEGATED    tasks delegated to another dispatcher
    TASKS_SENT_BACK    of these, those that it refused
    TASKS_RETURNED     of these, those that ended with any other result
    VIEWS_TAKEN        assignments of targets and dispatchers applied
@@ -76,7 +76,7 @@
   ROW (DISPATCH_FAILED, "dispatch_failed")                                    \
   ROW (DISPATCH_REFUSED, "dispatch_refused")                                  \
   ROW (DISPATCH_CANCELLED, "dispatch_cancelled")                              \
-  ROW (TASKS_LENT, "tasks_lent")                                              \
+  ROW (TASKS_DELEGATED, "tasks_delegated")                                    \
   ROW (TASKS_RETURNED, "tasks_returned")                                      \
   ROW (TASKS_SENT_BACK, "tasks_sent_back")                                    \
   ROW (CALLERS_ANSWERED, "callers_answered")                                  \
--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -84,7 +84,7 @@
   ROW (509, PEER_SILENT, WARN,                                                \
        "no message from a peer in time; connection closed",                   \
        "check for a network partition or a stalled VM")                       \
-  ROW (338, TASKS_LENT, INFO, "tasks delegated to another dispatcher",        \
+  ROW (338, TASKS_DELEGATED, INFO, "tasks delegated to another dispatcher",   \
        "nothing")                                                             \
   ROW (339, TASKS_RETURNED, INFO,                                             \
        "delegated tasks returned without being done",                         \
--- a/src/controller/delegation_controller.c
+++ b/src/controller/delegation_controller.c
@@ -74,12 +74,12 @@
   DL_APPEND (c->parts, p);
   run_scheduler_delegate (&n->dispatcher.scheduler, now, o->job, o->first,
                           o->count);
-  counters_add (COUNTER_TASKS_LENT, o->count);
+  counters_add (COUNTER_TASKS_DELEGATED, o->count);
   p->remote_job
       = job_entry_submit_part (n, now, &spec, o->job, o->to, on_answered, p);
-  event_ring_add (EVENT_TASKS_LENT, o->job->spec.key,
+  event_ring_add (EVENT_TASKS_DELEGATED, o->job->spec.key,
                   "to=%s id=%" PRIu64
-                  " first=%u count=%u room_age_ms=%" PRId64,
+                  " first=%u count=%u capacity_age_ms=%" PRId64,
                   o->to->vm, job_entry_job_id (p->remote_job), o->first,
                   o->count, now - o->to->reported_ms);
 }
--- a/src/controller/dispatcher.c
+++ b/src/controller/dispatcher.c
@@ -73,8 +73,8 @@
   const struct overload_ahead *a = &s->refused_ahead;
 
   snprintf (text, AHEAD_BYTES,
-            "rank=%u ahead_tasks=%u ahead_urgent=%u room=%u", a->rank,
-            a->tasks, a->urgent, a->room);
+            "rank=%u ahead_tasks=%u ahead_urgent=%u capacity=%u", a->rank,
+            a->tasks, a->urgent, a->capacity);
 }
 
 static void
--- a/src/controller/entry_links.c
+++ b/src/controller/entry_links.c
@@ -167,7 +167,7 @@
 }
 
 json_t *
-entry_links_heard (const struct quorum_keeper *k, int64_t now)
+entry_links_contacted (const struct quorum_keeper *k, int64_t now)
 {
   json_t *list = json_array ();
 
@@ -184,8 +184,8 @@
 }
 
 void
-entry_links_receive_heard (struct quorum_keeper *k, int64_t now,
-                           const json_t *list)
+entry_links_receive_contacted (struct quorum_keeper *k, int64_t now,
+                               const json_t *list)
 {
   for (size_t i = 0; i + 1 < json_array_size (list); i += 2)
     {
--- a/src/controller/entry_links.h
+++ b/src/controller/entry_links.h
@@ -20,11 +20,12 @@
 /* The entries that this keeper has heard in the last 3 s, as a JSON list of
    their names, each followed by the time since then in ms.  The caller frees
    it.  */
-json_t *entry_links_heard (const struct quorum_keeper *k, int64_t now_ms);
+json_t *entry_links_contacted (const struct quorum_keeper *k, int64_t now_ms);
 
-/* For the leader: records the LIST of entry_links_heard of another keeper.  */
-void entry_links_receive_heard (struct quorum_keeper *k, int64_t now_ms,
-                                const json_t *list);
+/* For the leader: records the LIST of entry_links_contacted of another keeper.
+ */
+void entry_links_receive_contacted (struct quorum_keeper *k, int64_t now_ms,
+                                    const json_t *list);
 
 /* Handles a heartbeat of the entry at FROM, and sends it the voters and the
    configuration if its own are out of date.  */
--- a/src/controller/job_entry.c
+++ b/src/controller/job_entry.c
@@ -171,7 +171,7 @@
       j->sent_ms = now;
       event_ring_add (
           EVENT_DISPATCH_ROUTED, j->spec.key,
-          "to=%s try=%u wait_ms=%" PRId64 " room_age_ms=%" PRId64
+          "to=%s try=%u wait_ms=%" PRId64 " capacity_age_ms=%" PRId64
           " queue=%s tasks=%u view=%" PRIu64 ".%" PRIu64,
           d->vm, j->tried_count, job_router_wait_ms (d, &j->spec, now),
           now - d->reported_ms, j->spec.queue, job_spec_task_count (&j->spec),
--- a/src/controller/target_relay.c
+++ b/src/controller/target_relay.c
@@ -272,7 +272,7 @@
   if (now - r->entries_sent_ms < ENTRIES_MS)
     return false;
   r->entries_sent_ms = now;
-  list = entry_links_heard (r->keeper, now);
+  list = entry_links_contacted (r->keeper, now);
   json_object_set_new (body, "entries", list);
   return json_array_size (list) != 0;
 }
@@ -359,7 +359,7 @@
   json_array_foreach (json_object_get (body, "left"), i,
                       o) if (json_is_string (o))
       quorum_keeper_remove_target (k, json_string_value (o));
-  entry_links_receive_heard (k, now, json_object_get (body, "entries"));
+  entry_links_receive_contacted (k, now, json_object_get (body, "entries"));
   unknown = apply_heartbeats (k, now, json_object_get (body, "heard"));
   text = json_encode_new (unknown);
   return text;
--- a/src/coord/job_router.c
+++ b/src/coord/job_router.c
@@ -137,8 +137,8 @@
 
 /* Whether a recent report of D shows that all tasks of SPEC fit.  */
 static bool
-has_room (const struct route_dispatcher *d, const struct job_spec *spec,
-          int64_t now)
+has_capacity (const struct route_dispatcher *d, const struct job_spec *spec,
+              int64_t now)
 {
   const struct route_capacity *r = find_capacity (d, spec->service);
   struct free_capacity left;
@@ -149,13 +149,13 @@
   return subtract_tasks (&left, spec);
 }
 
-/* Like job_router_choose, among the dispatchers that have room for all tasks;
-   the tasks are subtracted from the room.  */
+/* Like job_router_choose, among the dispatchers with capacity for all tasks;
+   the tasks are subtracted from it.  */
 static struct route_dispatcher *
-choose_with_room (struct route_dispatcher *dispatchers, uint32_t count,
-                  const char *domain, const struct job_spec *spec,
-                  const char (*tried)[NAME_BYTES], uint32_t tried_count,
-                  int64_t now)
+choose_with_capacity (struct route_dispatcher *dispatchers, uint32_t count,
+                      const char *domain, const struct job_spec *spec,
+                      const char (*tried)[NAME_BYTES], uint32_t tried_count,
+                      int64_t now)
 {
   struct route_dispatcher *best = NULL;
   int64_t best_cost = 0;
@@ -166,7 +166,8 @@
       int64_t cost = route_cost (d, domain, spec, now);
 
       if (cost < 0 || is_tried (tried, tried_count, d->vm)
-          || !has_room (d, spec, now) || (best != NULL && cost >= best_cost))
+          || !has_capacity (d, spec, now)
+          || (best != NULL && cost >= best_cost))
         continue;
       best = d;
       best_cost = cost;
@@ -191,8 +192,8 @@
                        : ROUTE_TRY_LIMIT;
 
   if (s != NULL && tried_count < ROUTE_PRIORITY_TRY_LIMIT)
-    d = choose_with_room (dispatchers, count, domain, spec, tried, tried_count,
-                          now);
+    d = choose_with_capacity (dispatchers, count, domain, spec, tried,
+                              tried_count, now);
   if (d == NULL && tried_count < limit)
     d = job_router_choose (dispatchers, count, domain, spec, tried,
                            tried_count, now);
--- a/src/coord/overload_policy.c
+++ b/src/coord/overload_policy.c
@@ -5,7 +5,7 @@
 
 enum
 {
-  /* Share of a job's slack in which the room for it must become free.  The
+  /* Share of a job's slack in which capacity for it must become free.  The
      rest is for errors of the estimates, which deviate by about 40 %.  With 70
      and 80 more jobs of the highest priority are served, but a third more of
      them late, and fewer of the other queues.  */
@@ -42,8 +42,8 @@
 /* The number of tasks of STEP that fit on T at BY_MS beside the runs that are
    then expected to go on.  */
 static uint32_t
-room_on (const struct run_target *t, const struct job_step *step,
-         int64_t by_ms)
+capacity_on (const struct run_target *t, const struct job_step *step,
+             int64_t by_ms)
 {
   uint64_t cpu_used = 0;
   uint32_t runs = 0;
@@ -110,7 +110,7 @@
   for (uint32_t i = 0; i < s->target_count && step != NULL; i++)
     if (run_scheduler_may_use (s->targets[i])
         && strcmp (s->targets[i]->spec.service, j->spec.service) == 0)
-      a.room += room_on (s->targets[i], step, by_ms);
+      a.capacity += capacity_on (s->targets[i], step, by_ms);
   DL_FOREACH (s->waiting, o)
   if (is_ahead (o, j))
     {
@@ -130,7 +130,7 @@
   for (uint32_t i = 0; i < j->spec.step_count; i++)
     if (j->spec.steps[i].after == 0)
       tasks += j->spec.steps[i].count;
-  return a.room >= tasks + a.tasks;
+  return a.capacity >= tasks + a.tasks;
 }
 
 bool
--- a/src/coord/overload_policy.h
+++ b/src/coord/overload_policy.h
@@ -6,12 +6,13 @@
    each.  The work ahead divided by the cores says little there: a task waits
    for runs to end that leave enough cores on one target, and half of the tasks
    are larger than half a target.  So a job waits only if the runs that are
-   expected to end in time leave room for all of its first tasks and for those
-   that go before; otherwise it is refused at once, while there is time to try
-   another dispatcher.  A waiting job that no longer starts on time because of
-   jobs of higher priority is displaced, unless any of its tasks was started or
-   delegated.  A queue that gets less than a floor, half of what equal shares
-   would give it (queue_share), ranks with the highest priority.  */
+   expected to end in time leave capacity for all of its first tasks and for
+   those that go before; otherwise it is refused at once, while there is time
+   to try another dispatcher.  A waiting job that no longer starts on time
+   because of jobs of higher priority is displaced, unless any of its tasks was
+   started or delegated.  A queue that gets less than a floor, half of what
+   equal shares would give it (queue_share), ranks with the highest priority.
+ */
 #ifndef COORD_OVERLOAD_POLICY_H
 #define COORD_OVERLOAD_POLICY_H
 
@@ -34,8 +35,9 @@
 bool overload_policy_starts_on_time (const struct run_scheduler *s,
                                      const struct run_job *j);
 
-/* Whether this dispatcher has enough targets for the room on them to decide
-   about J alone.  Otherwise shares and the work ahead may admit it as well. */
+/* Whether this dispatcher has enough targets for the capacity on them to
+   decide about J alone.  Otherwise shares and the work ahead may admit it as
+   well. */
 bool overload_policy_sees_enough (const struct run_scheduler *s,
                                   const struct run_job *j);
 
--- a/src/coord/run_admission.c
+++ b/src/coord/run_admission.c
@@ -40,15 +40,15 @@
 {
   const struct job_step *step = &spec->steps[i];
   int64_t lease_end_ms = now + spec->lease_ms;
-  uint32_t room = run_target_step_room (t, spec, i);
+  uint32_t capacity = run_target_step_capacity (t, spec, i);
   uint64_t n = limit;
 
   if (!run_target_may_start (t, step, lease_end_ms, now))
     return 0;
   if (step->cpu_milli != 0)
     n = (t->spec.cpu_milli - t->cpu_used) / step->cpu_milli;
-  if (n > room)
-    n = room;
+  if (n > capacity)
+    n = capacity;
   return n < limit ? (uint32_t)n : limit;
 }
 
--- a/src/coord/run_job.h
+++ b/src/coord/run_job.h
@@ -55,10 +55,10 @@
 /* What is ahead of a job at its dispatcher.  */
 struct overload_ahead
 {
-  uint32_t rank;   /* its own, see struct run_job */
-  uint32_t tasks;  /* waiting tasks that are placed before its own */
-  uint32_t urgent; /* of these, of jobs of higher priority */
-  uint32_t room;   /* tasks of its size that fit by the time it must start */
+  uint32_t rank;     /* its own, see struct run_job */
+  uint32_t tasks;    /* waiting tasks that are placed before its own */
+  uint32_t urgent;   /* of these, of jobs of higher priority */
+  uint32_t capacity; /* tasks of its size that fit by the time it must start */
 };
 
 struct run_job
--- a/src/coord/run_placement.c
+++ b/src/coord/run_placement.c
@@ -127,7 +127,7 @@
           || (best_local && !local)
           || strcmp (t->spec.service, j->spec.service) != 0
           || is_avoided (&j->tasks[task], t)
-          || run_target_step_room (t, &j->spec, j->tasks[task].step) == 0
+          || run_target_step_capacity (t, &j->spec, j->tasks[task].step) == 0
           || !is_acceptable (s, j, task, t, now))
         continue;
       cost = run_target_cost (t, step, now) + speed_cost (t, weight);
--- a/src/coord/run_target.c
+++ b/src/coord/run_target.c
@@ -76,8 +76,8 @@
 }
 
 uint32_t
-run_target_step_room (const struct run_target *t, const struct job_spec *spec,
-                      uint32_t i)
+run_target_step_capacity (const struct run_target *t,
+                          const struct job_spec *spec, uint32_t i)
 {
   const struct job_step *step = &spec->steps[i];
   uint32_t number = job_spec_step_number (spec, i);
--- a/src/coord/run_target.h
+++ b/src/coord/run_target.h
@@ -100,8 +100,8 @@
 
 /* The number of further runs of step I of SPEC that T may get by the step's
    own limit of runs on a target.  The runs of all parts of the job count.  */
-uint32_t run_target_step_room (const struct run_target *t,
-                               const struct job_spec *spec, uint32_t i);
+uint32_t run_target_step_capacity (const struct run_target *t,
+                                   const struct job_spec *spec, uint32_t i);
 
 /* Whether a task of STEP fits on T when nothing else runs there.  */
 bool run_target_could_run (const struct run_target *t,
--- a/src/coord/vm_load.c
+++ b/src/coord/vm_load.c
@@ -54,7 +54,7 @@
 
 /* Whether the last window speaks for a change of IS_SHORT.  */
 static bool
-speaks_for_change (const struct vm_load *l)
+indicates_change (const struct vm_load *l)
 {
   if (l->is_short)
     return l->used_percent < NORMAL_USED_PERCENT
@@ -92,7 +92,7 @@
   l->window_ms = now;
   l->window_cpu_us = cpu_us;
   l->weighted_late = 0;
-  l->streak = speaks_for_change (l) ? l->streak + 1 : 0;
+  l->streak = indicates_change (l) ? l->streak + 1 : 0;
   changed = l->streak >= CHANGE_WINDOWS;
   if (changed)
     {
--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -526,7 +526,7 @@
 }
 
 bool
-http_intake_make_room (struct http_intake *n)
+http_intake_admit (struct http_intake *n)
 {
   struct intake_client *first = n->clients;
   struct intake_client *c;
--- a/src/net/http_intake.h
+++ b/src/net/http_intake.h
@@ -86,9 +86,9 @@
 void http_intake_set_source (struct http_intake *n,
                              intake_limits_source source, void *arg);
 
-/* Makes room for a new connection, if need be by closing one on which no
-   request is pending.  Returns false if there is no room.  */
-bool http_intake_make_room (struct http_intake *n);
+/* Whether a new connection is admitted.  If there are too many, another one is
+   closed for it; false if none may be closed (client_budget).  */
+bool http_intake_admit (struct http_intake *n);
 
 /* Puts C in front of the library's callbacks of CONN.  */
 void http_intake_add (struct http_intake *n, struct intake_client *c,
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -222,7 +222,7 @@
   struct http_server *s = arg;
   struct http_connection *c;
 
-  if (!http_intake_make_room (&s->intake))
+  if (!http_intake_admit (&s->intake))
     {
       counters_add (COUNTER_HTTP_REFUSED, 1);
       return EVHTP_RES_ERROR;
--- a/tests/unit/test_deployment.c
+++ b/tests/unit/test_deployment.c
@@ -537,7 +537,7 @@
 
   event_ring_init ("test", EVENT_ERROR);
   j = start_delegation (&d, &c);
-  id = event_lines_number ("TASKS_LENT", key, "id");
+  id = event_lines_number ("TASKS_DELEGATED", key, "id");
   CU_ASSERT (id > 0);
   CU_ASSERT_EQUAL (event_lines_number ("DISPATCH_ACCEPTED", key, "id"), id);
   CU_ASSERT (event_lines_is ("DISPATCH_ACCEPTED", key, "from",
--- a/tests/unit/test_overload.c
+++ b/tests/unit/test_overload.c
@@ -156,7 +156,7 @@
   CU_ASSERT_EQUAL (seen.reason, REFUSAL_DISPLACED);
   CU_ASSERT (seen.retry_ms >= 500);
   CU_ASSERT_EQUAL (s.refused_ahead.urgent, 2);
-  CU_ASSERT_EQUAL (s.refused_ahead.room, 2);
+  CU_ASSERT_EQUAL (s.refused_ahead.capacity, 2);
   CU_ASSERT_EQUAL (run_scheduler_waiting_jobs (&s, "urgent"), 1);
   run_scheduler_done (&s);
 }
--- a/tests/unit/test_withdrawal.c
+++ b/tests/unit/test_withdrawal.c
@@ -293,11 +293,11 @@
   start_all (&d);
   run_for (&d, KEEPERS_SETTLE_MS);
   deployment_run_until_leader (&d);
-  list = entry_links_heard (deployment_follower (&d), now_ms ());
+  list = entry_links_contacted (deployment_follower (&d), now_ms ());
   CU_ASSERT_EQUAL (json_array_size (list), 2 * (size_t)ENTRIES);
   json_decref (list);
   list = json_build ("[s, i]", "elsewhere", 100);
-  entry_links_receive_heard (deployment_leader (&d), now_ms (), list);
+  entry_links_receive_contacted (deployment_leader (&d), now_ms (), list);
   json_decref (list);
   CU_ASSERT_EQUAL (withdraw_at_other (&d, &c), WITHDRAWAL_UNSURE);
   run_for (&d, KEEPERS_SETTLE_MS);
