--- a/src/net/http_intake.c
+++ b/src/net/http_intake.c
@@ -186,8 +186,8 @@
   keep_budget (c->intake);
 }
 
-/* Adds the bytes of STEP to C's request.  Returns false if it was refused.  */
-static bool
+/* Adds the bytes of STEP to C's request, unless it is refused for them.  */
+static void
 add (struct intake_client *c, const struct framing_step *step)
 {
   const struct framing_limits *limits = &c->intake->limits.framing;
@@ -197,10 +197,9 @@
 
   if ((head > r->head_size || body > r->body_size)
       && !reserve (c, cost_of (c, head, body)))
-    return false;
+    return;
   collected_request_add_head (r, step, head);
   collected_request_add_body (r, step, body);
-  return true;
 }
 
 /* Ends a time in which C->freed pointed to FREED: it points to OUTER again. */
