--- a/tests/client_limits.py
+++ b/tests/client_limits.py
@@ -7,7 +7,8 @@
 is still connected, and after it.  Guards against a process that clients drive out of
 memory, and against places that they hold without end.
 
-Each kind is played alone and beside ordinary callers.
+Each kind is played alone and beside ordinary callers.  So are targets whose
+answers have no end.
 
 usage: tests/client_limits.py BUILD [NAME...]
 
@@ -26,7 +27,7 @@
 from clients import kinds
 from clients.crowd import Crowd
 from clients.kinds import ALL, HOST, SLOWLY, Kind
-from clients.target import HoldingTarget
+from clients.target import EndlessTarget, HoldingTarget
 from clients.watch import STOP_MB, Watch
 from processes import CALLERS, CONTROL, METRICS, READY
 
@@ -68,8 +69,16 @@
 WHOLE_CROWD = 2500
 WHOLE_CONTROL_CROWD = 1500
 
-# "sound" runs each task at once, "hold" until it is stopped.
-SERVICES = ["sound", "hold"]
+# "sound" runs each task at once, "hold" until it is stopped; targets of "endless" answer
+# without end.
+SERVICES = ["sound", "hold", "endless"]
+ENDLESS = [
+    ("targets: bodies without end", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     b"10000\r\n" + b"x" * 65536 + b"\r\n"),
+    ("targets: bodies of no length", b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
+    ("targets: heads without end", b"HTTP/1.1 200 OK\r\n", b"X-Field: " + b"v" * 1000 + b"\r\n"),
+]
+ENDLESS_S = 4.0
 
 
 def route(path, service):
@@ -288,6 +297,7 @@
         self.deployment = Deployment(build, NET, machines)
         self.entry = self.deployment.entries[0]
         self.targets = [processes.Target(NET + ".40", 1), HoldingTarget(NET + ".41", 2)]
+        self.announced = ["sound", "hold"]
         self.stopping = False
         self.job_count = 0
         self.lock = threading.Lock()
@@ -298,7 +308,7 @@
         sequence = 0
         while not self.stopping:
             sequence += 1
-            for i, service in enumerate(SERVICES):
+            for i, service in enumerate(list(self.announced)):
                 body = {"service": service,
                         "address": "%s.%d:%d" % (NET, 40 + i, processes.TARGET),
                         "zone": "shop", "version": "v1", "slots": 8, "state": "ready",
@@ -378,7 +388,6 @@
         figures."""
         address = self.address(row.ports[0])
         process = self.deployment.processes[address]
-        bound_mb = self.deployment.memory_mb(address)
         watch = Watch(process, address)
         callers = Callers([call for _, call in self.calls()] if beside else [])
         crowds = [Crowd((address, port), row.kind, row.count) for port in row.ports]
@@ -390,16 +399,22 @@
                and not all(crowd.has_settled() for crowd in crowds)):
             time.sleep(0.02)
         callers.close()
-        faults = []
+        missing = []
         for when in ("", " afterwards"):
             if not watch.killed and not process.ended():
-                faults += ["not answered%s: %s" % (when, name) for name in self.unserved()]
+                missing += [name + when for name in self.unserved()]
             for crowd in crowds:
                 crowd.close()
+        return self.faults_of(watch, missing), watch.figures()
+
+    def faults_of(self, watch, missing):
+        """The faults that WATCH saw, and the ordinary requests that are MISSING."""
         watch.finish()
+        bound_mb = self.deployment.memory_mb(watch.address)
+        faults = ["not answered: " + name for name in missing]
         if watch.killed:
             faults.append("killed by this test beyond %d MB" % STOP_MB)
-        elif process.ended():
+        elif watch.process.ended():
             faults.append("the process ended")
         if watch.peak_mb > bound_mb:
             faults.append("memory over %d MB" % bound_mb)
@@ -407,6 +422,24 @@
             faults.append("unsent over %d MB" % bound_mb)
         if watch.descriptors > self.machines.descriptors_maximum:
             faults.append("more than %d descriptors" % self.machines.descriptors_maximum)
+        return faults
+
+    def play_endless(self, head, piece):
+        """A target whose answers have no end, beside ordinary callers."""
+        watch = Watch(self.deployment.processes[self.entry], self.entry)
+        target = EndlessTarget(NET + ".42", head, piece)
+        callers = Callers([call for _, call in self.calls()])
+        watch.start()
+        self.announced.append("endless")
+        end = time.monotonic() + ENDLESS_S
+        while time.monotonic() < end and not watch.killed:
+            self.deployment.call(self.entry, CALLERS, b"POST",
+                                 self.next_path().replace(b"sound", b"endless"), JOB, HOST)
+        callers.close()
+        self.announced.remove("endless")
+        faults = self.faults_of(watch, self.unserved())
+        target.shutdown()
+        target.server_close()
         return faults, watch.figures()
 
     def client_counters(self):
@@ -488,6 +521,8 @@
     table = [(row.name, row.machines, [
         (", alone", lambda run, row=row: run.play(row, False)),
         (", beside callers", lambda run, row=row: run.play(row, True))]) for row in ROWS]
+    table += [(name, SMALL, [("", lambda run, how=how: run.play_endless(*how))])
+              for name, *how in ENDLESS]
     table.append((LARGEST, WHOLE, [("", Run.play_largest_jobs)]))
     for name, machines, plays in table:
         if names and name not in names:
--- a/tests/clients/target.py
+++ b/tests/clients/target.py
@@ -1,4 +1,8 @@
-"""A target that runs what it is given until it is stopped."""
+"""Targets: one that runs what it is given until it is stopped, and one whose answers
+have no end."""
+import socketserver
+import threading
+
 import processes
 
 
@@ -24,3 +28,26 @@
             with self.lock:
                 reply["running-tasks"] = [[t, r, "", 100] for t, r in self.running.items()]
         return reply
+
+
+class EndlessTarget(socketserver.ThreadingTCPServer):
+    """Answers every request with a HEAD and then PIECE without end."""
+    allow_reuse_address = True
+    daemon_threads = True
+
+    def __init__(self, address, head, piece):
+        self.head = head
+        self.piece = piece
+        super().__init__((address, processes.TARGET), EndlessHandler)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+
+class EndlessHandler(socketserver.BaseRequestHandler):
+    def handle(self):
+        try:
+            self.request.recv(65536)
+            self.request.sendall(self.server.head)
+            while True:
+                self.request.sendall(self.server.piece)
+        except OSError:
+            pass
