peer_network: connections without a hello are bounded

Cause: no time limit before the first frame, none for their number.

They are closed after 2.1 s, like peers that have gone silent, and the oldest of 512 is closed for a new one.

--- a/src/net/peer_conn.c
+++ b/src/net/peer_conn.c
@@ -31,6 +31,7 @@
   c->references = 1;
   c->connector = connector;
   c->open = true;
+  c->opened_ms = now_ms ();
   c->bev = bev;
   c->settings = s;
   c->own_boot_id = own_boot_id;
@@ -215,12 +216,25 @@
   return fault;
 }
 
+static void
+refuse (struct peer_conn *c, const char *fault)
+{
+  counters_add (COUNTER_PEER_FRAMES_REFUSED, 1);
+  event_ring_add (EVENT_PEER_REFUSED, c->vm, "%s", fault);
+  fail (c);
+}
+
 void
 peer_conn_check (struct peer_conn *c, int64_t now, int64_t ping_after_ms,
                  int64_t dead_after_ms)
 {
   const struct peer_message ping = { .type = PEER_PING };
 
+  if (!c->ready && !c->connector && now - c->opened_ms >= dead_after_ms)
+    {
+      refuse (c, "no hello in time");
+      return;
+    }
   if (!c->ready || now - c->last_seen_ms < ping_after_ms)
     return;
   if (now - c->last_seen_ms < dead_after_ms)
@@ -233,14 +247,6 @@
   fail (c);
 }
 
-static void
-refuse (struct peer_conn *c, const char *fault)
-{
-  counters_add (COUNTER_PEER_FRAMES_REFUSED, 1);
-  event_ring_add (EVENT_PEER_REFUSED, c->vm, "%s", fault);
-  fail (c);
-}
-
 static void
 on_read (struct bufferevent *bev, void *arg)
 {
--- a/src/net/peer_conn.h
+++ b/src/net/peer_conn.h
@@ -35,6 +35,7 @@
   bool connector;
   bool open;  /* BEV is not closed */
   bool ready; /* both hellos have been exchanged */
+  int64_t opened_ms;
 
   /* the other side, once ready */
   char vm[NAME_BYTES];
@@ -73,7 +74,8 @@
                       const char *body);
 
 /* Sends a PEER_PING if nothing has been received for PING_AFTER_MS, and closes
-   the connection after DEAD_AFTER_MS, with the closed callback.  */
+   the connection after DEAD_AFTER_MS, with the closed callback.  An accepted
+   connection that sends no hello is closed after DEAD_AFTER_MS too.  */
 void peer_conn_check (struct peer_conn *c, int64_t now, int64_t ping_after_ms,
                       int64_t dead_after_ms);
 
--- a/src/net/peer_network.c
+++ b/src/net/peer_network.c
@@ -34,6 +34,10 @@
   DEAD_AFTER_MS = 2100,
   CHECK_INTERVAL_MS = 350,
 
+  /* Accepted connections without a hello: the oldest is closed for a new one.
+     All VMs of a large deployment may connect at the same time.  */
+  UNGREETED_MAXIMUM = 512,
+
   /* TCP_USER_TIMEOUT: sent bytes may stay unacknowledged this long.  */
   UNACKED_TIMEOUT_MS = 2500
 };
@@ -358,6 +362,26 @@
 static const struct peer_conn_events accepted_events
     = { on_accepted_ready, on_accepted_message, on_accepted_closed };
 
+/* Closes the oldest accepted connection without a hello if there are too many.
+   The list has the newest first.  */
+static void
+limit_ungreeted (struct peer_network *n)
+{
+  struct peer_conn *oldest = NULL;
+  uint32_t count = 0;
+
+  for (const struct accepted *a = n->accepted; a != NULL; a = a->next)
+    if (!a->conn->ready)
+      {
+        oldest = a->conn;
+        count++;
+      }
+  if (count < UNGREETED_MAXIMUM)
+    return;
+  peer_conn_close (oldest);
+  on_accepted_closed (n, oldest);
+}
+
 static void
 on_accept (struct evconnlistener *listener, evutil_socket_t fd,
            struct sockaddr *from, int length, void *arg)
@@ -370,6 +394,7 @@
   (void)listener;
   (void)from;
   (void)length;
+  limit_ungreeted (n);
   set_options (bev);
   a->conn = peer_conn_new (bev, false, n->settings, n->boot_id,
                            &accepted_events, n);
--- a/tests/client_limits.py
+++ b/tests/client_limits.py
@@ -7,8 +7,8 @@
 is still connected, and after it.  Guards against a process that clients drive out of
 memory, and against places that they hold without end.
 
-Each kind is played alone and beside ordinary callers.  So are targets whose
-answers have no end.
+Each kind is played alone and beside ordinary callers.  So are connections at the
+peers' port, and targets whose answers have no end.
 
 usage: tests/client_limits.py BUILD [NAME...]
 
@@ -63,6 +63,10 @@
 WIDE = Machines(32, 32, 1600, 1400, SMALL.clients)
 WIDE_CROWD = 400
 
+# As many descriptors as a process with 1,000 may open, 200 being for files.
+NARROW = Machines(32, 32, 1000, 800, SMALL.clients)
+PEER_CROWD = 900
+
 # The smallest entry itself, and as many clients as its descriptors allow.  Keepers of
 # the pages have twice this memory.
 WHOLE = Machines(120, 120, 3075, 2875, {})
@@ -238,6 +242,12 @@
 ROWS += rows_of("metrics", METRICS, METRICS_ROWS)
 ROWS += [Row("entry: idle connections at all ports", (CALLERS, READY, METRICS), Kind([]),
              IDLE_PER_PORT)]
+ROWS += [Row("peers: connections without a hello", (processes.PEER,), Kind([]),
+             PEER_CROWD, NARROW)]
+ROWS += [Row("peers: hellos that stop short", (processes.PEER,),
+             Kind([b"\0\0\2\0", b"x" * 500]), PEER_CROWD, NARROW)]
+ROWS += [Row("peers: frames without end", (processes.PEER,),
+             Kind([b"\0\0\2\0" * 4096], repeats=True))]
 ROWS += [replace(r, count=WIDE_CROWD, machines=WIDE)
          for r in rows_of("callers", CALLERS, CALLERS_AHEAD_ROWS)
          + rows_of("control", CONTROL, CONTROL_AHEAD_ROWS)]
