--- a/src/net/peer_network.c
+++ b/src/net/peer_network.c
@@ -36,7 +36,7 @@
 
   /* Accepted connections without a hello: the oldest is closed for a new one.
      All VMs of a large deployment may connect at the same time.  */
-  UNGREETED_MAXIMUM = 512,
+  UNREADY_MAXIMUM = 512,
 
   /* TCP_USER_TIMEOUT: sent bytes may stay unacknowledged this long.  */
   UNACKED_TIMEOUT_MS = 2500
@@ -365,7 +365,7 @@
 /* Closes the oldest accepted connection without a hello if there are too many.
    The list has the newest first.  */
 static void
-limit_ungreeted (struct peer_network *n)
+limit_unready (struct peer_network *n)
 {
   struct peer_conn *oldest = NULL;
   uint32_t count = 0;
@@ -376,7 +376,7 @@
         oldest = a->conn;
         count++;
       }
-  if (count < UNGREETED_MAXIMUM)
+  if (count < UNREADY_MAXIMUM)
     return;
   peer_conn_close (oldest);
   on_accepted_closed (n, oldest);
@@ -394,7 +394,7 @@
   (void)listener;
   (void)from;
   (void)length;
-  limit_ungreeted (n);
+  limit_unready (n);
   set_options (bev);
   a->conn = peer_conn_new (bev, false, n->settings, n->boot_id,
                            &accepted_events, n);
