--- a/review/standins-3/cluster.py
+++ b/review/standins-3/cluster.py
@@ -25,7 +25,7 @@
 
 # Of a path that loses packets: the share lost, and how long a sender waits before it
 # sends one again (at least, in Linux), each time twice as long.
-LOST, RETRANSMIT_S = 0.3, 0.2
+LOST, RETRANSMIT_S, SYN_AGAIN_S = 0.3, 0.2, 1.0
 
 # From the sheet of vlsb-ragwort in SYSTEM.md.
 LEASE_LIMIT_MS, RESEND_MS, CATCH_UP_S, GRACE_S = 1000, 1300, 4, 6
@@ -182,6 +182,7 @@
             if self.lossy_to is not None:
                 caller = self.cluster.caller_of(peer, (self.address, WORKER))
             if self.loses(caller) and self.cluster.random.random() < 1 - (1 - LOST) ** 2:
+                await asyncio.sleep(SYN_AGAIN_S)
                 return
             while True:
                 line, fields, data = await read_message(reader)
