--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -7,7 +7,7 @@
 #include "platform/service_config_json.h"
 #include "platform/heartbeat.h"
 #include "platform/job_request.h"
-#include "platform/worker_client.h"
+#include "platform/worker_reply.h"
 #include "tests/unit/suites.h"
 
 static const char valid_job[]
@@ -238,8 +238,8 @@
   struct port_end *ends;
 
   memset (&r, 0, sizeof r);
-  worker_client_decode_poll (&r, status, text, strlen (text), started_ms,
-                             &running, &ends);
+  worker_reply_decode_poll (&r, status, text, strlen (text), started_ms,
+                            &running, &ends);
   free (running);
   free (ends);
   return r;
@@ -266,12 +266,12 @@
           .reply.outcome,
       PORT_NO_ANSWER);
   memset (&r, 0, sizeof r);
-  worker_client_decode_reply (&r, 409, conflict, strlen (conflict), 17);
+  worker_reply_decode (&r, 409, conflict, strlen (conflict), 17);
   CU_ASSERT_EQUAL (r.outcome, PORT_FENCED);
   CU_ASSERT_EQUAL (r.clock_ms, 5);
-  worker_client_decode_reply (&r, 421, "", 0, 17);
+  worker_reply_decode (&r, 421, "", 0, 17);
   CU_ASSERT_EQUAL (r.outcome, PORT_OTHER_INCARNATION);
-  worker_client_decode_reply (&r, 503, "", 0, 17);
+  worker_reply_decode (&r, 503, "", 0, 17);
   CU_ASSERT_EQUAL (r.outcome, PORT_UNHEALTHY);
 }
 
