log: the connection and the incarnation behind each answer to a start

Change: the lines of starts and stops have conn (local port), answers (read on it before), clock and born of the answer, those of starts also until and ordered_ms; TARGET_LOST has owned_born beside born. RUN_LOST is logged at info: it is the line that says why a task may start again.

--- a/src/base/event_table.h
+++ b/src/base/event_table.h
@@ -67,7 +67,7 @@
        "run makes no progress or is too slow, and is stopped",                \
        "check the target if this recurs")                                     \
   ROW (324, RUN_STOPPED, DEBUG, "stop of a run decided", "nothing")           \
-  ROW (325, RUN_LOST, DEBUG, "run found to be over without a reported end",   \
+  ROW (325, RUN_LOST, INFO, "run found to be over without a reported end",    \
        "nothing")                                                             \
   ROW (326, RUN_STOP_ANSWERED, DEBUG, "target answered a stop, or did not",   \
        "nothing")                                                             \
--- a/src/controller/run_events.c
+++ b/src/controller/run_events.c
@@ -1,29 +1,73 @@
 #include "controller/run_events.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include "base/event_ring.h"
 
+enum
+{
+  SOURCE_BYTES = 160,
+  NO_CLOCK = -1
+};
+
+/* Writes on which connection REPLY was awaited, and which incarnation of the
+   target sent it.  */
+static void
+describe_source (const struct port_reply *reply, char text[SOURCE_BYTES])
+{
+  snprintf (text, SOURCE_BYTES,
+            "conn=%u answers=%u clock=%" PRId64 " born=%" PRId64,
+            reply->connection.local_port, reply->connection.answers,
+            reply->has_clock ? reply->clock_ms : NO_CLOCK, reply->started_ms);
+}
+
 static void
 add_answer (enum event_number number, const struct target_runner *r,
             int64_t now, const char *task, uint64_t run,
             const struct port_reply *reply)
 {
+  char source[SOURCE_BYTES];
+
+  describe_source (reply, source);
   event_ring_add (number, task,
                   "run=%" PRIu64 " target=%s outcome=%s fence=%" PRIu64
-                  " took_ms=%" PRId64 " lease_ms=%" PRId64,
+                  " took_ms=%" PRId64 " lease_ms=%" PRId64 " %s",
                   run, r->target->spec.id, port_outcome_name (reply->outcome),
                   r->fencing_token, now - reply->sent_ms,
-                  target_runner_lease_ms (r, now));
+                  target_runner_lease_ms (r, now), source);
 }
 
 void
 run_events_start_answered (const struct target_runner *r, int64_t now,
-                           const char *task, uint64_t run,
+                           const char *task, const struct run_start *start,
                            const struct port_reply *reply)
 {
-  add_answer (reply->outcome == PORT_DONE ? EVENT_RUN_STARTED
-                                          : EVENT_RUN_NOT_STARTED,
-              r, now, task, run, reply);
+  char source[SOURCE_BYTES];
+
+  describe_source (reply, source);
+  event_ring_add (
+      reply->outcome == PORT_DONE ? EVENT_RUN_STARTED : EVENT_RUN_NOT_STARTED,
+      task,
+      "run=%" PRIu64 " target=%s outcome=%s fence=%" PRIu64 " took_ms=%" PRId64
+      " lease_ms=%" PRId64 " until=%" PRId64 " ordered_ms=%" PRId64 " %s",
+      start->run, r->target->spec.id, port_outcome_name (reply->outcome),
+      r->fencing_token, now - reply->sent_ms, target_runner_lease_ms (r, now),
+      start->lease_end_ms, now - start->ordered_ms, source);
+}
+
+void
+run_events_target_lost (const struct target_runner *r, int64_t now,
+                        const struct port_reply *reply)
+{
+  char source[SOURCE_BYTES];
+
+  describe_source (reply, source);
+  event_ring_add (EVENT_TARGET_LOST, r->target->spec.id,
+                  "why=%s fence=%" PRIu64 " runs=%u lease_ms=%" PRId64
+                  " owned_born=%" PRId64 " %s",
+                  port_outcome_name (reply->outcome), r->fencing_token,
+                  r->target->run_count, target_runner_lease_ms (r, now),
+                  r->target->spec.started_ms, source);
 }
 
 void
--- a/src/controller/run_events.h
+++ b/src/controller/run_events.h
@@ -6,12 +6,25 @@
 #include <stdint.h>
 #include "controller/target_runner.h"
 
-/* Records the answer REPLY to the start of run RUN of TASK.  */
+/* A start that was ordered.  */
+struct run_start
+{
+  uint64_t run;
+  int64_t ordered_ms;
+  int64_t lease_end_ms; /* on the target's clock */
+};
+
+/* Records the answer REPLY to START, of TASK.  */
 void run_events_start_answered (const struct target_runner *r, int64_t now_ms,
-                                const char *task, uint64_t run,
+                                const char *task,
+                                const struct run_start *start,
                                 const struct port_reply *reply);
 
-/* Likewise for its stop.  */
+/* Records that this VM no longer owns R's target, by REPLY.  */
+void run_events_target_lost (const struct target_runner *r, int64_t now_ms,
+                             const struct port_reply *reply);
+
+/* Records the answer REPLY to the stop of run RUN of TASK.  */
 void run_events_stop_answered (const struct target_runner *r, int64_t now_ms,
                                const char *task, uint64_t run,
                                const struct port_reply *reply);
--- a/src/controller/target_port.h
+++ b/src/controller/target_port.h
@@ -29,13 +29,23 @@
 
 const char *port_outcome_name (enum port_outcome o);
 
+/* The connection that carried a call.  A target that restarts closes those
+   that it had, so the answers on one all come from one incarnation.  */
+struct port_connection
+{
+  uint16_t local_port; /* 0: not yet open when the call was made */
+  uint32_t answers;    /* that had been read on it when the call was made */
+};
+
 struct port_reply
 {
   enum port_outcome outcome;
   bool has_clock;
-  int64_t clock_ms; /* the target's clock when it replied */
+  int64_t clock_ms;   /* the target's clock when it replied */
+  int64_t started_ms; /* the incarnation that replied; 0 if it did not tell */
   int64_t sent_ms;
   int64_t received_ms;
+  struct port_connection connection;
 };
 
 struct port_start
--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -64,7 +64,7 @@
 {
   struct target_runner *runner;
   char task[TASK_NAME_BYTES];
-  uint64_t run;
+  struct run_start start; /* of a stop only the run */
   struct run_call *prev;
   struct run_call *next;
 };
@@ -78,7 +78,7 @@
 
   c->runner = r;
   snprintf (c->task, sizeof c->task, "%s", task);
-  c->run = run;
+  c->start.run = run;
   DL_APPEND (r->calls, c);
   return c;
 }
@@ -107,15 +107,13 @@
 }
 
 static void
-mark_lost (struct target_runner *r, const char *why)
+mark_lost (struct target_runner *r, int64_t now,
+           const struct port_reply *reply)
 {
   if (r->lost)
     return;
   r->lost = true;
-  event_ring_add (EVENT_TARGET_LOST, r->target->spec.id,
-                  "why=%s fence=%" PRIu64 " runs=%u lease_ms=%" PRId64, why,
-                  r->fencing_token, r->target->run_count,
-                  target_runner_lease_ms (r, now_ms ()));
+  run_events_target_lost (r, now, reply);
   r->setup->events->lost (r->setup->arg, r);
 }
 
@@ -248,29 +246,29 @@
   histogram_add (HISTOGRAM_RUN_START, now - reply->sent_ms);
   if (reply->outcome != PORT_DONE)
     counters_add (COUNTER_STARTS_REFUSED, 1);
-  run_events_start_answered (r, now, c->task, c->run, reply);
+  run_events_start_answered (r, now, c->task, &c->start, reply);
   switch (reply->outcome)
     {
     case PORT_NO_ANSWER:
       record_no_answer (r, now, reply->outcome);
       run_scheduler_start_result (r->setup->scheduler, now, r->target, c->task,
-                                  c->run, START_UNKNOWN);
+                                  c->start.run, START_UNKNOWN);
       schedule (r, retry_ms (r));
       break;
     case PORT_FENCED:
     case PORT_OTHER_INCARNATION:
-      mark_lost (r, port_outcome_name (reply->outcome));
+      mark_lost (r, now, reply);
       break;
     case PORT_NOT_SENT:
       run_scheduler_start_result (r->setup->scheduler, now, r->target, c->task,
-                                  c->run, START_NOT_BEGUN);
+                                  c->start.run, START_NOT_BEGUN);
       record_no_answer (r, now, reply->outcome);
       schedule (r, retry_ms (r));
       break;
     default:
       record_answer (r, reply);
       run_scheduler_start_result (r->setup->scheduler, now, r->target, c->task,
-                                  c->run, outcome);
+                                  c->start.run, outcome);
       if (outcome == START_ACCEPTED && !r->polling)
         poll_target (r, now);
     }
@@ -289,16 +287,18 @@
                           .run = j->tasks[task].run,
                           .fencing_token = r->fencing_token,
                           .job = j };
+  struct run_call *c;
 
   run_job_task_name (j, task, name);
   s.lease_end_ms = request_lease (r, lease_end);
+  c = run_call_new (r, name, s.run);
+  c->start = (struct run_start){ s.run, now, s.lease_end_ms };
   counters_add (COUNTER_TASK_STARTS, 1);
   event_ring_add (
       EVENT_TASK_STARTED, name,
       "run=%" PRIu64 " target=%s fence=%" PRIu64 " lease_ms=%" PRId64, s.run,
       r->target->spec.id, r->fencing_token, lease_end - now);
-  r->setup->ops->start (r->port, &s, on_started,
-                        run_call_new (r, name, s.run));
+  r->setup->ops->start (r->port, &s, on_started, c);
 }
 
 static void
@@ -308,18 +308,18 @@
   struct target_runner *r = c->runner;
   int64_t now = now_ms ();
 
-  run_events_stop_answered (r, now, c->task, c->run, reply);
+  run_events_stop_answered (r, now, c->task, c->start.run, reply);
   switch (reply->outcome)
     {
     case PORT_DONE:
       record_answer (r, reply);
       run_scheduler_stop_answered (r->setup->scheduler, now, r->target,
-                                   c->task, c->run);
+                                   c->task, c->start.run);
       poll_soon (r, now);
       break;
     case PORT_FENCED:
     case PORT_OTHER_INCARNATION:
-      mark_lost (r, port_outcome_name (reply->outcome));
+      mark_lost (r, now, reply);
       break;
     default:
       record_no_answer (r, now, reply->outcome);
@@ -457,7 +457,7 @@
       return;
     case PORT_FENCED:
     case PORT_OTHER_INCARNATION:
-      mark_lost (r, port_outcome_name (poll->reply.outcome));
+      mark_lost (r, now, &poll->reply);
       return;
     default:
       run_events_not_renewed (r, now, poll->reply.outcome);
