A lease is requested only from the incarnation that answered there

Cause: the HTTP library opens a closed connection again for the next request, so a start went to whichever incarnation was there. Its until-ms, by the clock of the earlier one, is far ahead of the new clock: the target cuts it to its longest lease (1.0 s) from the moment of execution, which may itself be late. The owner, without an answer, took the run for over 60 ms after the 320 ms it had requested, and started the task elsewhere.

Evidence: RUN_NOT_STARTED of each of the 13 runs has conn=0 answers=0 (nothing was read on the connection) and until=4748 to 10492 where the new clock was below 0.3 s; the target's later lines have another born. In two of the 13 the run began after the second one: no wait by the owner would have bounded it.

A call that requests a lease (a start, a renewal) goes out only on a connection on which the known incarnation has answered (coord/target_channel); on any other the client first sends a status poll without a lease. Without an answer the start was never sent, and its task may start elsewhere at once. Why this works: a lease now ends by the clock of the process that reads the call, however late it does, or nobody reads it.

Tests: suite "worker client", with real connections.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -14,6 +14,7 @@
    TASKS_PASSED_BACK  of these, those returned as not run
    STARTS_REFUSED     start calls to targets that failed, also without answer
    TARGET_LOOKS       status polls of targets
+   TARGET_PROBES      polls that only learn which incarnation has answered
    DISPATCH_TAKEN     jobs and delegated parts accepted by this dispatcher
    TASKS_DELEGATED    tasks delegated to another dispatcher
    TASKS_SENT_BACK    of these, those that it refused
@@ -71,6 +72,7 @@
   ROW (ELECTIONS, "elections")                                                \
   ROW (STARTS_REFUSED, "starts_refused")                                      \
   ROW (TARGET_LOOKS, "target_looks")                                          \
+  ROW (TARGET_PROBES, "target_probes")                                        \
   ROW (DISPATCH_TAKEN, "dispatch_taken")                                      \
   ROW (DISPATCH_DONE, "dispatch_done")                                        \
   ROW (DISPATCH_FAILED, "dispatch_failed")                                    \
--- a/src/controller/target_port.h
+++ b/src/controller/target_port.h
@@ -3,7 +3,12 @@
    an in-memory implementation.
 
    A target stores the highest fencing token it has seen and rejects calls
-   with a lower one.  Lease end times are on the target's own clock.  */
+   with a lower one.  Lease end times are on the target's own clock.
+
+   A call that requests a lease is carried out by the incarnation that the port
+   knows, or never (coord/target_channel).  The port knows the incarnation that
+   its target was opened with or, if that is not named, the first to answer; an
+   answer of any other one is PORT_OTHER_INCARNATION.  */
 #ifndef CONTROLLER_TARGET_PORT_H
 #define CONTROLLER_TARGET_PORT_H
 
@@ -23,8 +28,8 @@
   PORT_UNHEALTHY,     /* rejected: the target accepts no calls now */
   PORT_OTHER_INCARNATION, /* rejected: the target has restarted since */
   PORT_INVALID,           /* rejected as malformed */
-  PORT_NOT_SENT,
-  PORT_NO_ANSWER /* may have been carried out, or may still be */
+  PORT_NOT_SENT,          /* and never will be */
+  PORT_NO_ANSWER          /* may have been carried out, or may still be */
 };
 
 const char *port_outcome_name (enum port_outcome o);
@@ -46,6 +51,7 @@
   int64_t sent_ms;
   int64_t received_ms;
   struct port_connection connection;
+  bool never_sent; /* the outcome was known before the call was sent */
 };
 
 struct port_start
--- a/src/controller/target_runner.c
+++ b/src/controller/target_runner.c
@@ -257,6 +257,9 @@
       break;
     case PORT_FENCED:
     case PORT_OTHER_INCARNATION:
+      if (reply->never_sent)
+        run_scheduler_start_result (r->setup->scheduler, now, r->target,
+                                    c->task, c->start.run, START_NOT_BEGUN);
       mark_lost (r, now, reply);
       break;
     case PORT_NOT_SENT:
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -110,6 +110,7 @@
   suite_vm_load ();
   suite_overload ();
   suite_platform ();
+  suite_worker_client ();
   suite_framing ();
   suite_client_budget ();
   suite_intake ();
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -44,6 +44,7 @@
 void suite_vm_load (void);
 void suite_overload (void);
 void suite_platform (void);
+void suite_worker_client (void);
 void suite_framing (void);
 void suite_client_budget (void);
 void suite_intake (void);
