unit: targets restart in the simulation of leases

Change: targets restart under their ids with a new clock, unheard by the keepers for up to 2 s; a call that requests a lease is carried out by the incarnation known to its sender, or never. The defect LEASE_ANY_INCARNATION has it carried out by whichever is there.

--- a/tests/unit/lease_model.c
+++ b/tests/unit/lease_model.c
@@ -27,6 +27,7 @@
 
   /* Chances per ms.  */
   FAULT_CHANCE = 1500,
+  RESTART_CHANCE = 2000,
   STORM_CHANCE = 1500,
   GIVE_UP_CHANCE = 10000,
   STORM_GIVE_UP_CHANCE = 1500,
@@ -257,6 +258,17 @@
   w->cut_until_ms[from][to] = w->now + world_random (w, CUT_MAX_MS);
 }
 
+/* Targets restart; later the keepers hear of it and assign them.  */
+static void
+restart_targets (struct world *w)
+{
+  if (world_chance (w, RESTART_CHANCE))
+    world_restart_target (w, (int)world_random (w, TARGETS));
+  for (int i = 0; i < TARGETS; i++)
+    if (w->now == w->targets[i].heard_ms)
+      assign_target (w, i, (int)world_random (w, VMS));
+}
+
 static void
 inject_fault (struct world *w)
 {
@@ -468,6 +480,7 @@
   for (int i = 0; i < TARGETS; i++)
     {
       w->targets[i].slow_ppm = world_random (w, SLOW_MAX_PPM + 1);
+      w->targets[i].incarnation = 1;
       assign_target (w, i, i % VMS);
     }
   for (uint32_t i = 0; i < CALLERS; i++)
@@ -481,6 +494,8 @@
   w->run.steps++;
   if (w->with_faults && world_chance (w, FAULT_CHANCE))
     inject_fault (w);
+  if (w->with_faults)
+    restart_targets (w);
   if (w->with_faults)
     storm_step (w);
   start_nodes (w);
--- a/tests/unit/lease_model.h
+++ b/tests/unit/lease_model.h
@@ -2,9 +2,9 @@
    VMs that are entry and dispatcher, delegation, and targets with one lease
    for all their runs.  VMs stall, are killed or lose power; connections end,
    go silent or are cut in one direction; calls to targets are lost, answered
-   late or carried out late; targets change their owner; callers leave at any
-   time and submit the same task again.  The decisions are those of
-   coord/job_lease, coord/target_lease and coord/target_clock.
+   late or carried out late; targets change their owner or restart; callers
+   leave at any time and submit the same task again.  The decisions are those
+   of coord/job_lease, coord/target_lease and coord/target_clock.
 
    Checked at every step: a task runs on one target at a time, no run goes on
    MODEL_RETRY_MS after its caller saw its attempt fail, and no lease counts
@@ -35,6 +35,8 @@
   LEASE_ACCEPTS_LEFT,     /* jobs of callers that have left are accepted */
   LEASE_BY_ARRIVAL,       /* a lease counts from the arrival of its grant */
   LEASE_OWNER_FORGETS,    /* a new owner takes a target to have no lease */
+  LEASE_ANY_INCARNATION,  /* a lease is requested whoever is at the other end
+                             of the connection */
   LEASE_DEFECTS
 };
 
--- a/tests/unit/lease_ports.c
+++ b/tests/unit/lease_ports.c
@@ -68,6 +68,14 @@
   return target_clock_min_ms (&p->clock, until);
 }
 
+/* The incarnation that alone may carry out a call of P that requests a
+   lease.  */
+static uint32_t
+lease_incarnation (const struct world *w, const struct port *p)
+{
+  return w->defect == LEASE_ANY_INCARNATION ? 0 : p->incarnation;
+}
+
 static void
 send_poll (struct world *w, int vm, int target)
 {
@@ -78,6 +86,8 @@
   if (p->target.phase == TARGET_READY && p->target.run_count != 0
       && p->unanswered_since_ms == 0)
     c.lease_end_ms = request_lease (w, p, now, w->lease_ms);
+  if (c.lease_end_ms != 0)
+    c.incarnation = lease_incarnation (w, p);
   p->polling = true;
   p->poll_sent_ms = now;
   world_call (w, vm, &c);
@@ -91,6 +101,7 @@
   struct call c = { .kind = CALL_START,
                     .target = target,
                     .token = p->token,
+                    .incarnation = lease_incarnation (w, p),
                     .attempt = j->attempt,
                     .run = ++j->run };
 
@@ -303,7 +314,9 @@
 
   if (!p->owned || p->token != c->token)
     return;
-  if (c->outcome == CALL_FENCED)
+  if (p->incarnation == 0)
+    p->incarnation = c->answered_by;
+  if (c->outcome == CALL_FENCED || c->answered_by != p->incarnation)
     {
       p->owned = false;
       drop_runs (w, vm, c->target, true);
--- a/tests/unit/lease_world.c
+++ b/tests/unit/lease_world.c
@@ -8,7 +8,13 @@
   DELAY_MAX_MS = 8,
   LATE_MAX_MS = 3000,
   STOP_MAX_MS = 50,
-  CALL_FAULT_CHANCE = 25
+  CALL_FAULT_CHANCE = 25,
+
+  /* The longest lease that a target accepts.  */
+  LEASE_MAX_MS = 1000,
+
+  /* From a target's restart until the keepers hear of it.  */
+  UNHEARD_MAX_MS = 2000
 };
 
 int64_t
@@ -150,7 +156,23 @@
 static int64_t
 target_clock_now (const struct world *w, const struct target *t)
 {
-  return w->now - w->now * t->slow_ppm / MILLION;
+  int64_t elapsed = w->now - t->started_ms;
+
+  return elapsed - elapsed * t->slow_ppm / MILLION;
+}
+
+void
+world_restart_target (struct world *w, int target)
+{
+  struct target *t = &w->targets[target];
+
+  memset (t->runs, 0, sizeof t->runs);
+  memset (t->highest_run, 0, sizeof t->highest_run);
+  t->incarnation++;
+  t->started_ms = w->now;
+  t->heard_ms = w->now + 1 + world_random (w, UNHEARD_MAX_MS);
+  t->lease_end_ms = 0;
+  t->token = 0;
 }
 
 static struct run_record *
@@ -174,9 +196,14 @@
   return RUN_END_STOPPED;
 }
 
+/* A lease is never shortened, and none is longer than LEASE_MAX_MS.  */
 static void
-extend_lease (struct target *t, int64_t end_ms)
+extend_lease (const struct world *w, struct target *t, int64_t end_ms)
 {
+  int64_t limit_ms = target_clock_now (w, t) + LEASE_MAX_MS;
+
+  if (end_ms > limit_ms)
+    end_ms = limit_ms;
   if (end_ms > t->lease_end_ms)
     t->lease_end_ms = end_ms;
 }
@@ -199,7 +226,7 @@
 
   if (target_clock_now (w, t) > c->lease_end_ms)
     return CALL_REJECTED;
-  extend_lease (t, c->lease_end_ms);
+  extend_lease (w, t, c->lease_end_ms);
   if (c->run <= t->highest_run[task] || running_on (t) == SLOTS)
     return CALL_REJECTED;
   while (r->running)
@@ -229,9 +256,9 @@
 }
 
 static void
-carry_out_poll (struct target *t, struct call *c)
+carry_out_poll (const struct world *w, struct target *t, struct call *c)
 {
-  extend_lease (t, c->lease_end_ms);
+  extend_lease (w, t, c->lease_end_ms);
   for (int i = 0; i < RUN_RECORDS; i++)
     if (t->runs[i].running)
       c->running[c->running_count++]
@@ -244,6 +271,9 @@
   struct target *t = &w->targets[c->target];
 
   c->carried_out = true;
+  if (c->incarnation != 0 && c->incarnation != t->incarnation)
+    return; /* the connection has ended with the earlier one */
+  c->answered_by = t->incarnation;
   c->clock_ms = target_clock_now (w, t);
   c->answer_ms = w->now + 1 + world_random (w, DELAY_MAX_MS);
   if (w->with_faults && world_chance (w, CALL_FAULT_CHANCE))
@@ -265,7 +295,7 @@
       carry_out_stop (w, t, c);
       break;
     case CALL_POLL:
-      carry_out_poll (t, c);
+      carry_out_poll (w, t, c);
       break;
     }
 }
--- a/tests/unit/lease_world.h
+++ b/tests/unit/lease_world.h
@@ -163,6 +163,7 @@
 {
   bool owned;
   uint64_t token;
+  uint32_t incarnation; /* the one that answers; 0: none has answered */
   struct run_target target;
   struct target_clock clock;
   bool polling;
@@ -207,6 +208,9 @@
 
 struct target
 {
+  uint32_t incarnation; /* the number of its restarts, plus 1 */
+  int64_t started_ms;   /* its clock was 0 then */
+  int64_t heard_ms;     /* when the keepers learn that it has restarted */
   int64_t slow_ppm;     /* its clock is slower by this */
   int64_t lease_end_ms; /* on its clock */
   uint64_t token;
@@ -247,6 +251,8 @@
   int vm;
   int target;
   uint64_t token;
+  uint32_t incarnation; /* at the other end of its connection; 0: whichever is
+                           there when it arrives */
   uint32_t attempt;
   uint64_t run;
   int64_t lease_end_ms; /* on the target's clock; 0: none */
@@ -257,6 +263,7 @@
   bool abandoned; /* nobody waits for the answer */
   enum call_outcome outcome;
   int64_t clock_ms;
+  uint32_t answered_by; /* the incarnation */
   struct listed_run running[SLOTS];
   uint32_t running_count;
 };
@@ -324,6 +331,9 @@
 /* An answer of TARGET that has arrived at VM, or NULL.  */
 struct call *world_answer (struct world *w, int vm, int target);
 
+/* TARGET ends and starts again: it knows nothing of before.  */
+void world_restart_target (struct world *w, int target);
+
 /* Time passes at the targets: calls are carried out and runs end.  */
 void world_targets_step (struct world *w);
 
