--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,8 @@
 	@python3 tests/client_limits.py $(BUILD)
 	@SOAK_OPTIONS="$(SOAK_OPTIONS)" \
 	  sh tests/node_soak.sh $(BUILD) $(SOAK_SECONDS) $(SOAK_SEEDS)
+	@SOAK_OPTIONS="--profile restarts" \
+	  sh tests/node_soak.sh $(BUILD) $(RESTART_SECONDS) $(RESTART_SEEDS)
 	@sh tests/full_disks.sh $(BUILD) $(DISK_SECONDS) $(DISK_SEEDS)
 	@python3 tests/evacuation.py $(BUILD)
 
@@ -105,6 +107,10 @@
 SOAK_SEEDS ?= 2714
 SOAK_OPTIONS ?=
 
+# The soak in which idle targets restart behind cuts.
+RESTART_SECONDS ?= 16
+RESTART_SEEDS ?= 3001 3006
+
 node-soak: all
 	@SOAK_OPTIONS="$(SOAK_OPTIONS)" \
 	  sh tests/node_soak.sh $(BUILD) $(SOAK_SECONDS) $(SOAK_SEEDS)
@@ -150,7 +156,7 @@
 	@echo "check     set up, build, run unit tests and scenarios"
 	@echo "full-disks keepers' disks full in turn: DISK_SECONDS=s DISK_SEEDS='1 2'"
 	@echo "node-soak faults against ragwort-node: SOAK_SECONDS=s SOAK_SEEDS='1 2'"
-	@echo "          SOAK_OPTIONS='--profile large' (node_soak --help)"
+	@echo "          SOAK_OPTIONS='--profile large' or restarts (node_soak --help)"
 	@echo "spoilt    spoilt bytes at every port: SPOILT_ROUNDS=n SPOILT_SEEDS='1 2'"
 	@echo "prove     show that each scenario fails with its mechanism off"
 	@echo "soak      random faults: SEED=n MINUTES=m"
--- a/tests/soak/fake_worker.h
+++ b/tests/soak/fake_worker.h
@@ -62,7 +62,8 @@
   int64_t clock_percent; /* speed of its clock, in percent of real time */
   uint64_t sequence;
   enum worker_behaviour behaviour;
-  int64_t drain_until_ms; /* 0 unless it drains; the soak then restarts it */
+  int64_t drain_until_ms;   /* 0 unless it drains; the soak then restarts it */
+  int64_t unheard_until_ms; /* its heartbeats reach no keeper before */
   uint64_t random;
 
   uint64_t fencing_token;
--- a/tests/soak/fault_proxy.c
+++ b/tests/soak/fault_proxy.c
@@ -18,7 +18,12 @@
   SERVER_SIDE, /* towards the VM or target that it connected to */
   SIDE_COUNT,
   UNKNOWN_VM = -1,
-  BACKLOG = 128
+  BACKLOG = 128,
+
+  /* How long a sender waits before it repeats a packet; twice as long each
+     further time.  */
+  RETRANSMIT_MS = 200,
+  RETRANSMIT_LIMIT = 5
 };
 
 /* One direction of a proxied connection.  */
@@ -64,6 +69,15 @@
   free (c);
 }
 
+static uint32_t
+next_random (struct fault_proxy *p, uint32_t limit)
+{
+  p->loss_random ^= p->loss_random << 13;
+  p->loss_random ^= p->loss_random >> 7;
+  p->loss_random ^= p->loss_random << 17;
+  return (uint32_t)(p->loss_random >> 11) % limit;
+}
+
 /* Returns the path of the bytes that D's side sends, or NULL while the
    connecting VM is unknown.  */
 static struct proxy_path *
@@ -151,6 +165,18 @@
     c->from = c->proxy->find_vm (&client, &server, bytes, length);
 }
 
+/* Whether the first packet of C, or the answer to it, is lost: it is repeated
+   only after its sender has given up.  */
+static bool
+is_opening_lost (const struct proxy_connection *c)
+{
+  struct fault_proxy *p = c->proxy;
+
+  return c->from != UNKNOWN_VM
+         && (next_random (p, 100) < p->paths[c->from][c->to].loss_percent
+             || next_random (p, 100) < p->paths[c->to][c->from].loss_percent);
+}
+
 static void
 on_drained (struct bufferevent *bev, void *arg)
 {
@@ -193,16 +219,33 @@
   forward (arg);
 }
 
+/* How late the next packet on PATH arrives.  */
+static int64_t
+draw_delay_ms (struct fault_proxy *p, const struct proxy_path *path)
+{
+  int64_t delay_ms = path->delay_ms;
+
+  for (int i = 0;
+       i < RETRANSMIT_LIMIT && next_random (p, 100) < path->loss_percent; i++)
+    delay_ms += RETRANSMIT_MS << i;
+  return delay_ms;
+}
+
 static void
 forward_in_time (struct direction *d)
 {
   const struct proxy_path *p = path_of (d);
+  int64_t delay_ms = 0;
 
-  if (p == NULL || p->delay_ms == 0)
+  if (event_pending (d->delay_timer, EV_TIMEOUT, NULL))
+    return;
+  if (p != NULL)
+    delay_ms = draw_delay_ms (d->connection->proxy, p);
+  if (delay_ms == 0)
     forward (d);
-  else if (!event_pending (d->delay_timer, EV_TIMEOUT, NULL))
+  else
     {
-      struct timeval t = now_timeval (p->delay_ms);
+      struct timeval t = now_timeval (delay_ms);
 
       event_add (d->delay_timer, &t);
     }
@@ -217,7 +260,10 @@
   if (d->side == CLIENT_SIDE && d->connection->from == UNKNOWN_VM)
     identify (d->connection);
   if (!d->connection->connected)
-    connect_to_server (d->connection);
+    {
+      d->connection->blackholed = is_opening_lost (d->connection);
+      connect_to_server (d->connection);
+    }
   forward_in_time (d);
 }
 
@@ -273,9 +319,10 @@
 
 void
 fault_proxy_init (struct fault_proxy *p, struct event_base *base,
-                  uint16_t to_port, proxy_find_vm find_vm)
+                  uint16_t to_port, proxy_find_vm find_vm, uint64_t seed)
 {
   memset (p, 0, sizeof *p);
+  p->loss_random = seed * 0x9E3779B97F4A7C15U + 1;
   p->base = base;
   p->to_port = to_port;
   p->find_vm = find_vm;
@@ -340,6 +387,12 @@
   p->paths[from][to].delay_ms = ms;
 }
 
+void
+fault_proxy_lose (struct fault_proxy *p, int from, int to, uint32_t percent)
+{
+  p->paths[from][to].loss_percent = percent;
+}
+
 /* Whether END, of a connection of P, is WANTED or of that kind.  */
 static bool
 is_end (const struct fault_proxy *p, int end, int wanted)
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -1,9 +1,10 @@
 /* A TCP proxy in front of each VM's peer port and of each target, run in the
    process of the soak test.  Connections between VMs, and from VMs to targets,
    go through it; it can delay, cut (also in one direction), black-hole or
-   reset them.  The connecting VM is identified by the address that it sends in
-   its first message to a VM, and by a callback for a connection to a target,
-   which sees it as coming from the VM's address.
+   reset them, or lose packets, which a sender repeats.  The connecting VM is
+   identified by the address that it sends in its first message to a VM, and by
+   a callback for a connection to a target, which sees it as coming from the
+   VM's address.
 
    Bytes that are held back when their sender closes the connection, and the
    close itself, are delivered later, as a network does.  */
@@ -23,8 +24,9 @@
 /* The fault applied to the bytes from one VM or target to another.  */
 struct proxy_path
 {
-  uint32_t cuts;    /* bytes are held back until all of them have ended */
-  int64_t delay_ms; /* added latency */
+  uint32_t cuts;         /* bytes are held back until all of them have ended */
+  int64_t delay_ms;      /* added latency */
+  uint32_t loss_percent; /* of packets, which arrive when they are repeated */
 };
 
 /* Returns the index of the VM that has opened a connection from CLIENT to the
@@ -47,10 +49,12 @@
   uint32_t count;
   struct proxy_path paths[PROXY_LIMIT][PROXY_LIMIT]; /* [from][to] */
   struct proxy_connection *connections;
+  uint64_t loss_random;
 };
 
+/* SEED determines which packets are lost.  */
 void fault_proxy_init (struct fault_proxy *p, struct event_base *base,
-                       uint16_t to_port, proxy_find_vm find_vm);
+                       uint16_t to_port, proxy_find_vm find_vm, uint64_t seed);
 void fault_proxy_done (struct fault_proxy *p);
 
 /* Listens on PORT of ADDRESS and forwards to the port to_port of ADDRESS,
@@ -67,6 +71,10 @@
 /* Delays the bytes from FROM to TO by up to MS; 0 ends the delay.  */
 void fault_proxy_delay (struct fault_proxy *p, int from, int to, int64_t ms);
 
+/* Loses PERCENT of the packets from FROM to TO; 0 ends the loss.  */
+void fault_proxy_lose (struct fault_proxy *p, int from, int to,
+                       uint32_t percent);
+
 enum
 {
   PROXY_ANY = -1,
--- a/tests/soak/node_soak.c
+++ b/tests/soak/node_soak.c
@@ -273,7 +273,8 @@
   soak.stall_random = soak.seed * 0x94D049BB133111EBU + 1;
   soak.load_random = soak.seed * 0xD1B54A32D192ED03U + 1;
   soak.base = event_base_new ();
-  fault_proxy_init (&soak.proxy, soak.base, LISTEN_PORT, soak_find_vm);
+  fault_proxy_init (&soak.proxy, soak.base, LISTEN_PORT, soak_find_vm,
+                    soak.seed);
   soak.begin_ms = now_ms ();
   last_tick_ms = soak.begin_ms;
   soak.fault_due_ms = soak.begin_ms + SETTLE_MS;
--- a/tests/soak/path_faults.c
+++ b/tests/soak/path_faults.c
@@ -7,7 +7,7 @@
 
 enum
 {
-  PATH_FAULT_LIMIT = 64,
+  PATH_FAULT_LIMIT = 128,
   PAIR_FAULT_LIMIT = 16
 };
 
@@ -57,7 +57,9 @@
 static void
 apply_to (const struct path_fault *f, int from, int to, bool on)
 {
-  if (f->delay_ms == 0)
+  if (f->loss_percent != 0)
+    fault_proxy_lose (&soak.proxy, from, to, on ? f->loss_percent : 0);
+  else if (f->delay_ms == 0)
     fault_proxy_cut (&soak.proxy, from, to, on);
   else
     fault_proxy_delay (&soak.proxy, from, to, on ? f->delay_ms : 0);
@@ -93,7 +95,9 @@
   else
     printf ("%" PRId64 " ms: %s of %s%s", soak_elapsed_ms (), scopes[f->scope],
             soak.proxy.addresses[f->from], to);
-  if (f->delay_ms == 0)
+  if (f->loss_percent != 0)
+    printf (": loses %u%%", f->loss_percent);
+  else if (f->delay_ms == 0)
     printf (": cut");
   else
     printf (": delay %" PRId64 " ms", f->delay_ms);
--- a/tests/soak/path_faults.h
+++ b/tests/soak/path_faults.h
@@ -21,8 +21,9 @@
   enum path_scope scope;
   int from;
   int to;
-  bool both;        /* in both directions */
-  int64_t delay_ms; /* 0: a cut */
+  bool both;             /* in both directions */
+  int64_t delay_ms;      /* 0: a cut, unless packets are lost */
+  uint32_t loss_percent; /* of packets */
   int64_t until_ms;
 };
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -96,8 +96,9 @@
 {
   char id[20];
   uint32_t task_count;
-  int64_t length_ms; /* of each task */
-  uint32_t started;  /* tasks that workers started */
+  uint32_t cpu_milli; /* of each task */
+  int64_t length_ms;  /* likewise */
+  uint32_t started;   /* tasks that workers started */
   uint32_t refused;
   struct attempt *attempts;
   uint32_t attempt_count;
@@ -135,12 +136,14 @@
   uint32_t run_max_ms;
   uint32_t fault_gap_ms; /* mean interval of faults */
   uint32_t stalls_per_second;
+  uint32_t restart_percent; /* of faults: targets that restart behind a cut */
   bool keep_logs;
 
   struct event_base *base;
   uint32_t node_count;
   struct node nodes[NODE_LIMIT]; /* the keepers come first */
   struct fake_worker workers[WORKER_LIMIT];
+  const struct node *last_starters[WORKER_LIMIT]; /* of a run on each worker */
   struct fault_proxy proxy;
   struct live_run *runs;
   int64_t begin_ms;
@@ -238,6 +241,14 @@
 void soak_start_caller_fault (int64_t now_ms);
 void soak_continue_series (int64_t now_ms);
 
+/* Restarts target I under its id and resets its connections.  */
+void soak_restart_worker (uint32_t i);
+
+/* Restarts up to a fifth of the targets under their ids, unheard by the
+   keepers, while packets get lost between them and the VM that starts tasks
+   there; that VM may fail next.  */
+void soak_start_restart_fault (int64_t now_ms);
+
 /* Returns a connection that is freed after one request.  */
 struct evhttp_connection *soak_connect (const char *address, uint16_t port,
                                         int64_t timeout_ms);
@@ -245,6 +256,10 @@
 /* callers */
 void soak_send_calls (int64_t now_ms);
 
+/* Sends COUNT new jobs to ENTRY at once, each of one task that takes all of a
+   target.  */
+void soak_send_large_jobs (struct node *entry, uint32_t count);
+
 /* Sends several times as many calls as usual for a while.  */
 void soak_start_burst (int64_t now_ms);
 
--- a/tests/soak/soak_calls.c
+++ b/tests/soak/soak_calls.c
@@ -45,14 +45,15 @@
   return j;
 }
 
-static void send_call (struct job *j);
+static void send_call (struct job *j, struct node *entry);
+static struct node *choose_entry (void);
 
 static void
 on_resend (evutil_socket_t fd, short what, void *arg)
 {
   (void)fd;
   (void)what;
-  send_call (arg);
+  send_call (arg, choose_entry ());
 }
 
 static void
@@ -201,9 +202,8 @@
 }
 
 static void
-send_call (struct job *j)
+send_call (struct job *j, struct node *entry)
 {
-  struct node *entry = choose_entry ();
   struct call *c = calloc (1, sizeof *c);
   struct evhttp_request *req = evhttp_request_new (on_answer, c);
   struct evkeyvalq *headers = evhttp_request_get_output_headers (req);
@@ -228,26 +228,34 @@
     evhttp_add_header (headers, "Connection", "close");
   evbuffer_add_printf (evhttp_request_get_output_buffer (req),
                        "{\"spec\":\"%u %" PRId64 "\",\"best-effort\":true,"
-                       "\"steps\":[{\"count\":%u,\"cpu\":%d,\"mem-mb\":64,"
+                       "\"steps\":[{\"count\":%u,\"cpu\":%u,\"mem-mb\":64,"
                        "\"estimate-ms\":%" PRId64 "}]}",
                        j->attempt_count, j->length_ms, j->task_count,
-                       WORKER_TASK_CPU_MILLI, j->length_ms);
+                       j->cpu_milli, j->length_ms);
   snprintf (text, sizeof text, "/jobs/%s", j->id);
   evhttp_make_request (c->connection, req, EVHTTP_REQ_POST, text);
 }
 
-static void
-send_new_job (void)
+static struct job *
+job_new (uint32_t task_count, uint32_t cpu_milli)
 {
   struct job *j = calloc (1, sizeof *j);
 
   snprintf (j->id, sizeof j->id, "%08x%08x", soak_random_load (1U << 31),
             soak_random_load (1U << 31));
-  j->task_count = 1 + soak_random_load (JOB_TASKS_MAX);
+  j->task_count = task_count;
+  j->cpu_milli = cpu_milli;
   j->length_ms = soak.run_min_ms
                  + soak_random_load (soak.run_max_ms - soak.run_min_ms + 1);
   HASH_ADD_STR (jobs, id, j);
-  send_call (j);
+  return j;
+}
+
+void
+soak_send_large_jobs (struct node *entry, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    send_call (job_new (1, WORKER_SLOTS * WORKER_TASK_CPU_MILLI), entry);
 }
 
 void
@@ -276,7 +284,9 @@
                 < soak.seconds * 1000 + SETTLE_MS + FINAL_PHASE_MS)
     {
       next_call_us += 1000000 / calls_per_second (now);
-      send_new_job ();
+      send_call (job_new (1 + soak_random_load (JOB_TASKS_MAX),
+                          WORKER_TASK_CPU_MILLI),
+                 choose_entry ());
     }
 }
 
--- a/tests/soak/soak_control.c
+++ b/tests/soak/soak_control.c
@@ -158,8 +158,11 @@
   next_heartbeat_ms = now + HEARTBEAT_MS;
   for (uint32_t i = 0; i < soak.worker_count; i++)
     {
-      struct control_call *c = control_new ();
+      struct control_call *c;
 
+      if (now < soak.workers[i].unheard_until_ms)
+        continue;
+      c = control_new ();
       c->worker = &soak.workers[i];
       c->body = fake_worker_heartbeat (&soak.workers[i]);
       send_control (c, random_keeper ());
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -117,8 +117,8 @@
     }
 }
 
-static void
-restart_worker (uint32_t i)
+void
+soak_restart_worker (uint32_t i)
 {
   struct fake_worker *w = &soak.workers[i];
 
@@ -148,7 +148,7 @@
   if (w->behaviour != WORKER_NORMAL)
     w->behaviour = WORKER_NORMAL;
   else if (kind == 0)
-    restart_worker (i);
+    soak_restart_worker (i);
   else if (kind == 1 && w->drain_until_ms == 0)
     {
       w->drain_until_ms = now + DRAIN_MS + soak_random_fault (2000);
@@ -169,7 +169,7 @@
   for (uint32_t i = 0; i < soak.worker_count; i++)
     if (soak.workers[i].drain_until_ms != 0
         && (all || now >= soak.workers[i].drain_until_ms))
-      restart_worker (i);
+      soak_restart_worker (i);
 }
 
 void
@@ -229,6 +229,11 @@
   soak.fault_due_ms
       = now + soak.fault_gap_ms / 2 + soak_random_fault (soak.fault_gap_ms);
   soak.faults++;
+  if (soak_random_fault (100) < soak.restart_percent)
+    {
+      soak_start_restart_fault (now);
+      return;
+    }
   switch (soak_random_fault (15))
     {
     case 0:
--- a/tests/soak/soak_options.c
+++ b/tests/soak/soak_options.c
@@ -11,10 +11,10 @@
 /* The options that set a size; the key of each is FIRST_SIZE_KEY and its index
    here.  */
 static uint32_t *const sizes[]
-    = { &soak.keeper_count,     &soak.entry_count,  &soak.worker_count,
-        &soak.domain_count,     &soak.load_percent, &soak.calls_per_second,
-        &soak.run_min_ms,       &soak.run_max_ms,   &soak.fault_gap_ms,
-        &soak.stalls_per_second };
+    = { &soak.keeper_count,      &soak.entry_count,    &soak.worker_count,
+        &soak.domain_count,      &soak.load_percent,   &soak.calls_per_second,
+        &soak.run_min_ms,        &soak.run_max_ms,     &soak.fault_gap_ms,
+        &soak.stalls_per_second, &soak.restart_percent };
 
 enum
 {
@@ -28,8 +28,10 @@
     0 },
   { "seconds", 't', "S", 0, "Duration of the faults (20)", 0 },
   { "profile", 'p', "NAME", 0,
-    "Sizes: short (8 entries, 32 workers) or large (24 entries, 120 workers, "
-    "more faults); later options change single ones",
+    "Sizes: short (8 entries, 32 workers), large (24 entries, 120 workers, "
+    "more faults) or restarts (short, idle workers restart behind cuts); "
+    "later "
+    "options change single ones",
     0 },
   { "keepers", FIRST_SIZE_KEY, "N", 0, "Number of keepers", 1 },
   { "entries", FIRST_SIZE_KEY + 1, "N", 0, "Number of entries", 1 },
@@ -44,6 +46,8 @@
   { "fault-gap", FIRST_SIZE_KEY + 8, "MS", 0, "Mean interval of faults", 1 },
   { "stalls", FIRST_SIZE_KEY + 9, "N", 0,
     "Stalls of random processes per second, of 20 to 300 ms", 1 },
+  { "restarts", FIRST_SIZE_KEY + 10, "PERCENT", 0,
+    "Share of the faults in which targets restart behind a cut (12)", 1 },
   { NULL, 0, NULL, 0, NULL, 0 }
 };
 
@@ -59,6 +63,7 @@
   soak.run_max_ms = 2200;
   soak.fault_gap_ms = 600;
   soak.stalls_per_second = 1;
+  soak.restart_percent = 12;
 }
 
 static void
@@ -72,6 +77,17 @@
   soak.stalls_per_second = 5;
 }
 
+static void
+set_restarts_profile (void)
+{
+  set_short_profile ();
+  soak.load_percent = 20;
+  soak.run_min_ms = 500;
+  soak.run_max_ms = 900;
+  soak.fault_gap_ms = 700;
+  soak.restart_percent = 100;
+}
+
 static void
 set_profile (const char *name, struct argp_state *state)
 {
@@ -79,6 +95,8 @@
     set_short_profile ();
   else if (strcmp (name, "large") == 0)
     set_large_profile ();
+  else if (strcmp (name, "restarts") == 0)
+    set_restarts_profile ();
   else
     argp_error (state, "no such profile: %s", name);
 }
--- a/tests/soak/soak_runs.c
+++ b/tests/soak/soak_runs.c
@@ -151,6 +151,7 @@
     }
   j->started++;
   l = live_run_new (w, r, j);
+  soak.last_starters[w - soak.workers] = l->starter;
   if (!j->pending && j->refused == j->attempt_count)
     {
       soak_violation ("a task of a refused job was started", r->task);
--- a/tests/soak/soak_series.c
+++ b/tests/soak/soak_series.c
@@ -12,7 +12,12 @@
   CUT_MIN_MS = 400,
   CUT_MAX_MS = 3000,
   ROLL_MIN_MS = 300,
-  ROLL_MAX_MS = 1000
+  ROLL_MAX_MS = 1000,
+  RESTART_DIVISOR = 5, /* one in so many targets restarts at a time */
+  RESTART_MIN_MS = 1000,
+  RESTART_MAX_MS = 2000,
+  RESTART_LOSS_PERCENT = 30,
+  RESTART_JOBS = 20 /* sent to the owner of the targets at once */
 };
 
 enum series_kind
@@ -263,3 +268,67 @@
         inject (now, SERIES_BREAK_CALLERS, n, 0);
     }
 }
+
+/* Restarts target I, which the keepers do not hear of until UNTIL_MS, while
+   packets get lost between it and N.  */
+static void
+restart_behind_cut (uint32_t i, const struct node *n, int64_t until_ms)
+{
+  struct path_fault f = { .scope = PATH_PAIR,
+                          .from = (int)n->index,
+                          .to = soak_worker_index (i),
+                          .both = true,
+                          .loss_percent = RESTART_LOSS_PERCENT,
+                          .until_ms = until_ms };
+
+  soak.workers[i].unheard_until_ms = until_ms;
+  path_faults_start (&f);
+  soak_restart_worker (i);
+}
+
+/* Restarts up to LIMIT targets where N was the last to start a run, of those
+   that run something now or of the others.  Returns their number.  */
+static uint32_t
+restart_targets_of (const struct node *n, uint32_t limit, bool are_busy,
+                    int64_t until_ms)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < soak.worker_count && count < limit; i++)
+    if (soak.last_starters[i] == n
+        && (soak.workers[i].run_count != 0) == are_busy
+        && soak.workers[i].started_ms < until_ms - RESTART_MAX_MS)
+      {
+        restart_behind_cut (i, n, until_ms);
+        count++;
+      }
+  return count;
+}
+
+void
+soak_start_restart_fault (int64_t now)
+{
+  const struct live_run *l = soak_random_run ();
+  uint32_t limit = soak.worker_count / RESTART_DIVISOR;
+  int64_t until_ms = now + RESTART_MIN_MS
+                     + soak_random_fault (RESTART_MAX_MS - RESTART_MIN_MS);
+  uint32_t next = soak_random_fault (4);
+  struct node *entry;
+  struct node *n;
+
+  if (l == NULL)
+    return;
+  entry = soak_caller_entry (l);
+  n = l->starter; /* L ends when its target restarts */
+  /* An owner learns at once that a target where its runs went on has
+     restarted; of an idle one it learns by its next call.  */
+  limit -= restart_targets_of (n, limit, false, until_ms);
+  restart_targets_of (n, limit, true, until_ms);
+  soak_send_large_jobs (n, RESTART_JOBS);
+  if (next == 0)
+    plan_fault (now + soak_random_fault (FOLLOW_MAX_MS), SERIES_POWER_OFF, n,
+                0);
+  else if (next == 1)
+    plan_fault (now + soak_random_fault (FOLLOW_MAX_MS), SERIES_BREAK_CALLERS,
+                entry, 0);
+}
