--- a/tests/unit/test_worker_client.c
+++ b/tests/unit/test_worker_client.c
@@ -90,7 +90,7 @@
 worker_listen (struct worker *w)
 {
   struct evhttp_bound_socket *bound;
-  struct sockaddr_in a;
+  struct sockaddr_in a = { .sin_family = AF_INET };
   socklen_t size = sizeof a;
 
   w->http = evhttp_new (w->base);
