unit: a start that was never sent leaves its task to another target

Cause: the code that starts such a task elsewhere when its target turns out to have restarted had no test. Change: a fake target can have connections, so that a start on a port from before its restart is never sent.

--- a/tests/unit/fake_port.c
+++ b/tests/unit/fake_port.c
@@ -24,7 +24,8 @@
   struct event *timer;
   int64_t sent_ms;
   enum port_outcome outcome;
-  bool lost;         /* the target never received it */
+  bool lost; /* the target never received it */
+  bool never_sent;
   uint32_t restarts; /* of the target when it received the call */
   struct port_poll_request request;
   port_done done;
@@ -235,8 +236,10 @@
       reply.outcome = PORT_NO_ANSWER;
       reply.has_clock = false;
     }
-  else if (c.kind == CALL_POLL && c.port->restarts != c.port->target->restarts)
+  else if ((c.kind == CALL_POLL || c.never_sent)
+           && c.port->restarts != c.port->target->restarts)
     reply.outcome = PORT_OTHER_INCARNATION;
+  reply.never_sent = c.never_sent;
   if (c.kind == CALL_POLL)
     answer_poll (&c, &reply);
   else
@@ -277,6 +280,9 @@
   uint32_t running;
 
   c->done = done;
+  c->never_sent = t->has_connections && p->restarts != t->restarts;
+  if (c->never_sent)
+    return;
   if (t->lose_starts != 0)
     {
       t->lose_starts--;
--- a/tests/unit/fake_port.h
+++ b/tests/unit/fake_port.h
@@ -39,6 +39,8 @@
   uint32_t max_concurrent_runs; /* most runs of one task at a time, over all
                                    targets */
   bool unresponsive;            /* carries out calls but does not answer */
+  bool has_connections;         /* a start on a port that was opened before the
+                                   last restart is never sent */
   uint32_t lose_starts;         /* this many of the next starts are lost */
   uint32_t lose_stops;          /* likewise for stops */
 };
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -308,6 +308,34 @@
   fixture_done (&f);
 }
 
+/* A start finds that its target has restarted, and is never sent: the caller
+   gets its answer from another target, not "unknown".  */
+static void
+test_start_never_sent (void)
+{
+  struct owned_target targets[2]
+      = { make_target ("t1", 1), make_target ("t2", 2) };
+  struct fixture f;
+  struct job_report report;
+  int64_t end = now_ms () + WAIT_MS;
+
+  fixture_init (&f);
+  dispatcher_set_targets (&f.dispatcher, now_ms (), targets, 1);
+  run_until_ready (&f, 1);
+  fake_port_target ("t1")->has_connections = true;
+  fake_port_restart (fake_port_target ("t1"));
+  submit (&f, "a", 1, &report);
+  while (f.dispatcher.runner_count != 0 && now_ms () < end)
+    run_for (&f, 5);
+  dispatcher_set_targets (&f.dispatcher, now_ms (), &targets[1], 1);
+  run_until (&f, &fake_port_target ("t2")->starts, 1);
+  CU_ASSERT_EQUAL (fake_port_target ("t1")->starts, 0);
+  fake_port_end_run (fake_port_target ("t2"), "a.0.0.0", RUN_END_DONE);
+  run_until (&f, &report.count, 1);
+  CU_ASSERT_EQUAL (report.result, JOB_DONE);
+  fixture_done (&f);
+}
+
 /* A dispatcher that shuts down while no keeper can assign its targets to
    another one goes on with them: 80 of the 116 targets of a failure domain
    that was cut off while its entries were restarted were left unused.  It
@@ -378,6 +406,8 @@
                test_target_reassigned);
   CU_add_test (s, "tasks of an unresponsive target are restarted",
                test_unresponsive_target);
+  CU_add_test (s, "a start that was never sent is unknown",
+               test_start_never_sent);
   CU_add_test (s, "lost requests are sent again", test_lost_requests);
   CU_add_test (s, "a lost stop is not sent again", test_lost_stop);
   CU_add_test (s, "a shutdown without a leader goes on with its targets",
