--- a/tests/soak/soak_options.c
+++ b/tests/soak/soak_options.c
@@ -29,9 +29,8 @@
   { "seconds", 't', "S", 0, "Duration of the faults (20)", 0 },
   { "profile", 'p', "NAME", 0,
     "Sizes: short (8 entries, 32 workers), large (24 entries, 120 workers, "
-    "more faults) or restarts (short, idle workers restart behind cuts); "
-    "later "
-    "options change single ones",
+    "more faults) or restarts (short; idle workers restart behind cuts); "
+    "later options change single ones",
     0 },
   { "keepers", FIRST_SIZE_KEY, "N", 0, "Number of keepers", 1 },
   { "entries", FIRST_SIZE_KEY + 1, "N", 0, "Number of entries", 1 },
